Serve a key's request through its part's leader, end to end

A caller's request reaches any instance, goes to the instance that leads the key's part, and from there to the one server with a standing grant. Leadership and assignment are one record in the store, changed by conditional update. Leases are not lent by standbys yet: the leader on record counts its own.

Shown by crates/lab/tests/whole_path.rs: two instances, three servers and the store stand-in on loopback.

--- /dev/null
+++ b/crates/daemon/src/caller_gateway.rs
@@ -0,0 +1,139 @@
+//! Callers' requests: read whole, classed, and passed on to the part's leader.
+//!
+//! A request's path is `/SERVICE/KEY`, optionally followed by more segments; the server gets it
+//! unchanged.
+
+use crate::prelude::*;
+use hyper::body::Incoming;
+
+/// Largest body read from any caller, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Answers one request.
+pub(crate) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let _counted = node.count_in_flight();
+    let fresh = Uuid::now_v7();
+    let (head, body) = request.into_parts();
+    let (id, id_from_caller) = match request_id(&head.headers) {
+        Ok(Some(id)) => (id, true),
+        Ok(None) => (fresh, false),
+        Err(notice) => return CallerAnswer::Refusal(notice).into_response(fresh),
+    };
+    let parsed = match parse(&node, &head, id, id_from_caller) {
+        Ok(parsed) => parsed,
+        Err(notice) => return CallerAnswer::Refusal(notice).into_response(id),
+    };
+    let (mut request, class) = parsed;
+    let max_body = MAX_BODY_BYTES.min(class.max_body_bytes as usize);
+    request.body = match read_body(body, max_body, &node).await {
+        Ok(body) => body,
+        Err(notice) => return CallerAnswer::Refusal(notice).into_response(id),
+    };
+    let deadline = node.clock.now().after(deadline_of(&head.headers, &class));
+    forward_worker::forward(&node, request, &class, deadline)
+        .await
+        .into_response(id)
+}
+
+fn request_id(headers: &http::HeaderMap) -> Result<Option<Uuid>, RefusalNotice> {
+    let malformed = RefusalNotice::not_run(RefusalReason::BadRequest);
+    let mut values = headers.get_all("geraniummast-request-id").iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(malformed);
+    }
+    match value
+        .to_str()
+        .ok()
+        .and_then(|text| Uuid::parse_str(text).ok())
+    {
+        Some(id) => Ok(Some(id)),
+        None => Err(malformed),
+    }
+}
+
+fn parse(
+    node: &Node,
+    head: &http::request::Parts,
+    id: Uuid,
+    id_from_caller: bool,
+) -> Result<(CallerRequest, RequestClass), RefusalNotice> {
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let mut segments = head.uri.path().trim_start_matches('/').splitn(3, '/');
+    let service = ServiceName::new(segments.next().unwrap_or_default());
+    let key = segments.next().unwrap_or_default();
+    let rest = segments.next().unwrap_or_default();
+    let gate = node.tables.gate.lock().unwrap();
+    let head_record = gate.head().ok_or(RefusalNotice::try_again(
+        RefusalReason::NotConfigured,
+        Duration::from_secs(1),
+    ))?;
+    let declaration = head_record
+        .services
+        .get(&service)
+        .ok_or(RefusalNotice::not_run(RefusalReason::UnknownService))?;
+    if key.is_empty() {
+        return Err(RefusalNotice::not_run(RefusalReason::BadRequest));
+    }
+    let class = declaration
+        .class_of(
+            head.method.as_str(),
+            rest.split('/').next().unwrap_or_default(),
+        )
+        .ok_or(RefusalNotice::not_run(RefusalReason::UnknownClass))?;
+    if head_record
+        .active_preset()
+        .refused_classes
+        .contains(&format!("{service}/{}", class.name))
+    {
+        return Err(RefusalNotice::not_run(RefusalReason::ClassRefused));
+    }
+    let caller = head
+        .headers
+        .get("geraniummast-caller")
+        .and_then(|value| value.to_str().ok());
+    let request = CallerRequest {
+        id,
+        id_from_caller,
+        caller: caller.unwrap_or_default().into(),
+        class: class.name.clone(),
+        hash: KeyHash::of(key),
+        method: head.method.to_string(),
+        target: target.into(),
+        headers: HeaderField::passed(&head.headers),
+        body: Bytes::new(),
+        service,
+    };
+    Ok((request, class.clone()))
+}
+
+async fn read_body(body: Incoming, max: usize, node: &Node) -> Result<Bytes, RefusalNotice> {
+    let late = async {
+        Timer::after(node.settings.limits.head_timeout).await;
+        Err(RefusalNotice::not_run(RefusalReason::BadRequest))
+    };
+    let read = async {
+        match http_body_util::Limited::new(body, max).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(RefusalNotice::not_run(RefusalReason::BodyTooLarge))
+            }
+            Err(_) => Err(RefusalNotice::not_run(RefusalReason::BadRequest)),
+        }
+    };
+    future::or(read, late).await
+}
+
+/// The class's deadline, or the caller's own where that is shorter.
+fn deadline_of(headers: &http::HeaderMap, class: &RequestClass) -> Duration {
+    let asked = headers
+        .get("geraniummast-timeout-ms")
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok())
+        .unwrap_or(class.deadline_ms);
+    Duration::from_millis(asked.min(class.deadline_ms))
+}
--- /dev/null
+++ b/crates/daemon/src/instance_node.rs
@@ -0,0 +1,146 @@
+//! One running instance.
+
+use crate::prelude::*;
+use async_net::TcpListener;
+
+/// State that all workers of an instance reach.
+pub(crate) struct Node {
+    pub(crate) id: InstanceId,
+    pub(crate) settings: DaemonSettings,
+    pub(crate) pool: Arc<WorkerPool>,
+    pub(crate) clock: SteadyClock,
+    pub(crate) dialer: Dialer,
+    pub(crate) store: StoreClient,
+    pub(crate) tables: NodeTables,
+    pub(crate) peers: PeerClient,
+    pub(crate) servers: ServerBook,
+    pub(crate) slots: Arc<SlotBroker>,
+    draining: AtomicBool,
+    in_flight: Arc<AtomicUsize>,
+}
+
+/// Counts a request while it is held.
+pub(crate) struct FlightGuard(Arc<AtomicUsize>);
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Node {
+    /// Counts a request in flight until the guard is dropped.
+    pub(crate) fn count_in_flight(&self) -> FlightGuard {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        FlightGuard(self.in_flight.clone())
+    }
+
+    /// Whether the balancer may send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::SeqCst) && self.tables.gate.lock().unwrap().head().is_some()
+    }
+}
+
+/// Handle of a running instance.
+pub struct InstanceNode {
+    node: Arc<Node>,
+    caller_address: SocketAddr,
+    operator_address: SocketAddr,
+}
+
+impl InstanceNode {
+    /// Starts an instance: binds its listeners, registers it and runs its workers.
+    pub async fn start(settings: DaemonSettings, dialer: Dialer) -> eyre::Result<Self> {
+        let pool = WorkerPool::start(&settings.name, settings.workers)?;
+        let callers = HttpListener::bind(settings.caller_address, settings.limits).await?;
+        let operators = HttpListener::bind(settings.operator_address, settings.limits).await?;
+        let peers = TcpListener::bind(settings.peer_address).await?;
+        let record = InstanceRecord {
+            id: InstanceId::new(&settings.name, settings.incarnation),
+            peer_address: peers.local_addr()?,
+            data_centre: settings.data_centre.clone(),
+            leaving: false,
+        };
+        let node = Arc::new(Node {
+            id: record.id.clone(),
+            pool: pool.clone(),
+            clock: SteadyClock,
+            dialer: dialer.clone(),
+            store: StoreClient::new(pool.clone(), dialer.clone(), settings.store_address),
+            tables: NodeTables::default(),
+            peers: PeerClient::new(pool.clone(), dialer, &settings.peer_secret),
+            servers: ServerBook::default(),
+            slots: Arc::default(),
+            draining: AtomicBool::new(false),
+            in_flight: Arc::default(),
+            settings,
+        });
+        let caller_address = callers.local_address()?;
+        let operator_address = operators.local_address()?;
+        pool.spawn(peer_listener::run(node.clone(), peers));
+        let shared = node.clone();
+        let answer = move |request| caller_gateway::answer(shared.clone(), request);
+        pool.spawn(callers.serve(pool.clone(), answer));
+        let shared = node.clone();
+        let answer = move |request| operator_listener::answer(shared.clone(), request);
+        pool.spawn(operators.serve(pool.clone(), answer));
+        pool.spawn(register(node.clone(), record));
+        pool.spawn(store_watcher::run(node.clone()));
+        pool.spawn(leadership_worker::run(node.clone()));
+        pool.spawn(grant_worker::run(node.clone()));
+        Ok(Self {
+            node,
+            caller_address,
+            operator_address,
+        })
+    }
+
+    /// Address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.node.is_ready()
+    }
+
+    /// Ends the instance at once, as a crash would.
+    pub fn kill(&self) {
+        self.node.pool.stop();
+    }
+
+    /// Holds all of the instance's work, as a frozen process would stand still.
+    pub fn pause(&self) {
+        self.node.pool.pause();
+    }
+
+    /// Ends a pause.
+    pub fn resume(&self) {
+        self.node.pool.resume();
+    }
+}
+
+/// Registers the instance in the store, trying until it has succeeded.
+async fn register(node: Arc<Node>, record: InstanceRecord) {
+    let path = ObjectPath::instance(&record.id.name);
+    loop {
+        let condition = match node.store.read(&path).await {
+            Ok(None) => Some(WriteCondition::Absent),
+            Ok(Some(object)) => Some(WriteCondition::Version(object.version)),
+            Err(_) => None,
+        };
+        if let Some(condition) = condition
+            && let Ok(WriteOutcome::Written(_)) =
+                node.store.write(&path, condition, &record, "").await
+        {
+            return;
+        }
+        Timer::after(Duration::from_millis(100)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,85 @@
+//! The entry instance: sockets and workers around the decisions of the other crates.
+//!
+//! A request enters at [`caller_gateway`], is passed by [`forward_worker`] to the instance that
+//! leads the key's part, and there by [`leader_worker`] to the key's owner. The tables that workers
+//! share are in [`node_tables`], with the order in which they are locked.
+
+mod caller_answer;
+mod caller_gateway;
+mod caller_request;
+mod daemon_settings;
+mod forward_wire;
+mod forward_worker;
+mod grant_wire;
+mod grant_worker;
+mod instance_node;
+mod leader_worker;
+mod leadership_worker;
+mod node_tables;
+mod operator_listener;
+mod peer_client;
+mod peer_error;
+mod peer_frame;
+mod peer_listener;
+mod peer_proof;
+mod server_book;
+mod server_session;
+mod slot_broker;
+mod store_watcher;
+
+pub use {
+    daemon_settings::{DaemonSettings, SettingsBuilder},
+    grant_wire::{GrantReplyWire, GrantWire},
+    instance_node::InstanceNode,
+};
+
+/// Imports used throughout the crate.
+mod prelude {
+    pub(crate) use {
+        crate::{
+            caller_answer::CallerAnswer,
+            caller_request::{CallerRequest, HeaderField},
+            forward_wire::{ForwardReplyWire, ForwardWire},
+            instance_node::Node,
+            node_tables::NodeTables,
+            peer_client::PeerClient,
+            peer_error::PeerError,
+            peer_frame::{PeerBody, PeerFrame},
+            peer_proof::PeerProof,
+            server_book::ServerBook,
+            server_session::ServerSession,
+            slot_broker::SlotBroker,
+            *,
+        },
+        async_io::Timer,
+        bytes::Bytes,
+        futures_lite::future,
+        geraniummast_configuration::*,
+        geraniummast_model::*,
+        geraniummast_net::*,
+        geraniummast_ownership::*,
+        geraniummast_requests::*,
+        geraniummast_store::*,
+        http::{Request, Response, StatusCode},
+        http_body_util::{BodyExt, Full},
+        indexmap::IndexMap,
+        serde::{Deserialize, Serialize},
+        std::{
+            fmt::{self, Display, Formatter},
+            io,
+            net::SocketAddr,
+            sync::{
+                Arc, Mutex,
+                atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+            },
+            time::Duration,
+        },
+        uuid::Uuid,
+    };
+}
+
+/// Runs the daemon with the process's settings.
+pub fn run() -> std::process::ExitCode {
+    eprintln!("geraniummastd: settings are not read yet");
+    std::process::ExitCode::from(2)
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,5 @@
+//! The daemon: one entry instance.
+
+fn main() -> std::process::ExitCode {
+    geraniummast_daemon::run()
+}
--- /dev/null
+++ b/crates/daemon/src/peer_client.rs
@@ -0,0 +1,140 @@
+//! Calls to other instances over one shared connection each.
+
+use crate::prelude::*;
+use futures_lite::StreamExt;
+use futures_util::SinkExt;
+use tokio_util::{codec::Framed, compat::FuturesAsyncReadCompatExt};
+
+/// Connections to peers by address.
+pub(crate) struct PeerClient {
+    pool: Arc<WorkerPool>,
+    dialer: Dialer,
+    secret: String,
+    lines: async_lock::Mutex<IndexMap<SocketAddr, Arc<PeerLine>>>,
+}
+
+/// One connection with its calls that wait for a reply.
+struct PeerLine {
+    frames: async_channel::Sender<PeerFrame>,
+    calls: Arc<CallTable>,
+}
+
+#[derive(Default)]
+struct CallTable {
+    waiting: Mutex<IndexMap<u64, async_channel::Sender<PeerBody>>>,
+    next: AtomicU64,
+    closed: AtomicBool,
+}
+
+impl PeerClient {
+    /// Time to open a connection and prove the secret.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+    /// Frames that may wait to be written.
+    const MAX_WAITING_FRAMES: usize = 1_024;
+
+    /// Client without connections.
+    pub(crate) fn new(pool: Arc<WorkerPool>, dialer: Dialer, secret: &str) -> Self {
+        Self {
+            pool,
+            dialer,
+            secret: secret.into(),
+            lines: async_lock::Mutex::default(),
+        }
+    }
+
+    /// Calls the peer at `address` and waits up to `timeout` for the reply.
+    pub(crate) async fn call(
+        &self,
+        address: SocketAddr,
+        body: PeerBody,
+        timeout: Duration,
+    ) -> Result<PeerBody, PeerError> {
+        let line = self.line(address).await?;
+        let number = line.calls.next.fetch_add(1, Ordering::Relaxed);
+        let (reply, replied) = async_channel::bounded(1);
+        line.calls.waiting.lock().unwrap().insert(number, reply);
+        let frame = PeerFrame::new(number, body);
+        if line.frames.try_send(frame).is_err() {
+            line.calls.waiting.lock().unwrap().swap_remove(&number);
+            return Err(PeerError::NotSent("connection congested".into()));
+        }
+        let late = async {
+            Timer::after(timeout).await;
+            Err(PeerError::Unclear("timed out".into()))
+        };
+        let result = async {
+            replied
+                .recv()
+                .await
+                .map_err(|_| PeerError::Unclear("connection lost".into()))
+        };
+        let result = future::or(result, late).await;
+        line.calls.waiting.lock().unwrap().swap_remove(&number);
+        result
+    }
+
+    async fn line(&self, address: SocketAddr) -> Result<Arc<PeerLine>, PeerError> {
+        let mut lines = self.lines.lock().await;
+        if let Some(line) = lines.get(&address)
+            && !line.calls.closed.load(Ordering::SeqCst)
+        {
+            return Ok(line.clone());
+        }
+        let late = async {
+            Timer::after(Self::CONNECT_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let line = future::or(self.open(address), late)
+            .await
+            .map_err(|error| PeerError::NotSent(format!("{address}: {error}")))?;
+        let line = Arc::new(line);
+        lines.insert(address, line.clone());
+        Ok(line)
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<PeerLine> {
+        let stream = self.dialer.connect(address, Self::CONNECT_TIMEOUT).await?;
+        let mut framed = Framed::new(stream.compat(), PeerFrame::codec());
+        let first = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+        let Some(PeerBody::Challenge(challenge)) = PeerFrame::decoded(&first)?.body else {
+            return Err(io::ErrorKind::InvalidData.into());
+        };
+        let proof = PeerBody::Proof(PeerProof::make(&self.secret, &challenge));
+        framed.send(PeerFrame::new(0, proof).encoded()).await?;
+        let (mut sink, mut stream) = futures_util::StreamExt::split(framed);
+        let (frames, to_send) = async_channel::bounded::<PeerFrame>(Self::MAX_WAITING_FRAMES);
+        let calls = Arc::new(CallTable::default());
+        let table = calls.clone();
+        let write = async move {
+            while let Ok(frame) = to_send.recv().await {
+                if sink.send(frame.encoded()).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let read = async move {
+            while let Some(Ok(bytes)) = stream.next().await {
+                let Ok(PeerFrame {
+                    call,
+                    body: Some(body),
+                }) = PeerFrame::decoded(&bytes)
+                else {
+                    return;
+                };
+                if let Some(reply) = calls.waiting.lock().unwrap().swap_remove(&call) {
+                    let _ = reply.try_send(body);
+                }
+            }
+        };
+        let ended = table.clone();
+        self.pool.spawn(async move {
+            future::or(write, read).await;
+            ended.closed.store(true, Ordering::SeqCst);
+            ended.waiting.lock().unwrap().clear();
+        });
+        Ok(PeerLine {
+            frames,
+            calls: table,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer_frame.rs
@@ -0,0 +1,59 @@
+//! Frames between instances.
+
+use crate::prelude::*;
+
+/// One frame; a reply carries the number of its call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct PeerFrame {
+    #[prost(uint64, tag = "1")]
+    pub(crate) call: u64,
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5")]
+    pub(crate) body: Option<PeerBody>,
+}
+
+/// Content of a frame.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum PeerBody {
+    /// First frame of the accepting side.
+    #[prost(bytes, tag = "2")]
+    Challenge(Vec<u8>),
+    /// First frame of the dialling side.
+    #[prost(bytes, tag = "3")]
+    Proof(Vec<u8>),
+    /// A request on its way to the leader.
+    #[prost(message, tag = "4")]
+    Forward(ForwardWire),
+    /// The leader's answer.
+    #[prost(message, tag = "5")]
+    ForwardReply(ForwardReplyWire),
+}
+
+impl PeerFrame {
+    /// Largest frame, in bytes.
+    pub(crate) const MAX_BYTES: usize = 8 << 20;
+
+    /// Frame of a call or its reply.
+    pub(crate) fn new(call: u64, body: PeerBody) -> Self {
+        Self {
+            call,
+            body: Some(body),
+        }
+    }
+
+    /// Codec that delimits frames by their length.
+    pub(crate) fn codec() -> tokio_util::codec::LengthDelimitedCodec {
+        tokio_util::codec::LengthDelimitedCodec::builder()
+            .max_frame_length(Self::MAX_BYTES)
+            .new_codec()
+    }
+
+    /// Bytes of the frame.
+    pub(crate) fn encoded(&self) -> Bytes {
+        prost::Message::encode_to_vec(self).into()
+    }
+
+    /// Frame from its bytes.
+    pub(crate) fn decoded(bytes: &[u8]) -> io::Result<Self> {
+        prost::Message::decode(bytes).map_err(io::Error::other)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer_listener.rs
@@ -0,0 +1,102 @@
+//! Serving of other instances' calls.
+
+use crate::prelude::*;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::StreamExt;
+use futures_util::SinkExt;
+use tokio_util::{codec::Framed, compat::FuturesAsyncReadCompatExt};
+
+/// Replies of one connection that may wait to be written.
+const MAX_WAITING_REPLIES: usize = 1_024;
+/// Time for a peer to prove the secret.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Accepts peers until the pool stops.
+pub(crate) async fn run(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            Timer::after(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let node = node.clone();
+        node.pool.clone().spawn(async move {
+            if let Err(error) = serve(&node, stream).await {
+                log::debug!("peer connection ended: {error}");
+            }
+        });
+    }
+}
+
+async fn serve(node: &Arc<Node>, stream: TcpStream) -> io::Result<()> {
+    let mut framed = Framed::new(stream.compat(), PeerFrame::codec());
+    let challenge = Uuid::new_v4().as_bytes().to_vec();
+    framed
+        .send(PeerFrame::new(0, PeerBody::Challenge(challenge.clone())).encoded())
+        .await?;
+    let late = async {
+        Timer::after(PROOF_TIMEOUT).await;
+        None
+    };
+    let first = future::or(framed.next(), late)
+        .await
+        .ok_or(io::ErrorKind::UnexpectedEof)??;
+    let Some(PeerBody::Proof(proof)) = PeerFrame::decoded(&first)?.body else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    if !PeerProof::holds(&node.settings.peer_secret, &challenge, &proof) {
+        return Err(io::ErrorKind::PermissionDenied.into());
+    }
+    let (mut sink, mut stream) = futures_util::StreamExt::split(framed);
+    let (replies, to_send) = async_channel::bounded::<PeerFrame>(MAX_WAITING_REPLIES);
+    let write = async {
+        while let Ok(frame) = to_send.recv().await {
+            sink.send(frame.encoded()).await?;
+        }
+        Ok(())
+    };
+    let read = async {
+        while let Some(bytes) = stream.next().await {
+            let PeerFrame {
+                call,
+                body: Some(body),
+            } = PeerFrame::decoded(&bytes?)?
+            else {
+                return Err(io::ErrorKind::InvalidData.into());
+            };
+            let node = node.clone();
+            let replies = replies.clone();
+            node.pool.clone().spawn(async move {
+                if let Some(reply) = answer(&node, body).await {
+                    let _ = replies.send(PeerFrame::new(call, reply)).await;
+                }
+            });
+        }
+        Ok(())
+    };
+    future::or(write, read).await
+}
+
+async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
+    match body {
+        PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
+        PeerBody::Challenge(_) | PeerBody::Proof(_) | PeerBody::ForwardReply(_) => None,
+    }
+}
+
+async fn run_forwarded(node: &Arc<Node>, wire: ForwardWire) -> ForwardReplyWire {
+    let _counted = node.count_in_flight();
+    let deadline = node
+        .clock
+        .now()
+        .after(Duration::from_micros(wire.remaining_us));
+    let refused =
+        |reason| ForwardReplyWire::from(&CallerAnswer::Refusal(RefusalNotice::not_run(reason)));
+    let Ok(request) = CallerRequest::try_from(wire) else {
+        return refused(RefusalReason::BadRequest);
+    };
+    let Some(class) = node.tables.class_of(&request.service, &request.class) else {
+        return refused(RefusalReason::UnknownClass);
+    };
+    (&leader_worker::run(node, &request, &class, deadline).await).into()
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,5 @@
+//! Stand-ins, demo and measurements.
+
+fn main() -> std::process::ExitCode {
+    geraniummast_lab::run()
+}
--- /dev/null
+++ b/crates/net/src/exchange_error.rs
@@ -0,0 +1,23 @@
+//! Why an HTTP exchange gave no whole answer.
+
+use crate::prelude::*;
+
+/// Failure of an exchange, by what the other side may have seen.
+#[derive(Debug)]
+pub enum ExchangeError {
+    /// No byte of the request left.
+    NotSent(String),
+    /// The request may have arrived; its answer did not, or not whole.
+    Unclear(String),
+}
+
+impl Display for ExchangeError {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        match self {
+            Self::NotSent(cause) => write!(f, "request not sent: {cause}"),
+            Self::Unclear(cause) => write!(f, "no whole answer: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for ExchangeError {}
--- /dev/null
+++ b/crates/net/src/http_connection.rs
@@ -0,0 +1,70 @@
+//! One HTTP/1.1 connection to one address.
+
+use crate::prelude::*;
+use hyper::client::conn::http1::{self, SendRequest};
+use smol_hyper::rt::FuturesIo;
+
+/// An open connection; dropping it closes the socket.
+pub struct HttpConnection {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: async_executor::Task<()>,
+}
+
+impl HttpConnection {
+    /// Opens a connection within `timeout`.
+    pub async fn open(
+        pool: &WorkerPool,
+        dialer: &Dialer,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, ExchangeError> {
+        let refused = |error: &dyn Display| ExchangeError::NotSent(format!("{address}: {error}"));
+        let stream = dialer
+            .connect(address, timeout)
+            .await
+            .map_err(|error| refused(&error))?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|error| refused(&error))?;
+        let driver = pool.task(async move {
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            _driver: driver,
+        })
+    }
+
+    /// Whether another request can be sent.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends one request and reads the whole answer, at most `max_answer` bytes of body.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_answer: usize,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        if let Err(error) = self.sender.ready().await {
+            return Err(ExchangeError::NotSent(error.to_string()));
+        }
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = error.into_error().to_string();
+                return Err(match unsent {
+                    true => ExchangeError::NotSent(cause),
+                    false => ExchangeError::Unclear(cause),
+                });
+            }
+        };
+        let (head, body) = response.into_parts();
+        let body = http_body_util::Limited::new(body, max_answer)
+            .collect()
+            .await
+            .map_err(|error| ExchangeError::Unclear(error.to_string()))?;
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,43 @@
+//! Sockets and threads: worker pools, dialling and HTTP exchanges.
+//!
+//! Nothing here decides anything about keys or requests.
+
+mod dialer;
+mod exchange_error;
+mod http_client;
+mod http_connection;
+mod http_listener;
+mod steady_clock;
+mod worker_pool;
+
+pub use {
+    dialer::{Connecting, Dialer},
+    exchange_error::ExchangeError,
+    http_client::HttpClient,
+    http_connection::HttpConnection,
+    http_listener::{HttpLimits, HttpListener},
+    steady_clock::SteadyClock,
+    worker_pool::WorkerPool,
+};
+
+/// Imports used throughout the crate.
+mod prelude {
+    pub(crate) use {
+        crate::*,
+        async_net::{TcpListener, TcpStream},
+        bytes::Bytes,
+        futures_lite::future,
+        geraniummast_model::MonoTime,
+        http::{Request, Response},
+        http_body_util::{BodyExt, Full},
+        std::{
+            fmt::{self, Display, Formatter},
+            future::Future,
+            io,
+            net::SocketAddr,
+            pin::Pin,
+            sync::{Arc, Condvar, Mutex},
+            time::Duration,
+        },
+    };
+}
