--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,8 @@
 //! The entry instance: sockets and workers around the decisions of the other crates.
 //!
-//! A request enters at [`caller_gateway`], is passed by [`forward_worker`] to the instance that
-//! leads the key's part, and there by [`leader_worker`] to the key's owner. The tables that workers
-//! share are in [`node_tables`], with the order in which they are locked.
+//! A request enters at `caller_gateway`, is passed by `forward_worker` to the instance that
+//! leads the key's part, and there by `leader_worker` to the key's owner. The tables that workers
+//! share are in `node_tables`, with the order in which they are locked.
 
 mod caller_answer;
 mod caller_gateway;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,12 +10,13 @@
 mod rendezvous_rank;
 mod route_decision;
 mod server_clock;
+mod slice_change;
 mod timing_plan;
 
 pub use {
     grant_order::GrantOrder, grant_table::GrantTable, led_part::LedPart, part_layout::PartLayout,
     rendezvous_rank::RendezvousRank, route_decision::RouteDecision, server_clock::ServerClock,
-    timing_plan::TimingPlan,
+    slice_change::SliceChange, timing_plan::TimingPlan,
 };
 
 /// Imports used throughout the crate.
