Read checked settings and serve health, metrics, dumps and drains to operators

One table of settings drives parsing, help and printing; all faults are reported together. The store's client counts its calls, keeps to a budget and shows a slow store apart from a dead one. Connections are counted by a guard, so that a dropped handler gives its place back.

--- a/crates/daemon/src/caller_gateway.rs
+++ b/crates/daemon/src/caller_gateway.rs
@@ -6,9 +6,6 @@
 use crate::prelude::*;
 use hyper::body::Incoming;
 
-/// Largest body read from any caller, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
-
 /// Answers one request.
 pub(crate) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let _counted = node.count_in_flight();
@@ -24,7 +21,10 @@
         Err(notice) => return CallerAnswer::Refusal(notice).into_response(id),
     };
     let (mut request, class) = parsed;
-    let max_body = MAX_BODY_BYTES.min(class.max_body_bytes as usize);
+    let max_body = node
+        .settings
+        .max_body_bytes
+        .min(class.max_body_bytes as usize);
     request.body = match read_body(body, max_body, &node).await {
         Ok(body) => body,
         Err(notice) => return CallerAnswer::Refusal(notice).into_response(id),
@@ -114,7 +114,7 @@
 
 async fn read_body(body: Incoming, max: usize, node: &Node) -> Result<Bytes, RefusalNotice> {
     let late = async {
-        Timer::after(node.settings.limits.head_timeout).await;
+        Timer::after(node.settings.body_timeout).await;
         Err(RefusalNotice::not_run(RefusalReason::BadRequest))
     };
     let read = async {
--- /dev/null
+++ b/crates/daemon/src/caller_listener.rs
@@ -0,0 +1,53 @@
+//! Around each caller's request: its measure and its log line, without key or body.
+
+use crate::{metric_worker, prelude::*};
+use hyper::body::Incoming;
+
+/// Answers one request.
+pub(crate) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let started = node.clock.now();
+    let path = request.uri().path().trim_start_matches('/').to_string();
+    let (service, rest) = path.split_once('/').unwrap_or((&path, ""));
+    let key = rest.split('/').next().unwrap_or_default();
+    let (service, slice) = place(&node, service, key);
+    let response = caller_gateway::answer(node.clone(), request).await;
+    let took = node.clock.now().since(started);
+    metric_worker::count_answer(&node, &service, &response, took);
+    let header = |name| {
+        let value = response.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("none")
+    };
+    log::debug!(
+        request = header("geraniummast-request-id"),
+        instance = node.settings.name.as_str(),
+        service = service.as_str(),
+        slice = slice.as_str(),
+        status = response.status().as_u16(),
+        ran = header("geraniummast-ran"),
+        reason = header("geraniummast-reason"),
+        micros = took.as_micros() as u64;
+        "answered"
+    );
+    response
+}
+
+/// Declared service and first hash of the key's slice; a fixed word where either is unknown.
+fn place(node: &Node, service: &str, key: &str) -> (String, String) {
+    let unknown = || "unknown".to_string();
+    let gate = node.tables.gate.lock().unwrap();
+    let name = ServiceName::new(service);
+    let Some(declaration) = gate.head().and_then(|head| head.services.get(&name)) else {
+        return (unknown(), unknown());
+    };
+    if !log::log_enabled!(log::Level::Debug) {
+        return (service.into(), unknown());
+    }
+    let hash = KeyHash::of(key);
+    let id = PartId::new(name, hash.part_index(declaration.parts));
+    let parts = node.tables.parts.lock().unwrap();
+    let entry = parts.get(&id).and_then(|known| known.record.slice_of(hash));
+    let slice = entry.map_or_else(unknown, |entry| KeyHash(entry.start).to_string());
+    (service.into(), slice)
+}
--- /dev/null
+++ b/crates/daemon/src/daemon_process.rs
@@ -0,0 +1,78 @@
+//! The process around an instance: settings, logs, signals and exit codes.
+
+use crate::prelude::*;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use logforth::{
+    append,
+    layout::{JsonLayout, LogfmtLayout},
+};
+use std::process::ExitCode;
+
+/// Exit code of an instance that could not run or did not stop whole.
+const FAILED: u8 = 1;
+/// Exit code of faulty settings.
+const FAULTY_SETTINGS: u8 = 2;
+
+/// Runs the daemon with the process's settings until a signal ends it.
+pub fn run() -> ExitCode {
+    let arguments = std::env::args_os().skip(1);
+    match SettingRequest::read(arguments, |name| std::env::var_os(name)) {
+        SettingRequest::Print(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        SettingRequest::Refuse(faults) => {
+            for fault in &faults {
+                eprintln!("geraniummastd: {fault}");
+            }
+            eprintln!(
+                "geraniummastd: {} faulty settings, see --help",
+                faults.len()
+            );
+            ExitCode::from(FAULTY_SETTINGS)
+        }
+        SettingRequest::Run(mut settings) => {
+            start_logs(&settings);
+            settings.incarnation = decision_log::wall_ms();
+            match future::block_on(serve(*settings)) {
+                Ok(code) => code,
+                Err(error) => {
+                    eprintln!("geraniummastd: {error}");
+                    ExitCode::from(FAILED)
+                }
+            }
+        }
+    }
+}
+
+fn start_logs(settings: &DaemonSettings) {
+    let append = match settings.log_json {
+        true => append::Stderr::default().with_layout(JsonLayout::default()),
+        false => append::Stderr::default().with_layout(LogfmtLayout::default()),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .apply();
+    log::set_max_level(settings.log_level);
+}
+
+async fn serve(settings: DaemonSettings) -> eyre::Result<ExitCode> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let instance = InstanceNode::start(settings, Dialer::direct()).await?;
+    log::info!(
+        callers = instance.caller_address().to_string().as_str(),
+        operators = instance.operator_address().to_string().as_str();
+        "started"
+    );
+    signals.next().await;
+    log::info!("stopping; a second signal ends at once");
+    let whole = future::or(instance.stop(), async {
+        signals.next().await;
+        false
+    });
+    Ok(match whole.await {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(FAILED),
+    })
+}
--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -16,10 +16,41 @@
     pub(crate) operator_token: String,
     pub(crate) workers: usize,
     pub(crate) limits: HttpLimits,
+    pub(crate) peer_limits: PeerLimits,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) body_timeout: Duration,
+    pub(crate) stop_timeout: Duration,
+    pub(crate) cut_off_timeout: Duration,
     pub(crate) timing: TimingPlan,
+    pub(crate) log_level: log::LevelFilter,
+    pub(crate) log_json: bool,
+}
+
+/// Bounds on what the peers' listener takes.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerLimits {
+    /// Connections open at once.
+    pub max_connections: usize,
+    /// Largest frame, in bytes.
+    pub max_frame_bytes: usize,
+    /// Longest time until a peer has proved the secret.
+    pub proof_timeout: Duration,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 1_024,
+            max_frame_bytes: 8 << 20,
+            proof_timeout: Duration::from_secs(1),
+        }
+    }
 }
 
 impl DaemonSettings {
+    /// Room in a frame besides a request's head and body, in bytes.
+    const FRAME_OVERHEAD_BYTES: usize = 4_096;
+
     /// Builder with defaults for an instance `name`.
     pub fn builder(name: &str) -> SettingsBuilder {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
@@ -36,10 +67,34 @@
                 operator_token: String::new(),
                 workers: 2,
                 limits: HttpLimits::default(),
+                peer_limits: PeerLimits::default(),
+                max_body_bytes: 4 << 20,
+                body_timeout: Duration::from_secs(10),
+                stop_timeout: Duration::from_secs(30),
+                cut_off_timeout: Duration::from_secs(3),
                 timing: TimingPlan::default(),
+                log_level: log::LevelFilter::Info,
+                log_json: false,
             },
         }
     }
+
+    /// Faults that only several settings together show.
+    pub(crate) fn conflicts(&self) -> Vec<SettingFault> {
+        let least = self.max_body_bytes + self.limits.max_head_bytes + Self::FRAME_OVERHEAD_BYTES;
+        let mut faults = Vec::new();
+        if self.peer_limits.max_frame_bytes < least {
+            faults.push(SettingFault {
+                place: "--max-frame-bytes".into(),
+                value: Some(self.peer_limits.max_frame_bytes.to_string()),
+                expected: format!(
+                    "at least {least} bytes: max-body-bytes, max-head-bytes and {} more",
+                    Self::FRAME_OVERHEAD_BYTES
+                ),
+            });
+        }
+        faults
+    }
 }
 
 /// Builds [`DaemonSettings`].
@@ -109,6 +164,24 @@
         self
     }
 
+    /// Sets the bounds of the peers' listener.
+    pub fn peer_limits(mut self, limits: PeerLimits) -> Self {
+        self.settings.peer_limits = limits;
+        self
+    }
+
+    /// Sets the longest time until a request's body has arrived.
+    pub fn body_timeout(mut self, timeout: Duration) -> Self {
+        self.settings.body_timeout = timeout;
+        self
+    }
+
+    /// Sets the silence after which new requests are refused.
+    pub fn cut_off_timeout(mut self, timeout: Duration) -> Self {
+        self.settings.cut_off_timeout = timeout;
+        self
+    }
+
     /// Sets the times of leases and grants.
     pub fn timing(mut self, timing: TimingPlan) -> Self {
         self.settings.timing = timing;
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -3,6 +3,9 @@
 use crate::prelude::*;
 use async_net::TcpListener;
 
+/// Interval at which a stop looks for requests in flight.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(5);
+
 /// State that all workers of an instance reach.
 pub(crate) struct Node {
     pub(crate) id: InstanceId,
@@ -15,6 +18,8 @@
     pub(crate) peers: PeerClient,
     pub(crate) servers: ServerBook,
     pub(crate) slots: Arc<SlotBroker>,
+    pub(crate) decisions: DecisionLog,
+    pub(crate) connections: NodeConnections,
     draining: AtomicBool,
     in_flight: Arc<AtomicUsize>,
 }
@@ -35,6 +40,23 @@
         FlightGuard(self.in_flight.clone())
     }
 
+    /// Requests held now.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Begins a planned stop: not ready from now on; requests are served to their end.
+    pub(crate) fn begin_drain(&self, reason: &str) {
+        if !self.draining.swap(true, Ordering::SeqCst) {
+            self.decisions.note(&self.id, "drain", reason);
+        }
+    }
+
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
         !self.draining.load(Ordering::SeqCst) && self.tables.gate.lock().unwrap().head().is_some()
@@ -68,9 +90,15 @@
             dialer: dialer.clone(),
             store: StoreClient::new(pool.clone(), dialer.clone(), settings.store_address),
             tables: NodeTables::default(),
-            peers: PeerClient::new(pool.clone(), dialer, &settings.peer_secret),
+            peers: PeerClient::new(pool.clone(), dialer, &settings),
             servers: ServerBook::default(),
             slots: Arc::default(),
+            decisions: DecisionLog::default(),
+            connections: NodeConnections {
+                callers: callers.connections(),
+                operators: operators.connections(),
+                ..NodeConnections::default()
+            },
             draining: AtomicBool::new(false),
             in_flight: Arc::default(),
             settings,
@@ -79,11 +107,12 @@
         let operator_address = operators.local_address()?;
         pool.spawn(peer_listener::run(node.clone(), peers));
         let shared = node.clone();
-        let answer = move |request| caller_gateway::answer(shared.clone(), request);
+        let answer = move |request| caller_listener::answer(shared.clone(), request);
         pool.spawn(callers.serve(pool.clone(), answer));
         let shared = node.clone();
         let answer = move |request| operator_listener::answer(shared.clone(), request);
         pool.spawn(operators.serve(pool.clone(), answer));
+        pool.spawn(metric_worker::run(node.clone()));
         pool.spawn(register(node.clone(), record));
         pool.spawn(store_watcher::run(node.clone()));
         pool.spawn(leadership_worker::run(node.clone()));
@@ -110,6 +139,31 @@
         self.node.is_ready()
     }
 
+    /// Stops gracefully: not ready, requests in flight served to their end, connections closed.
+    ///
+    /// False when something was still in flight at the settings' bound.
+    pub async fn stop(&self) -> bool {
+        let node = &self.node;
+        node.begin_drain("graceful stop");
+        let late = async {
+            Timer::after(node.settings.stop_timeout).await;
+            false
+        };
+        let ended = async {
+            while node.in_flight() > 0 {
+                Timer::after(DRAIN_INTERVAL).await;
+            }
+            node.connections.callers.close();
+            while node.in_flight() + node.connections.callers.count() > 0 {
+                Timer::after(DRAIN_INTERVAL).await;
+            }
+            true
+        };
+        let whole = future::or(ended, late).await;
+        node.pool.stop();
+        whole
+    }
+
     /// Ends the instance at once, as a crash would.
     pub fn kill(&self) {
         self.node.pool.stop();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,8 +6,13 @@
 
 mod caller_answer;
 mod caller_gateway;
+mod caller_listener;
 mod caller_request;
+mod daemon_process;
 mod daemon_settings;
+mod decision_log;
+mod dump_builder;
+mod dump_wire;
 mod forward_wire;
 mod forward_worker;
 mod grant_wire;
@@ -15,8 +20,14 @@
 mod instance_node;
 mod leader_worker;
 mod leadership_worker;
+mod metric_recorder;
+mod metric_table;
+mod metric_worker;
+mod node_connections;
 mod node_tables;
+mod operator_error;
 mod operator_listener;
+mod operator_query;
 mod peer_client;
 mod peer_error;
 mod peer_frame;
@@ -24,13 +35,20 @@
 mod peer_proof;
 mod server_book;
 mod server_session;
+mod setting_fault;
+mod setting_reader;
+mod setting_spec;
+mod setting_table;
 mod slot_broker;
 mod store_watcher;
 
 pub use {
-    daemon_settings::{DaemonSettings, SettingsBuilder},
+    daemon_process::run,
+    daemon_settings::{DaemonSettings, PeerLimits, SettingsBuilder},
     grant_wire::{GrantReplyWire, GrantWire},
     instance_node::InstanceNode,
+    setting_fault::SettingFault,
+    setting_reader::SettingRequest,
 };
 
 /// Imports used throughout the crate.
@@ -39,8 +57,10 @@
         crate::{
             caller_answer::CallerAnswer,
             caller_request::{CallerRequest, HeaderField},
+            decision_log::DecisionLog,
             forward_wire::{ForwardReplyWire, ForwardWire},
             instance_node::Node,
+            node_connections::NodeConnections,
             node_tables::NodeTables,
             peer_client::PeerClient,
             peer_error::PeerError,
@@ -77,9 +97,3 @@
         uuid::Uuid,
     };
 }
-
-/// Runs the daemon with the process's settings.
-pub fn run() -> std::process::ExitCode {
-    eprintln!("geraniummastd: settings are not read yet");
-    std::process::ExitCode::from(2)
-}
--- /dev/null
+++ b/crates/daemon/src/metric_worker.rs
@@ -0,0 +1,87 @@
+//! Setting of gauges from the tables.
+
+use crate::{metric_recorder, metric_table::*, prelude::*};
+
+/// Interval at which gauges are set.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Sets gauges until the pool stops.
+pub(crate) async fn run(node: Arc<Node>) {
+    let handle = metric_recorder::install();
+    loop {
+        set_gauges(&node);
+        handle.run_upkeep();
+        Timer::after(INTERVAL).await;
+    }
+}
+
+/// Sets all gauges once.
+pub(crate) fn set_gauges(node: &Node) {
+    let instance = &node.settings.name;
+    let gauge = |name, value: f64| {
+        metrics::gauge!(name, "instance" => instance.clone()).set(value);
+    };
+    gauge(IN_FLIGHT, node.in_flight() as f64);
+    gauge(REVISION, node.tables.gate.lock().unwrap().revision() as f64);
+    gauge(READY, f64::from(u8::from(node.is_ready())));
+    gauge(STORE_STATE, f64::from(node.store.state() as u8));
+    let (led, unavailable) = led_slices(node);
+    gauge(PARTS_LED, led as f64);
+    gauge(SLICES_UNAVAILABLE, unavailable as f64);
+    for (listener, connections) in node.connections.by_listener() {
+        let labels = [
+            ("instance", instance.clone()),
+            ("listener", listener.into()),
+        ];
+        metrics::gauge!(CONNECTIONS, &labels).set(connections.count() as f64);
+        metrics::counter!(CONNECTIONS_REFUSED, &labels).absolute(connections.refused());
+    }
+    for (kind, calls) in node.store.calls() {
+        let labels = [("instance", instance.clone()), ("kind", kind)];
+        metrics::counter!(STORE_CALLS, &labels).absolute(calls);
+    }
+}
+
+/// Parts led here, and their slices without a standing grant.
+pub(crate) fn led_slices(node: &Node) -> (usize, usize) {
+    let now = node.clock.now();
+    let led = node.tables.led.lock().unwrap();
+    let unavailable = led.values().map(|part| {
+        let stands = |owner: &ServerName| {
+            part.grants
+                .stands_until(owner, part.record.edition)
+                .is_some_and(|until| until > now)
+        };
+        let slices = part.record.slices.iter();
+        slices
+            .filter(|entry| entry.owner.as_ref().is_some_and(|owner| !stands(owner)))
+            .count()
+    });
+    (led.len(), unavailable.sum())
+}
+
+/// Counts one answered request of a caller.
+pub(crate) fn count_answer(
+    node: &Node,
+    service: &str,
+    response: &Response<Full<Bytes>>,
+    took: Duration,
+) {
+    let header = |name| {
+        let value = response.headers().get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("none")
+            .to_string()
+    };
+    let instance = node.settings.name.clone();
+    let labels = [
+        ("instance", instance.clone()),
+        ("service", service.to_string()),
+        ("ran", header("geraniummast-ran")),
+        ("reason", header("geraniummast-reason")),
+    ];
+    metrics::counter!(CALLER_REQUESTS, &labels).increment(1);
+    let labels = [("instance", instance), ("service", service.to_string())];
+    metrics::histogram!(CALLER_SECONDS, &labels).record(took.as_secs_f64());
+}
--- a/crates/daemon/src/operator_listener.rs
+++ b/crates/daemon/src/operator_listener.rs
@@ -1,17 +1,102 @@
-//! Health, readiness and state for operators.
+//! Health, readiness, metrics and state for operators, and the calls that change state.
 
-use crate::prelude::*;
+use crate::{
+    dump_builder, metric_recorder, metric_worker, operator_error::OperatorError, operator_query,
+    prelude::*,
+};
+use http::Method;
 use hyper::body::Incoming;
+use subtle::ConstantTimeEq;
+
+/// Paths and their methods.
+const PATHS: [(&str, Method); 7] = [
+    ("/healthz", Method::GET),
+    ("/readyz", Method::GET),
+    ("/metrics", Method::GET),
+    ("/dump", Method::GET),
+    ("/status", Method::GET),
+    ("/explain", Method::GET),
+    ("/drain", Method::POST),
+];
 
 /// Answers one operator's request.
 pub(crate) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    let (status, text) = match request.uri().path() {
-        "/healthz" => (StatusCode::OK, "ok\n"),
-        "/readyz" if node.is_ready() => (StatusCode::OK, "ready\n"),
-        "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        _ => (StatusCode::NOT_FOUND, "not found\n"),
-    };
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    respond(&node, &request).unwrap_or_else(|error| {
+        json(
+            error.status(),
+            &serde_json::json!({ "error": error.as_str() }),
+        )
+    })
+}
+
+fn respond(
+    node: &Arc<Node>,
+    request: &Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, OperatorError> {
+    let path = request.uri().path();
+    let (_, method) = PATHS
+        .iter()
+        .find(|(known, _)| *known == path)
+        .ok_or(OperatorError::NotFound)?;
+    if request.method() != method {
+        return Err(OperatorError::WrongMethod);
+    }
+    if *method != Method::GET && !is_authorised(node, request.headers()) {
+        return Err(OperatorError::Unauthorised);
+    }
+    let query = request.uri().query().unwrap_or_default();
+    Ok(match path {
+        "/healthz" => text(StatusCode::OK, "ok\n".into()),
+        "/readyz" if node.is_ready() => text(StatusCode::OK, "ready\n".into()),
+        "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        "/metrics" => {
+            metric_worker::set_gauges(node);
+            text(StatusCode::OK, metric_recorder::install().render())
+        }
+        "/dump" => json(StatusCode::OK, &dump_builder::dump(node)),
+        "/status" => json(StatusCode::OK, &dump_builder::status(node)),
+        "/explain" => explain(node, query)?,
+        _ => {
+            node.begin_drain("asked by an operator");
+            json(
+                StatusCode::ACCEPTED,
+                &serde_json::json!({ "draining": true }),
+            )
+        }
+    })
+}
+
+fn explain(node: &Node, query: &str) -> Result<Response<Full<Bytes>>, OperatorError> {
+    let service = operator_query::field(query, "service").ok_or(OperatorError::BadQuery)?;
+    let key = operator_query::field(query, "key").ok_or(OperatorError::BadQuery)?;
+    let wire = dump_builder::explain(node, &service, &key).ok_or(OperatorError::UnknownPlace)?;
+    Ok(json(StatusCode::OK, &wire))
+}
+
+/// Whether the bearer token is the one from the settings, compared in constant time.
+fn is_authorised(node: &Node, headers: &http::HeaderMap) -> bool {
+    let given = headers
+        .get("authorization")
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let token = node.settings.operator_token.as_bytes();
+    !token.is_empty() && given.is_some_and(|given| bool::from(given.ct_eq(token)))
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec_pretty(value).unwrap_or_default();
+    reply(status, "application/json", body.into())
+}
+
+fn text(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    reply(status, "text/plain; version=0.0.4", text.into())
+}
+
+fn reply(status: StatusCode, kind: &'static str, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static(kind);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
     response
 }
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -10,6 +10,7 @@
     pool: Arc<WorkerPool>,
     dialer: Dialer,
     secret: String,
+    max_frame_bytes: usize,
     lines: async_lock::Mutex<IndexMap<SocketAddr, Arc<PeerLine>>>,
 }
 
@@ -33,11 +34,12 @@
     const MAX_WAITING_FRAMES: usize = 1_024;
 
     /// Client without connections.
-    pub(crate) fn new(pool: Arc<WorkerPool>, dialer: Dialer, secret: &str) -> Self {
+    pub(crate) fn new(pool: Arc<WorkerPool>, dialer: Dialer, settings: &DaemonSettings) -> Self {
         Self {
             pool,
             dialer,
-            secret: secret.into(),
+            secret: settings.peer_secret.clone(),
+            max_frame_bytes: settings.peer_limits.max_frame_bytes,
             lines: async_lock::Mutex::default(),
         }
     }
@@ -94,7 +96,7 @@
 
     async fn open(&self, address: SocketAddr) -> io::Result<PeerLine> {
         let stream = self.dialer.connect(address, Self::CONNECT_TIMEOUT).await?;
-        let mut framed = Framed::new(stream.compat(), PeerFrame::codec());
+        let mut framed = Framed::new(stream.compat(), PeerFrame::codec(self.max_frame_bytes));
         let first = framed.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
         let Some(PeerBody::Challenge(challenge)) = PeerFrame::decoded(&first)?.body else {
             return Err(io::ErrorKind::InvalidData.into());
--- a/crates/daemon/src/peer_frame.rs
+++ b/crates/daemon/src/peer_frame.rs
@@ -29,9 +29,6 @@
 }
 
 impl PeerFrame {
-    /// Largest frame, in bytes.
-    pub(crate) const MAX_BYTES: usize = 8 << 20;
-
     /// Frame of a call or its reply.
     pub(crate) fn new(call: u64, body: PeerBody) -> Self {
         Self {
@@ -40,10 +37,10 @@
         }
     }
 
-    /// Codec that delimits frames by their length.
-    pub(crate) fn codec() -> tokio_util::codec::LengthDelimitedCodec {
+    /// Codec that delimits frames of at most `max_bytes` by their length.
+    pub(crate) fn codec(max_bytes: usize) -> tokio_util::codec::LengthDelimitedCodec {
         tokio_util::codec::LengthDelimitedCodec::builder()
-            .max_frame_length(Self::MAX_BYTES)
+            .max_frame_length(max_bytes)
             .new_codec()
     }
 
--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -4,12 +4,16 @@
 use async_net::{TcpListener, TcpStream};
 use futures_lite::StreamExt;
 use futures_util::SinkExt;
-use tokio_util::{codec::Framed, compat::FuturesAsyncReadCompatExt};
+use tokio_util::{
+    codec::Framed,
+    compat::{Compat, FuturesAsyncReadCompatExt},
+};
 
 /// Replies of one connection that may wait to be written.
 const MAX_WAITING_REPLIES: usize = 1_024;
-/// Time for a peer to prove the secret.
-const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Connection of a peer.
+type PeerStream = Framed<Compat<TcpStream>, tokio_util::codec::LengthDelimitedCodec>;
 
 /// Accepts peers until the pool stops.
 pub(crate) async fn run(node: Arc<Node>, listener: TcpListener) {
@@ -18,34 +22,27 @@
             Timer::after(Duration::from_millis(10)).await;
             continue;
         };
+        let limits = node.settings.peer_limits;
+        let Some(guard) = node.connections.peers.admit(limits.max_connections) else {
+            continue;
+        };
         let _ = stream.set_nodelay(true);
         let node = node.clone();
         node.pool.clone().spawn(async move {
             if let Err(error) = serve(&node, stream).await {
                 log::debug!("peer connection ended: {error}");
             }
+            drop(guard);
         });
     }
 }
 
 async fn serve(node: &Arc<Node>, stream: TcpStream) -> io::Result<()> {
-    let mut framed = Framed::new(stream.compat(), PeerFrame::codec());
-    let challenge = Uuid::new_v4().as_bytes().to_vec();
-    framed
-        .send(PeerFrame::new(0, PeerBody::Challenge(challenge.clone())).encoded())
-        .await?;
-    let late = async {
-        Timer::after(PROOF_TIMEOUT).await;
-        None
-    };
-    let first = future::or(framed.next(), late)
-        .await
-        .ok_or(io::ErrorKind::UnexpectedEof)??;
-    let Some(PeerBody::Proof(proof)) = PeerFrame::decoded(&first)?.body else {
-        return Err(io::ErrorKind::InvalidData.into());
-    };
-    if !PeerProof::holds(&node.settings.peer_secret, &challenge, &proof) {
-        return Err(io::ErrorKind::PermissionDenied.into());
+    let codec = PeerFrame::codec(node.settings.peer_limits.max_frame_bytes);
+    let mut framed = Framed::new(stream.compat(), codec);
+    if let Err(error) = prove(node, &mut framed).await {
+        node.connections.unproved.fetch_add(1, Ordering::Relaxed);
+        return Err(error);
     }
     let (mut sink, mut stream) = futures_util::StreamExt::split(framed);
     let (replies, to_send) = async_channel::bounded::<PeerFrame>(MAX_WAITING_REPLIES);
@@ -77,6 +74,27 @@
     future::or(write, read).await
 }
 
+/// Lets the peer prove the secret before any other frame.
+async fn prove(node: &Node, framed: &mut PeerStream) -> io::Result<()> {
+    let challenge = Uuid::new_v4().as_bytes().to_vec();
+    let first = PeerFrame::new(0, PeerBody::Challenge(challenge.clone()));
+    framed.send(first.encoded()).await?;
+    let late = async {
+        Timer::after(node.settings.peer_limits.proof_timeout).await;
+        None
+    };
+    let reply = future::or(framed.next(), late)
+        .await
+        .ok_or(io::ErrorKind::UnexpectedEof)??;
+    let Some(PeerBody::Proof(proof)) = PeerFrame::decoded(&reply)?.body else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    match PeerProof::holds(&node.settings.peer_secret, &challenge, &proof) {
+        true => Ok(()),
+        false => Err(io::ErrorKind::PermissionDenied.into()),
+    }
+}
+
 async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
     match body {
         PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -3,7 +3,10 @@
 use crate::prelude::*;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::pin::pin;
+
+/// Smallest buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
 
 /// Bounds on what one listener takes.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +36,7 @@
 pub struct HttpListener {
     listener: TcpListener,
     limits: HttpLimits,
+    connections: Arc<OpenConnections>,
 }
 
 impl HttpListener {
@@ -41,9 +45,15 @@
         Ok(Self {
             listener: TcpListener::bind(address).await?,
             limits,
+            connections: Arc::default(),
         })
     }
 
+    /// Connections of this listener.
+    pub fn connections(&self) -> Arc<OpenConnections> {
+        self.connections.clone()
+    }
+
     /// Address that was bound.
     pub fn local_address(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -55,34 +65,66 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
-        let open = Arc::new(AtomicUsize::new(0));
         loop {
             let Ok((stream, _)) = self.listener.accept().await else {
                 async_io::Timer::after(Duration::from_millis(10)).await;
                 continue;
             };
-            if open.fetch_add(1, Ordering::Relaxed) >= self.limits.max_connections {
-                open.fetch_sub(1, Ordering::Relaxed);
+            let Some(guard) = self.connections.admit(self.limits.max_connections) else {
                 continue;
-            }
+            };
             let _ = stream.set_nodelay(true);
+            let connections = self.connections.clone();
             let handle = handle.clone();
-            let open = open.clone();
             let limits = self.limits;
             pool.spawn(async move {
-                let service = service_fn(move |request| {
-                    let answer = handle(request);
-                    async move { Ok::<_, std::convert::Infallible>(answer.await) }
-                });
-                let _ = http1::Builder::new()
-                    .timer(SmolTimer::new())
-                    .header_read_timeout(limits.head_timeout)
-                    .max_buf_size(limits.max_head_bytes.max(8_192))
-                    .max_headers(limits.max_headers)
-                    .serve_connection(FuturesIo::new(stream), service)
-                    .await;
-                open.fetch_sub(1, Ordering::Relaxed);
+                serve_connection(stream, limits, &connections, handle).await;
+                drop(guard);
             });
         }
     }
 }
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    limits: HttpLimits,
+    connections: &OpenConnections,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Full<Bytes>>>,
+{
+    let service = service_fn(|request| {
+        let answer = handle(request);
+        async move {
+            let mut response = answer.await;
+            if connections.is_closing() {
+                let close = http::HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(http::header::CONNECTION, close);
+            }
+            Ok::<_, std::convert::Infallible>(response)
+        }
+    });
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(limits.head_timeout)
+            .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
+            .max_headers(limits.max_headers)
+            .serve_connection(FuturesIo::new(stream), service)
+    );
+    let ended = async {
+        let _ = connection.as_mut().await;
+        true
+    };
+    let closing = async {
+        connections.wait_closing().await;
+        false
+    };
+    if !future::or(ended, closing).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 mod http_client;
 mod http_connection;
 mod http_listener;
+mod open_connections;
 mod steady_clock;
 mod worker_pool;
 
@@ -16,6 +17,7 @@
     http_client::HttpClient,
     http_connection::HttpConnection,
     http_listener::{HttpLimits, HttpListener},
+    open_connections::{ConnectionGuard, OpenConnections},
     steady_clock::SteadyClock,
     worker_pool::WorkerPool,
 };
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,16 +3,24 @@
 //! A write whose answer is lost is never guessed at: it is resolved by reading the object back and
 //! looking for the write's own identity.
 
+mod call_meter;
+mod listed_instance;
+mod retry_pause;
 mod store_client;
 mod store_error;
+mod store_state;
 mod stored_object;
 mod watch_batch;
 mod write_condition;
 mod write_outcome;
 
 pub use {
+    call_meter::{CallKind, CallMeter},
+    listed_instance::{ListedInstance, ListedState},
+    retry_pause::RetryPause,
     store_client::StoreClient,
     store_error::StoreError,
+    store_state::StoreState,
     stored_object::{ObjectVersion, StoredObject},
     watch_batch::{WatchBatch, WatchEvent},
     write_condition::WriteCondition,
@@ -24,15 +32,16 @@
     pub(crate) use {
         crate::*,
         bytes::Bytes,
-        geraniummast_model::ObjectPath,
-        geraniummast_net::{Dialer, ExchangeError, HttpClient, WorkerPool},
+        geraniummast_model::{MonoTime, ObjectPath},
+        geraniummast_net::{Dialer, ExchangeError, HttpClient, SteadyClock, WorkerPool},
         http::{Method, Request, Response, StatusCode, header},
+        indexmap::IndexMap,
         serde::{Deserialize, Serialize, de::DeserializeOwned},
         serde_json::Value,
         std::{
             fmt::{self, Display, Formatter},
             net::SocketAddr,
-            sync::Arc,
+            sync::{Arc, Mutex},
             time::Duration,
         },
     };
--- a/crates/store/src/store_client.rs
+++ b/crates/store/src/store_client.rs
@@ -6,6 +6,8 @@
 pub struct StoreClient {
     http: HttpClient,
     timeout: Duration,
+    clock: SteadyClock,
+    meter: Mutex<CallMeter>,
 }
 
 impl StoreClient {
@@ -17,9 +19,26 @@
         Self {
             http: HttpClient::new(pool, dialer, address),
             timeout: Self::DEFAULT_TIMEOUT,
+            clock: SteadyClock,
+            meter: Mutex::new(CallMeter::new(SteadyClock.now())),
         }
     }
 
+    /// Calls made so far by kind.
+    pub fn calls(&self) -> IndexMap<String, u64> {
+        self.meter.lock().unwrap().calls()
+    }
+
+    /// Health by the latest calls.
+    pub fn state(&self) -> StoreState {
+        self.meter.lock().unwrap().state()
+    }
+
+    /// Calls left in the budget.
+    pub fn budget_left(&self) -> f64 {
+        self.meter.lock().unwrap().left()
+    }
+
     /// Reads an object.
     pub async fn read(&self, path: &ObjectPath) -> Result<Option<StoredObject>, StoreError> {
         let response = self.call(Method::GET, path, &[], Bytes::new()).await?;
@@ -75,7 +94,19 @@
             wait.as_millis()
         );
         let request = request(Method::GET, &target, &[], Bytes::new())?;
-        let response = self.http.exchange(request, self.timeout + wait).await?;
+        let response = self.exchange(CallKind::Watch, request, wait).await?;
+        match response.status() {
+            StatusCode::OK => decode(response.body()),
+            status => Err(StoreError::Unavailable(format!("status {status}"))),
+        }
+    }
+
+    /// Reads the platform's list of instances, which lags.
+    pub async fn list_instances(&self) -> Result<Vec<ListedInstance>, StoreError> {
+        let request = request(Method::GET, "/instances", &[], Bytes::new())?;
+        let response = self
+            .exchange(CallKind::List, request, Duration::ZERO)
+            .await?;
         match response.status() {
             StatusCode::OK => decode(response.body()),
             status => Err(StoreError::Unavailable(format!("status {status}"))),
@@ -130,8 +161,33 @@
         headers: &[(header::HeaderName, String)],
         body: Bytes,
     ) -> Result<Response<Bytes>, StoreError> {
+        let kind = match method {
+            Method::GET => CallKind::Read,
+            _ => CallKind::Write,
+        };
         let request = request(method, &format!("/objects/{path}"), headers, body)?;
-        Ok(self.http.exchange(request, self.timeout).await?)
+        self.exchange(kind, request, Duration::ZERO).await
+    }
+
+    /// Makes one call that the store may hold back for `wait`.
+    async fn exchange(
+        &self,
+        kind: CallKind,
+        request: Request<http_body_util::Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let started = self.clock.now();
+        if !self.meter.lock().unwrap().start(kind, started) {
+            return Err(StoreError::Unavailable("budget of calls used up".into()));
+        }
+        let result = self.http.exchange(request, self.timeout + wait).await;
+        let took = self.clock.now().since(started).saturating_sub(wait);
+        let mut meter = self.meter.lock().unwrap();
+        match &result {
+            Ok(response) if !response.status().is_server_error() => meter.answered(took),
+            _ => meter.failed(),
+        }
+        Ok(result?)
     }
 }
 
