--- /dev/null
+++ b/crates/balance/src/load_meter.rs
@@ -0,0 +1,67 @@
+//! Metering of a part's load by slice.
+
+use crate::prelude::*;
+
+/// Busy slot time and keys of one part.
+#[derive(Clone, Debug)]
+pub struct LoadMeter {
+    window: IndexMap<u64, Duration>,
+    smoothed: IndexMap<u64, f64>,
+    sketch: KeySketch,
+    opened: MonoTime,
+}
+
+impl LoadMeter {
+    /// Keys that the sketch holds.
+    const SKETCH_KEYS: usize = 512;
+    /// Least share of a key that is reported.
+    const LEAST_SHARE: f64 = 0.004;
+    /// Weight of the latest window in the smoothed load.
+    const WEIGHT: f64 = 0.4;
+
+    /// Meter whose first window opens at `now`.
+    pub fn new(now: MonoTime) -> Self {
+        Self {
+            window: IndexMap::new(),
+            smoothed: IndexMap::new(),
+            sketch: KeySketch::new(Self::SKETCH_KEYS),
+            opened: now,
+        }
+    }
+
+    /// Notes a request that held a slot for `busy`.
+    pub fn record(&mut self, slice_start: u64, hash: KeyHash, busy: Duration) {
+        *self.window.entry(slice_start).or_default() += busy;
+        self.sketch.count(hash);
+    }
+
+    /// Closes the window and reports the load of `record`'s slices.
+    ///
+    /// Load metered under a slice that has been split or joined since counts for the slice that now
+    /// holds its start.
+    pub fn close_window(&mut self, record: &PartRecord, now: MonoTime) -> LoadReport {
+        let span = now.since(self.opened).as_secs_f64().max(0.001);
+        self.opened = now;
+        let mut latest: IndexMap<u64, f64> = IndexMap::new();
+        for (start, busy) in self.window.drain(..) {
+            if let Some(entry) = record.slice_of(KeyHash(start)) {
+                *latest.entry(entry.start).or_default() += busy.as_secs_f64() / span;
+            }
+        }
+        self.smoothed = record
+            .slices
+            .iter()
+            .map(|entry| {
+                let seen = latest.get(&entry.start).copied().unwrap_or(0.0);
+                let before = self.smoothed.get(&entry.start).copied().unwrap_or(seen);
+                (entry.start, before + Self::WEIGHT * (seen - before))
+            })
+            .collect();
+        let hot_keys = self.sketch.hot_keys(Self::LEAST_SHARE);
+        self.sketch.decay();
+        LoadReport {
+            slices: self.smoothed.clone(),
+            hot_keys,
+        }
+    }
+}
