Check declarations in one pass, with the place of every fault

Findings carry file, line, column, field, value and what was expected. Rules between declarations are checked on the whole set, so a faulty field is reported once.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -3,31 +3,55 @@
 //! All declarations and the preset in force are one object in the store, the head. Its revision
 //! only grows; an instance never applies a revision below one that it has applied.
 
+mod check_finding;
+mod declaration_reader;
+mod declaration_set;
+mod finding_log;
 mod head_record;
+mod place_declaration;
 mod preset_declaration;
 mod request_class;
 mod revision_gate;
 mod server_declaration;
 mod service_declaration;
 mod service_kind;
+mod service_rules;
+mod set_rules;
+mod source_file;
+mod table_reader;
 
 pub use {
+    check_finding::{CheckFinding, RuleFinding},
+    declaration_set::DeclarationSet,
     head_record::HeadRecord,
+    place_declaration::PlaceDeclaration,
     preset_declaration::PresetDeclaration,
     request_class::RequestClass,
     revision_gate::{RevisionGate, RevisionVerdict},
     server_declaration::ServerDeclaration,
     service_declaration::ServiceDeclaration,
     service_kind::ServiceKind,
+    source_file::SourceFile,
 };
 
 /// Imports used throughout the crate.
 mod prelude {
     pub(crate) use {
-        crate::*,
+        crate::{
+            declaration_reader::DeclarationReader,
+            finding_log::{FieldPlace, FindingLog},
+            service_rules::ServiceRules,
+            set_rules::SetRules,
+            table_reader::TableReader,
+            *,
+        },
         geraniummast_model::{ServerName, ServiceName},
         indexmap::IndexMap,
         serde::{Deserialize, Serialize},
-        std::net::SocketAddr,
+        std::{
+            fmt::{self, Display, Formatter},
+            net::SocketAddr,
+            ops::{Range, RangeInclusive},
+        },
     };
 }
--- a/crates/configuration/src/request_class.rs
+++ b/crates/configuration/src/request_class.rs
@@ -34,15 +34,15 @@
     /// Lowest priority that can be declared.
     pub const LOWEST_PRIORITY: u8 = 3;
 
-    fn default_priority() -> u8 {
+    pub(crate) fn default_priority() -> u8 {
         1
     }
 
-    fn default_deadline_ms() -> u64 {
+    pub(crate) fn default_deadline_ms() -> u64 {
         2_000
     }
 
-    fn default_bytes() -> u64 {
+    pub(crate) fn default_bytes() -> u64 {
         1 << 20
     }
 }
--- a/crates/configuration/src/server_declaration.rs
+++ b/crates/configuration/src/server_declaration.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServerDeclaration {
-    /// Name, unique in its service.
+    /// Name, unique among the servers of all services.
     pub name: ServerName,
     /// Address of its HTTP listener.
     pub address: SocketAddr,
--- a/crates/configuration/src/service_kind.rs
+++ b/crates/configuration/src/service_kind.rs
@@ -11,3 +11,14 @@
     /// Any server may answer.
     Shared,
 }
+
+impl ServiceKind {
+    /// Kind by its declared name.
+    pub(crate) fn from_text(text: &str) -> Option<Self> {
+        match text {
+            "exclusive" => Some(Self::Exclusive),
+            "shared" => Some(Self::Shared),
+            _ => None,
+        }
+    }
+}
