Plan the next head: differences, prune, drains and a bounded history

The head keeps the latest 64 accepted changes in the same conditional update that makes them, so no accepted revision can miss its entry. Drains by hand are part of the head and hold through changes of preset and declarations.

--- a/crates/configuration/src/declaration_set.rs
+++ b/crates/configuration/src/declaration_set.rs
@@ -26,4 +26,26 @@
             findings => Err(findings),
         }
     }
+
+    /// Declared objects by kind and name; each server is one of its own.
+    pub(crate) fn objects(&self) -> ObjectMap {
+        let mut objects = ObjectMap::new();
+        for (name, place) in &self.places {
+            objects.insert(format!("place {name}"), json!(place));
+        }
+        for (name, service) in &self.services {
+            let mut value = json!(service);
+            if let Some(fields) = value.as_object_mut() {
+                fields.remove("server");
+            }
+            objects.insert(format!("service {name}"), value);
+            for server in &service.servers {
+                objects.insert(format!("server {name}/{}", server.name), json!(server));
+            }
+        }
+        for (name, preset) in &self.presets {
+            objects.insert(format!("preset {name}"), json!(preset));
+        }
+        objects
+    }
 }
--- a/crates/configuration/src/head_record.rs
+++ b/crates/configuration/src/head_record.rs
@@ -13,6 +13,15 @@
     pub presets: IndexMap<String, PresetDeclaration>,
     /// Declared services by name.
     pub services: IndexMap<ServiceName, ServiceDeclaration>,
+    /// Declared data centres by name.
+    #[serde(default)]
+    pub places: IndexMap<String, PlaceDeclaration>,
+    /// Servers that operators have drained, whatever the preset.
+    #[serde(default)]
+    pub drained_servers: Vec<ServerName>,
+    /// Latest accepted changes, oldest first, this one included.
+    #[serde(default)]
+    pub history: Vec<AuditEntry>,
     /// Who made the change.
     pub changed_by: String,
     /// When, in milliseconds since the Unix epoch.
@@ -22,12 +31,39 @@
 }
 
 impl HeadRecord {
+    /// Accepted changes that the head remembers.
+    pub const HISTORY_ENTRIES: usize = 64;
+    /// Preset in force after the first change, where it is declared.
+    pub const FIRST_PRESET: &'static str = "ordinary";
+
+    /// Declarations in force.
+    pub fn declarations(&self) -> DeclarationSet {
+        DeclarationSet {
+            places: self.places.clone(),
+            services: self.services.clone(),
+            presets: self.presets.clone(),
+        }
+    }
+
+    /// Entry of the write `write_id`, as long as the head remembers it.
+    pub fn entry_of(&self, write_id: &str) -> Option<&AuditEntry> {
+        self.history.iter().find(|entry| entry.write_id == write_id)
+    }
+
+    /// Everything that a change may touch, by kind and name.
+    pub(crate) fn objects(&self) -> ObjectMap {
+        let mut objects = self.declarations().objects();
+        objects.insert("preset in force".into(), self.preset.as_str().into());
+        objects.insert("drained servers".into(), json!(self.drained_servers));
+        objects
+    }
+
     /// Preset in force, the default one when it is not declared.
     pub fn active_preset(&self) -> PresetDeclaration {
         self.presets.get(&self.preset).cloned().unwrap_or_default()
     }
 
-    /// Servers of `service` that the preset in force lets take work.
+    /// Servers of `service` that may take work: drained neither by the preset in force nor by hand.
     pub fn active_servers(&self, service: &ServiceName) -> Vec<&ServerDeclaration> {
         let preset = self.active_preset();
         self.services
@@ -36,6 +72,7 @@
             .into_iter()
             .flatten()
             .filter(|server| !preset.drained_servers.contains(&server.name))
+            .filter(|server| !self.drained_servers.contains(&server.name))
             .collect()
     }
 }
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,13 +1,20 @@
 //! Configuration: what operators declare and which revision of it is in force.
 //!
 //! All declarations and the preset in force are one object in the store, the head. Its revision
-//! only grows; an instance never applies a revision below one that it has applied.
+//! only grows; an instance never applies a revision below one that it has applied. Files of
+//! declarations are read whole, and every fault in them is reported with its place.
 
+mod audit_entry;
+mod change_stamp;
 mod check_finding;
 mod declaration_reader;
 mod declaration_set;
 mod finding_log;
+mod head_change;
+mod head_difference;
+mod head_plan;
 mod head_record;
+mod head_rules;
 mod place_declaration;
 mod preset_declaration;
 mod request_class;
@@ -21,8 +28,13 @@
 mod table_reader;
 
 pub use {
+    audit_entry::AuditEntry,
+    change_stamp::ChangeStamp,
     check_finding::{CheckFinding, RuleFinding},
     declaration_set::DeclarationSet,
+    head_change::HeadChange,
+    head_difference::{DifferenceKind, FieldChange, HeadDifference},
+    head_plan::HeadPlan,
     head_record::HeadRecord,
     place_declaration::PlaceDeclaration,
     preset_declaration::PresetDeclaration,
@@ -40,6 +52,8 @@
         crate::{
             declaration_reader::DeclarationReader,
             finding_log::{FieldPlace, FindingLog},
+            head_difference::ObjectMap,
+            head_rules::HeadRules,
             service_rules::ServiceRules,
             set_rules::SetRules,
             table_reader::TableReader,
@@ -48,6 +62,7 @@
         geraniummast_model::{ServerName, ServiceName},
         indexmap::IndexMap,
         serde::{Deserialize, Serialize},
+        serde_json::json,
         std::{
             fmt::{self, Display, Formatter},
             net::SocketAddr,
--- a/crates/configuration/src/service_kind.rs
+++ b/crates/configuration/src/service_kind.rs
@@ -22,3 +22,12 @@
         }
     }
 }
+
+impl Display for ServiceKind {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Self::Exclusive => "exclusive",
+            Self::Shared => "shared",
+        })
+    }
+}
--- a/crates/lab/src/instance_bench.rs
+++ b/crates/lab/src/instance_bench.rs
@@ -119,6 +119,7 @@
             changed_by: "bench".into(),
             changed_at_ms: 0,
             write_id: "bench".into(),
+            ..HeadRecord::default()
         }
     }
 
