Hand changes of the store on between instances, watched by three

Cause: each instance watched the whole store, so its calls grew with the fleet. Now the first three instances by rank watch it and read the head once a second; every other one keeps a pull open at a parent in a tree of arity 8, passes silent parents over, and watches the store itself only when no parent answers. A fresh instance is not ready before it has read the head from the store or several peers; one that hears neither for the cut-off timeout refuses new work.

Removed objects now leave the tables; registrations of instances that the platform's list has missed for 15 s are removed by the first watcher.

--- a/crates/daemon/src/caller_listener.rs
+++ b/crates/daemon/src/caller_listener.rs
@@ -3,6 +3,9 @@
 use crate::{metric_worker, prelude::*};
 use hyper::body::Incoming;
 
+/// When a caller may try again at a cut-off instance.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Answers one request.
 pub(crate) async fn answer(node: Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let started = node.clock.now();
@@ -10,7 +13,10 @@
     let (service, rest) = path.split_once('/').unwrap_or((&path, ""));
     let key = rest.split('/').next().unwrap_or_default();
     let (service, slice) = place(&node, service, key);
-    let response = caller_gateway::answer(node.clone(), request).await;
+    let response = match node.is_cut_off() {
+        true => cut_off(request.headers()),
+        false => caller_gateway::answer(node.clone(), request).await,
+    };
     let took = node.clock.now().since(started);
     metric_worker::count_answer(&node, &service, &response, took);
     let header = |name| {
@@ -33,6 +39,14 @@
     response
 }
 
+/// Refusal of an instance that has heard neither store nor peers for long.
+fn cut_off(headers: &http::HeaderMap) -> Response<Full<Bytes>> {
+    let given = headers.get("geraniummast-request-id");
+    let id = given.and_then(|value| Uuid::parse_str(value.to_str().ok()?).ok());
+    let notice = RefusalNotice::try_again(RefusalReason::NotConfigured, RETRY_AFTER);
+    CallerAnswer::Refusal(notice).into_response(id.unwrap_or_else(Uuid::now_v7))
+}
+
 /// Declared service and first hash of the key's slice; a fixed word where either is unknown.
 fn place(node: &Node, service: &str, key: &str) -> (String, String) {
     let unknown = || "unknown".to_string();
--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -12,6 +12,7 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) operator_address: SocketAddr,
     pub(crate) store_address: SocketAddr,
+    pub(crate) seed_peers: Vec<SocketAddr>,
     pub(crate) peer_secret: String,
     pub(crate) operator_token: String,
     pub(crate) workers: usize,
@@ -63,6 +64,7 @@
                 peer_address: any,
                 operator_address: any,
                 store_address: any,
+                seed_peers: Vec::new(),
                 peer_secret: String::new(),
                 operator_token: String::new(),
                 workers: 2,
@@ -140,6 +142,12 @@
         self
     }
 
+    /// Sets the peers that a fresh instance asks while the store is down.
+    pub fn seed_peers(mut self, peers: &[SocketAddr]) -> Self {
+        self.settings.seed_peers = peers.to_vec();
+        self
+    }
+
     /// Sets the secret that peers prove to each other.
     pub fn peer_secret(mut self, secret: &str) -> Self {
         self.settings.peer_secret = secret.into();
--- a/crates/daemon/src/dump_builder.rs
+++ b/crates/daemon/src/dump_builder.rs
@@ -195,6 +195,9 @@
         .values()
         .filter(|record| record.id != node.id)
         .take(MAX_ROWS)
-        .map(PeerDump::from)
+        .map(|record| PeerDump {
+            revision: node.feed.revision_of(&record.id.name),
+            ..PeerDump::from(record)
+        })
         .collect()
 }
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -6,6 +6,11 @@
 /// Interval at which a stop looks for requests in flight.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Least pause between two tries to register.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two tries to register.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
 /// State that all workers of an instance reach.
 pub(crate) struct Node {
     pub(crate) id: InstanceId,
@@ -19,6 +24,7 @@
     pub(crate) servers: ServerBook,
     pub(crate) slots: Arc<SlotBroker>,
     pub(crate) decisions: DecisionLog,
+    pub(crate) feed: FeedState,
     pub(crate) connections: NodeConnections,
     draining: AtomicBool,
     in_flight: Arc<AtomicUsize>,
@@ -50,6 +56,12 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Whether neither store nor peer was heard for so long that the configuration may be old.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let heard = self.feed.heard().latest();
+        self.clock.now().since(heard) > self.settings.cut_off_timeout
+    }
+
     /// Begins a planned stop: not ready from now on; requests are served to their end.
     pub(crate) fn begin_drain(&self, reason: &str) {
         if !self.draining.swap(true, Ordering::SeqCst) {
@@ -59,7 +71,10 @@
 
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.draining.load(Ordering::SeqCst) && self.tables.gate.lock().unwrap().head().is_some()
+        !self.is_draining()
+            && self.feed.is_started()
+            && !self.is_cut_off()
+            && self.tables.gate.lock().unwrap().head().is_some()
     }
 }
 
@@ -83,6 +98,7 @@
             data_centre: settings.data_centre.clone(),
             leaving: false,
         };
+        let feed = FeedState::new(SteadyClock.now());
         let node = Arc::new(Node {
             id: record.id.clone(),
             pool: pool.clone(),
@@ -90,10 +106,11 @@
             dialer: dialer.clone(),
             store: StoreClient::new(pool.clone(), dialer.clone(), settings.store_address),
             tables: NodeTables::default(),
-            peers: PeerClient::new(pool.clone(), dialer, &settings),
+            peers: PeerClient::new(pool.clone(), dialer, &settings, feed.hints.clone()),
             servers: ServerBook::default(),
             slots: Arc::default(),
             decisions: DecisionLog::default(),
+            feed,
             connections: NodeConnections {
                 callers: callers.connections(),
                 operators: operators.connections(),
@@ -115,6 +132,7 @@
         pool.spawn(metric_worker::run(node.clone()));
         pool.spawn(register(node.clone(), record));
         pool.spawn(store_watcher::run(node.clone()));
+        pool.spawn(instance_pruner::run(node.clone()));
         pool.spawn(leadership_worker::run(node.clone()));
         pool.spawn(grant_worker::run(node.clone()));
         Ok(Self {
@@ -180,12 +198,18 @@
     }
 }
 
-/// Registers the instance in the store, trying until it has succeeded.
+/// Registers the instance in the store once, trying until it has succeeded.
 async fn register(node: Arc<Node>, record: InstanceRecord) {
     let path = ObjectPath::instance(&record.id.name);
+    let mut pause = RetryPause::new(LEAST_PAUSE, LONGEST_PAUSE);
     loop {
         let condition = match node.store.read(&path).await {
             Ok(None) => Some(WriteCondition::Absent),
+            Ok(Some(object))
+                if object.decode::<InstanceRecord>().ok().as_ref() == Some(&record) =>
+            {
+                return;
+            }
             Ok(Some(object)) => Some(WriteCondition::Version(object.version)),
             Err(_) => None,
         };
@@ -195,6 +219,6 @@
         {
             return;
         }
-        Timer::after(Duration::from_millis(100)).await;
+        Timer::after(pause.next(rand::random())).await;
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,11 +13,22 @@
 mod decision_log;
 mod dump_builder;
 mod dump_wire;
+mod feed_hints;
+mod feed_starter;
+mod feed_state;
+mod feed_tree;
+#[cfg(test)]
+mod feed_tree_tests;
+mod feed_wire;
+mod feed_worker;
 mod forward_wire;
 mod forward_worker;
 mod grant_wire;
 mod grant_worker;
 mod instance_node;
+mod instance_pruner;
+#[cfg(test)]
+mod instance_pruner_tests;
 mod leader_worker;
 mod leadership_worker;
 mod metric_recorder;
@@ -58,6 +69,9 @@
             caller_answer::CallerAnswer,
             caller_request::{CallerRequest, HeaderField},
             decision_log::DecisionLog,
+            feed_hints::FeedHints,
+            feed_state::FeedState,
+            feed_wire::{FeedBatch, FeedPull},
             forward_wire::{ForwardReplyWire, ForwardWire},
             instance_node::Node,
             node_connections::NodeConnections,
--- a/crates/daemon/src/metric_worker.rs
+++ b/crates/daemon/src/metric_worker.rs
@@ -25,6 +25,15 @@
     gauge(REVISION, node.tables.gate.lock().unwrap().revision() as f64);
     gauge(READY, f64::from(u8::from(node.is_ready())));
     gauge(STORE_STATE, f64::from(node.store.state() as u8));
+    let silence = node.clock.now().since(node.feed.heard().latest());
+    gauge(FEED_AGE, silence.as_secs_f64());
+    for (direction, bytes) in [("in", &node.feed.bytes_in), ("out", &node.feed.bytes_out)] {
+        let labels = [
+            ("instance", instance.clone()),
+            ("direction", direction.into()),
+        ];
+        metrics::counter!(FEED_BYTES, &labels).absolute(bytes.load(Ordering::Relaxed));
+    }
     let (led, unavailable) = led_slices(node);
     gauge(PARTS_LED, led as f64);
     gauge(SLICES_UNAVAILABLE, unavailable as f64);
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -11,6 +11,7 @@
     dialer: Dialer,
     secret: String,
     max_frame_bytes: usize,
+    hints: Arc<FeedHints>,
     lines: async_lock::Mutex<IndexMap<SocketAddr, Arc<PeerLine>>>,
 }
 
@@ -34,12 +35,18 @@
     const MAX_WAITING_FRAMES: usize = 1_024;
 
     /// Client without connections.
-    pub(crate) fn new(pool: Arc<WorkerPool>, dialer: Dialer, settings: &DaemonSettings) -> Self {
+    pub(crate) fn new(
+        pool: Arc<WorkerPool>,
+        dialer: Dialer,
+        settings: &DaemonSettings,
+        hints: Arc<FeedHints>,
+    ) -> Self {
         Self {
             pool,
             dialer,
             secret: settings.peer_secret.clone(),
             max_frame_bytes: settings.peer_limits.max_frame_bytes,
+            hints,
             lines: async_lock::Mutex::default(),
         }
     }
@@ -107,22 +114,27 @@
         let (frames, to_send) = async_channel::bounded::<PeerFrame>(Self::MAX_WAITING_FRAMES);
         let calls = Arc::new(CallTable::default());
         let table = calls.clone();
+        let hints = self.hints.clone();
         let write = async move {
             while let Ok(frame) = to_send.recv().await {
+                let frame = frame.knowing(hints.own());
                 if sink.send(frame.encoded()).await.is_err() {
                     return;
                 }
             }
         };
+        let hints = self.hints.clone();
         let read = async move {
             while let Some(Ok(bytes)) = stream.next().await {
                 let Ok(PeerFrame {
                     call,
                     body: Some(body),
+                    known,
                 }) = PeerFrame::decoded(&bytes)
                 else {
                     return;
                 };
+                hints.hear(known);
                 if let Some(reply) = calls.waiting.lock().unwrap().swap_remove(&call) {
                     let _ = reply.try_send(body);
                 }
--- a/crates/daemon/src/peer_frame.rs
+++ b/crates/daemon/src/peer_frame.rs
@@ -7,8 +7,11 @@
 pub(crate) struct PeerFrame {
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 30, 31")]
     pub(crate) body: Option<PeerBody>,
+    /// Latest version of the store's objects that the sender knows.
+    #[prost(uint64, tag = "15")]
+    pub(crate) known: u64,
 }
 
 /// Content of a frame.
@@ -26,6 +29,12 @@
     /// The leader's answer.
     #[prost(message, tag = "5")]
     ForwardReply(ForwardReplyWire),
+    /// Asks for changes of the store's objects.
+    #[prost(message, tag = "30")]
+    FeedPull(FeedPull),
+    /// Changes of the store's objects.
+    #[prost(message, tag = "31")]
+    FeedBatch(FeedBatch),
 }
 
 impl PeerFrame {
@@ -34,6 +43,7 @@
         Self {
             call,
             body: Some(body),
+            known: 0,
         }
     }
 
@@ -44,6 +54,11 @@
             .new_codec()
     }
 
+    /// The frame with the latest version known here.
+    pub(crate) fn knowing(self, known: u64) -> Self {
+        Self { known, ..self }
+    }
+
     /// Bytes of the frame.
     pub(crate) fn encoded(&self) -> Bytes {
         prost::Message::encode_to_vec(self).into()
--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -48,6 +48,7 @@
     let (replies, to_send) = async_channel::bounded::<PeerFrame>(MAX_WAITING_REPLIES);
     let write = async {
         while let Ok(frame) = to_send.recv().await {
+            let frame = frame.knowing(node.feed.hints.own());
             sink.send(frame.encoded()).await?;
         }
         Ok(())
@@ -57,10 +58,12 @@
             let PeerFrame {
                 call,
                 body: Some(body),
+                known,
             } = PeerFrame::decoded(&bytes?)?
             else {
                 return Err(io::ErrorKind::InvalidData.into());
             };
+            node.feed.hints.hear(known);
             let node = node.clone();
             let replies = replies.clone();
             node.pool.clone().spawn(async move {
@@ -98,7 +101,13 @@
 async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
     match body {
         PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
-        PeerBody::Challenge(_) | PeerBody::Proof(_) | PeerBody::ForwardReply(_) => None,
+        PeerBody::FeedPull(pull) => {
+            Some(PeerBody::FeedBatch(feed_worker::answer(node, &pull).await))
+        }
+        PeerBody::Challenge(_)
+        | PeerBody::Proof(_)
+        | PeerBody::ForwardReply(_)
+        | PeerBody::FeedBatch(_) => None,
     }
 }
 
--- a/crates/daemon/src/setting_spec.rs
+++ b/crates/daemon/src/setting_spec.rs
@@ -73,6 +73,18 @@
     }
 }
 
+/// Reads addresses parted by commas into `target`.
+pub(crate) fn addresses(target: &mut Vec<SocketAddr>, text: &str) -> bool {
+    let fields = text.split(',').filter(|field| !field.is_empty());
+    match fields.map(str::parse).collect() {
+        Ok(value) => {
+            *target = value;
+            true
+        }
+        Err(_) => false,
+    }
+}
+
 /// Reads a name of ASCII letters, digits, `-`, `_` and `.` into `target`.
 pub(crate) fn name(target: &mut String, text: &str) -> bool {
     let accepted = (1..=64).contains(&text.len())
--- a/crates/daemon/src/setting_table.rs
+++ b/crates/daemon/src/setting_table.rs
@@ -1,7 +1,7 @@
 //! All settings of the daemon; parsing, help and printing follow this table.
 
 use crate::prelude::*;
-use crate::setting_spec::{SettingSpec, address, millis, name, number, secret};
+use crate::setting_spec::{SettingSpec, address, addresses, millis, name, number, secret};
 
 /// Settings in the order in which they are printed.
 pub(crate) const SETTINGS: &[SettingSpec] = &[
@@ -41,6 +41,13 @@
         "Address of the platform's object API",
         |to, text| address(&mut to.store_address, text),
     ),
+    setting(
+        "seed-peers",
+        "",
+        "IP:PORT,IP:PORT,... or nothing",
+        "Peers that a fresh instance asks while the store is down",
+        |to, text| addresses(&mut to.seed_peers, text),
+    ),
     hidden(
         "peer-secret",
         "Secret that instances prove to each other",
--- a/crates/daemon/src/store_watcher.rs
+++ b/crates/daemon/src/store_watcher.rs
@@ -1,59 +1,137 @@
-//! Watching of the store.
+//! Watching of the store by the few instances whose place it is.
+//!
+//! An instance whose parents are all silent watches too, after a jittered pause.
 
-use crate::prelude::*;
+use crate::{feed_starter, feed_worker, prelude::*};
 
 /// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-/// Pause after a failed watch.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Interval at which an instance looks whether it is to watch.
+const ROLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Least silence of all parents after which any instance watches.
+const PARENT_SILENCE: Duration = Duration::from_millis(1_200);
+/// Least pause after a failed call.
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Interval at which watchers read the head itself, because watches may lag.
+const HEAD_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Follows the store until the pool stops.
+/// Confirms the head, then watches whenever it is this instance's place.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut after = ObjectVersion::default();
+    feed_starter::run(&node).await;
+    node.pool.spawn(feed_worker::run(node.clone()));
+    node.pool.spawn(read_heads(node.clone()));
+    let mut pause = RetryPause::new(LEAST_PAUSE, LONGEST_PAUSE);
     loop {
+        if !is_to_watch(&node) {
+            Timer::after(ROLE_INTERVAL).await;
+            continue;
+        }
+        let sent = node.clock.now();
+        let after = node.feed.mark().complete;
         match node.store.watch("", after, WATCH_WAIT).await {
             Ok(batch) => {
-                after = batch.version;
-                for event in batch.events {
-                    take_in(&node, event);
-                }
+                node.feed.heard_store(sent);
+                take_in(&node, batch, false);
+                pause.reset();
             }
             Err(error) => {
                 log::warn!("watch failed: {error}");
-                Timer::after(RETRY_INTERVAL).await;
+                Timer::after(pause.next(rand::random())).await;
             }
         }
     }
 }
 
-fn take_in(node: &Node, event: WatchEvent) {
-    let Some(value) = event.value else {
-        return;
+/// Reads the head at an interval while this instance is a watcher.
+async fn read_heads(node: Arc<Node>) {
+    loop {
+        let jitter = 0.75 + rand::random::<f64>() / 2.0;
+        Timer::after(HEAD_INTERVAL.mul_f64(jitter)).await;
+        if feed_worker::is_watcher(&node) {
+            read_head(&node).await;
+        }
+    }
+}
+
+fn is_to_watch(node: &Node) -> bool {
+    let silence = node.clock.now().since(node.feed.heard().peer);
+    feed_worker::is_watcher(node)
+        || silence > PARENT_SILENCE + PARENT_SILENCE.mul_f64(rand::random())
+}
+
+/// Reads the head itself; false when the store gives no answer.
+pub(crate) async fn read_head(node: &Node) -> bool {
+    let sent = node.clock.now();
+    let Ok(found) = node.store.read(&ObjectPath::head()).await else {
+        return false;
     };
+    node.feed.heard_store(sent);
+    if let Some(object) = found {
+        let event = WatchEvent {
+            path: ObjectPath::head(),
+            version: object.version,
+            value: Some(object.value),
+        };
+        let batch = WatchBatch {
+            version: node.feed.mark().complete,
+            events: vec![event],
+        };
+        take_in(node, batch, false);
+    }
+    true
+}
+
+/// Takes in changes, from the store or a peer.
+pub(crate) fn take_in(node: &Node, batch: WatchBatch, snapshot: bool) {
+    node.feed.take_in(batch, snapshot, |event| {
+        let path = event.path.clone();
+        if let Err(error) = apply(node, event) {
+            log::error!("object {path} dropped: {error}");
+        }
+    });
+}
+
+fn apply(node: &Node, event: WatchEvent) -> Result<(), StoreError> {
     let path = event.path.as_str();
+    let Some(value) = event.value else {
+        remove(node, path);
+        return Ok(());
+    };
     let object = StoredObject {
         version: event.version,
         value,
     };
-    let result = match path {
-        _ if event.path == ObjectPath::head() => object.decode().map(|head: HeadRecord| {
-            node.tables.gate.lock().unwrap().offer(&head);
-        }),
-        _ if path.starts_with(ObjectPath::INSTANCES) => {
-            object.decode().map(|record: InstanceRecord| {
-                let mut instances = node.tables.instances.lock().unwrap();
-                instances.insert(record.id.name.clone(), record);
-            })
+    if event.path == ObjectPath::head() {
+        let head: HeadRecord = object.decode()?;
+        let verdict = node.tables.gate.lock().unwrap().offer(&head);
+        if verdict == RevisionVerdict::Applied {
+            let decision = format!("revision {} in force", head.revision);
+            let reason = format!("preset {}, changed by {}", head.preset, head.changed_by);
+            node.decisions.note("configuration", decision, reason);
         }
-        _ if path.starts_with(ObjectPath::PARTS) => object
-            .decode::<PartWire>()
-            .and_then(|wire| {
-                PartRecord::try_from(wire).map_err(|error| StoreError::Malformed(error.to_string()))
-            })
-            .map(|record| node.tables.learn_part(&node.id, event.version, record)),
-        _ => Ok(()),
-    };
-    if let Err(error) = result {
-        log::error!("object {path} dropped: {error}");
+    } else if path.starts_with(ObjectPath::INSTANCES) {
+        let record: InstanceRecord = object.decode()?;
+        let mut instances = node.tables.instances.lock().unwrap();
+        instances.insert(record.id.name.clone(), record);
+    } else if path.starts_with(ObjectPath::PARTS) {
+        let record = PartRecord::try_from(object.decode::<PartWire>()?)
+            .map_err(|error| StoreError::Malformed(error.to_string()))?;
+        node.tables.learn_part(&node.id, event.version, record);
+    }
+    Ok(())
+}
+
+/// Takes a removed object out of the tables; the head stays in force.
+fn remove(node: &Node, path: &str) {
+    if let Some(name) = path.strip_prefix(ObjectPath::INSTANCES) {
+        node.tables.instances.lock().unwrap().swap_remove(name);
+    } else if let Some(Ok(part)) = path
+        .strip_prefix(ObjectPath::PARTS)
+        .map(str::parse::<PartId>)
+    {
+        node.tables.parts.lock().unwrap().swap_remove(&part);
+        node.tables.led.lock().unwrap().swap_remove(&part);
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod call_meter;
 mod listed_instance;
+mod object_cache;
 mod retry_pause;
 mod store_client;
 mod store_error;
@@ -17,6 +18,7 @@
 pub use {
     call_meter::{CallKind, CallMeter},
     listed_instance::{ListedInstance, ListedState},
+    object_cache::{CacheMark, ObjectCache},
     retry_pause::RetryPause,
     store_client::StoreClient,
     store_error::StoreError,
@@ -35,7 +37,7 @@
         geraniummast_model::{MonoTime, ObjectPath},
         geraniummast_net::{Dialer, ExchangeError, HttpClient, SteadyClock, WorkerPool},
         http::{Method, Request, Response, StatusCode, header},
-        indexmap::IndexMap,
+        indexmap::{IndexMap, IndexSet},
         serde::{Deserialize, Serialize, de::DeserializeOwned},
         serde_json::Value,
         std::{
