Remember request ids, so that a repeat never runs again

A version 7 id's own timestamp bounds the memory; ids below the floor are answered outcome-forgotten and never run.

--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -6,12 +6,18 @@
 mod admission_table;
 mod refusal_notice;
 mod refusal_reason;
+mod repeat_bounds;
+mod repeat_entry;
+mod repeat_memory;
 mod run_outcome;
 
 pub use {
     admission_table::{AdmissionStep, AdmissionTable, SlotLimit},
     refusal_notice::RefusalNotice,
     refusal_reason::RefusalReason,
+    repeat_bounds::RepeatBounds,
+    repeat_entry::{KeptAnswer, RepeatEntry, RepeatStage},
+    repeat_memory::{RepeatMemory, RepeatQuery, RepeatStep},
     run_outcome::RunOutcome,
 };
 
@@ -22,9 +28,10 @@
         geraniummast_model::ServerName,
         indexmap::IndexMap,
         std::{
-            collections::VecDeque,
+            collections::{BTreeMap, VecDeque},
             fmt::{self, Display, Formatter},
             time::Duration,
         },
+        uuid::Uuid,
     };
 }
--- a/crates/requests/src/refusal_reason.rs
+++ b/crates/requests/src/refusal_reason.rs
@@ -51,11 +51,13 @@
     OutcomeForgotten,
     /// The id was used before with a different request.
     IdReused,
+    /// The request ran; its answer is no longer kept.
+    AnswerNotKept,
 }
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::BadRequest,
         Self::UnknownService,
         Self::UnknownClass,
@@ -79,6 +81,7 @@
         Self::InProgress,
         Self::OutcomeForgotten,
         Self::IdReused,
+        Self::AnswerNotKept,
     ];
 
     /// Name used in headers and bodies.
@@ -107,6 +110,7 @@
             Self::InProgress => "in-progress",
             Self::OutcomeForgotten => "outcome-forgotten",
             Self::IdReused => "id-reused",
+            Self::AnswerNotKept => "answer-not-kept",
         }
     }
 
@@ -115,7 +119,7 @@
         match self {
             Self::BadRequest => 400,
             Self::UnknownService | Self::UnknownClass => 404,
-            Self::InProgress | Self::OutcomeForgotten | Self::IdReused => 409,
+            Self::InProgress | Self::OutcomeForgotten | Self::IdReused | Self::AnswerNotKept => 409,
             Self::BodyTooLarge => 413,
             Self::CallerLimit => 429,
             Self::AnswerTooLarge
