Run non-repeatable requests at most once across instances and leaders

The leader notes a request at a member of the part's trio before it leaves, tells it how the request ended, and a successor collects these notes first; where they can't be collected whole, every id up to then is answered outcome-forgotten. The entry takes a request whose leader was lost to the successor under the same id.

Faults found by reading: a dropped wait kept its place in a server's queue and could free a slot twice; an unclear repeatable request was refused as not run; a wait for a slot could outlive the grant that the request was then sent under; a refusal named no time of the server's own. Each is mended; calls that nobody waits for are cancelled at the peer.

--- /dev/null
+++ b/crates/daemon/src/attempt_fault.rs
@@ -0,0 +1,31 @@
+//! Why one attempt at a server gave no answer.
+
+use crate::prelude::*;
+
+/// Failure of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptFault {
+    /// No byte of the request left.
+    NotSent,
+    /// The connection failed before the whole answer.
+    Lost,
+    /// No whole answer came in time.
+    Late,
+    /// The answer was not one to this request.
+    WrongAnswer,
+}
+
+impl AttemptFault {
+    /// Refusal of a request that ends with this failure.
+    pub(crate) fn notice(self) -> RefusalNotice {
+        match self {
+            Self::NotSent => RefusalNotice::try_again(
+                RefusalReason::ServerUnreachable,
+                leader_worker::UNREACHABLE_RETRY,
+            ),
+            Self::Lost => RefusalNotice::unknown(RefusalReason::ServerLost),
+            Self::Late => RefusalNotice::unknown(RefusalReason::Deadline),
+            Self::WrongAnswer => RefusalNotice::unknown(RefusalReason::WrongAnswer),
+        }
+    }
+}
--- a/crates/daemon/src/caller_answer.rs
+++ b/crates/daemon/src/caller_answer.rs
@@ -28,6 +28,19 @@
 }
 
 impl CallerAnswer {
+    /// Bytes that a record of the answer counts for.
+    pub(crate) fn bytes(&self) -> usize {
+        match self {
+            Self::Whole { headers, body, .. } => {
+                let fields = headers
+                    .iter()
+                    .map(|field| field.name.len() + field.value.len());
+                body.len() + fields.sum::<usize>()
+            }
+            Self::Refusal(_) => 0,
+        }
+    }
+
     /// HTTP response to the request `id`.
     pub(crate) fn into_response(self, id: Uuid) -> Response<Full<Bytes>> {
         match self {
--- a/crates/daemon/src/caller_gateway.rs
+++ b/crates/daemon/src/caller_gateway.rs
@@ -100,6 +100,7 @@
     let request = CallerRequest {
         id,
         id_from_caller,
+        repeated: false,
         caller: caller.unwrap_or_default().into(),
         class: class.name.clone(),
         hash: KeyHash::of(key),
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -9,6 +9,8 @@
     pub(crate) id: Uuid,
     /// Whether the id came from the caller.
     pub(crate) id_from_caller: bool,
+    /// Whether an earlier attempt may have reached a leader.
+    pub(crate) repeated: bool,
     /// Name by which the caller's share is counted.
     pub(crate) caller: String,
     /// Service.
@@ -27,6 +29,19 @@
     pub(crate) body: Bytes,
 }
 
+impl CallerRequest {
+    /// Digest of what the request asks for and who asks.
+    pub(crate) fn digest(&self) -> u128 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        for field in [&self.caller, &self.method, &self.target] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(&self.body);
+        hasher.digest128()
+    }
+}
+
 /// One header.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct HeaderField {
--- a/crates/daemon/src/forward_wire.rs
+++ b/crates/daemon/src/forward_wire.rs
@@ -31,6 +31,9 @@
     /// Term of the leader that the request is meant for.
     #[prost(uint64, tag = "12")]
     pub(crate) term: u64,
+    /// Whether an earlier attempt may have reached a leader.
+    #[prost(bool, tag = "13")]
+    pub(crate) repeated: bool,
 }
 
 /// One header.
@@ -76,6 +79,7 @@
             body: request.body.clone(),
             remaining_us: remaining.as_micros() as u64,
             term,
+            repeated: request.repeated,
         }
     }
 }
@@ -88,6 +92,7 @@
         Ok(Self {
             id,
             id_from_caller: wire.id_from_caller,
+            repeated: wire.repeated,
             caller: wire.caller,
             service: ServiceName::new(&wire.service),
             class: wire.class,
--- a/crates/daemon/src/forward_worker.rs
+++ b/crates/daemon/src/forward_worker.rs
@@ -1,35 +1,56 @@
 //! Passing of requests to the instance that leads the key's part.
+//!
+//! When the leader is lost in the middle, the request goes on to its successor under the same id. A
+//! request that may not be repeated runs there only when the lost leader had not noted it.
 
 use crate::prelude::*;
 
 /// Pause before the leader of a part is looked up again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Time beyond the deadline for which a leader's own refusal is waited for.
+const REFUSAL_GRACE: Duration = Duration::from_millis(30);
+/// When a caller may come back after its part had no leader.
+const NO_LEADER_RETRY: Duration = Duration::from_millis(500);
 
 /// What to do after an attempt.
 enum ForwardStep {
     Done(CallerAnswer),
+    /// The attempt surely did not run.
     Retry,
+    /// The attempt may have run.
+    Lost,
 }
 
 /// Runs a request at the part's leader until it is answered or its deadline passes.
 pub(crate) async fn forward(
     node: &Arc<Node>,
-    request: CallerRequest,
+    mut request: CallerRequest,
     class: &RequestClass,
     deadline: MonoTime,
 ) -> CallerAnswer {
     loop {
-        if let ForwardStep::Done(answer) = attempt(node, &request, class, deadline).await {
-            return answer;
+        match attempt(node, &request, class, deadline).await {
+            ForwardStep::Done(answer) => return answer,
+            ForwardStep::Retry => {}
+            ForwardStep::Lost => request.repeated = true,
         }
         if node.clock.now().after(RETRY_INTERVAL) >= deadline {
-            let notice = RefusalNotice::try_again(RefusalReason::NoLeader, Duration::from_secs(1));
-            return CallerAnswer::Refusal(notice);
+            return CallerAnswer::Refusal(given_up(&request, class));
         }
         Timer::after(RETRY_INTERVAL).await;
     }
 }
 
+fn given_up(request: &CallerRequest, class: &RequestClass) -> RefusalNotice {
+    match request.repeated {
+        false => RefusalNotice::try_again(RefusalReason::NoLeader, NO_LEADER_RETRY),
+        true => RefusalNotice {
+            retry_after: (class.repeatable || request.id_from_caller).then_some(NO_LEADER_RETRY),
+            ..RefusalNotice::unknown(RefusalReason::LeaderLost)
+        },
+    }
+}
+
 async fn attempt(
     node: &Arc<Node>,
     request: &CallerRequest,
@@ -40,35 +61,42 @@
         return ForwardStep::Retry;
     };
     if leader.id == node.id {
-        return step_of(leader_worker::run(node, request, class, deadline).await);
+        return step_of(
+            request,
+            leader_worker::run(node, request, class, deadline).await,
+        );
     }
     let remaining = deadline.since(node.clock.now());
     let body = PeerBody::Forward(ForwardWire::new(request, remaining, leader.term));
-    match node.peers.call(leader.address, body, remaining).await {
+    let reply = node
+        .peers
+        .call(leader.address, body, remaining + REFUSAL_GRACE)
+        .await;
+    match reply {
         Ok(PeerBody::ForwardReply(reply)) => match CallerAnswer::try_from(reply) {
-            Ok(answer) => step_of(answer),
-            Err(_) => lost(class),
+            Ok(answer) => step_of(request, answer),
+            Err(_) => ForwardStep::Lost,
         },
-        Ok(_) => lost(class),
+        Ok(_) | Err(PeerError::Unclear(_)) => ForwardStep::Lost,
         Err(PeerError::NotSent(_)) => ForwardStep::Retry,
-        Err(PeerError::Unclear(_)) => lost(class),
     }
 }
 
-/// A leader that no longer leads is asked no further; all other answers go to the caller.
-fn step_of(answer: CallerAnswer) -> ForwardStep {
+/// A leader that no longer leads is asked no further, and a request that another attempt of ours
+/// still runs is waited for; all other answers go to the caller.
+fn step_of(request: &CallerRequest, answer: CallerAnswer) -> ForwardStep {
     match answer {
         CallerAnswer::Refusal(notice) if notice.reason == RefusalReason::NoLeader => {
             ForwardStep::Retry
         }
+        CallerAnswer::Refusal(notice)
+            if request.repeated && notice.reason == RefusalReason::InProgress =>
+        {
+            ForwardStep::Lost
+        }
+        CallerAnswer::Refusal(notice) if request.repeated => {
+            ForwardStep::Done(CallerAnswer::Refusal(notice.or_unclear()))
+        }
         answer => ForwardStep::Done(answer),
     }
 }
-
-fn lost(class: &RequestClass) -> ForwardStep {
-    if class.repeatable {
-        return ForwardStep::Retry;
-    }
-    let notice = RefusalNotice::unknown(RefusalReason::LeaderLost);
-    ForwardStep::Done(CallerAnswer::Refusal(notice))
-}
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -14,6 +14,7 @@
     pub(crate) tables: NodeTables,
     pub(crate) peers: PeerClient,
     pub(crate) servers: ServerBook,
+    pub(crate) notes: NotesBook,
     pub(crate) slots: Arc<SlotBroker>,
     draining: AtomicBool,
     in_flight: Arc<AtomicUsize>,
@@ -70,6 +71,7 @@
             tables: NodeTables::default(),
             peers: PeerClient::new(pool.clone(), dialer, &settings.peer_secret),
             servers: ServerBook::default(),
+            notes: NotesBook::default(),
             slots: Arc::default(),
             draining: AtomicBool::new(false),
             in_flight: Arc::default(),
@@ -88,6 +90,7 @@
         pool.spawn(store_watcher::run(node.clone()));
         pool.spawn(leadership_worker::run(node.clone()));
         pool.spawn(grant_worker::run(node.clone()));
+        pool.spawn(notes_worker::run(node.clone()));
         Ok(Self {
             node,
             caller_address,
--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -6,15 +6,27 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Requests that may wait for one server, per slot.
 const QUEUE_PER_SLOT: usize = 16;
+/// When a caller may come back after no server could be reached.
+pub(crate) const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
+/// When a caller may come back after a failure that a repeat may mend.
+const FAULT_RETRY: Duration = Duration::from_millis(100);
+/// When a caller may come back after its key had no server that could take it.
+const UNOWNED_RETRY: Duration = Duration::from_millis(500);
 
 /// Where a request is sent.
-struct ServerTarget {
+pub(crate) struct ServerTarget {
     session: Arc<ServerSession>,
     fence: FenceToken,
     not_after: MonoTime,
     limit: SlotLimit,
 }
 
+/// A request's server, with a slot of it.
+pub(crate) struct SlotAdmission {
+    target: ServerTarget,
+    slot: SlotGuard,
+}
+
 /// What to do with a request.
 enum TargetStep {
     Send(ServerTarget),
@@ -22,6 +34,14 @@
     Refuse(RefusalNotice),
 }
 
+impl SlotAdmission {
+    /// Whether the request leaves under the term and rank of `authority`.
+    pub(crate) fn is_under(&self, authority: FenceToken) -> bool {
+        let fence = self.target.fence;
+        (fence.term, fence.rank) == (authority.term, authority.rank)
+    }
+}
+
 /// Runs one request.
 pub(crate) async fn run(
     node: &Arc<Node>,
@@ -29,22 +49,115 @@
     class: &RequestClass,
     deadline: MonoTime,
 ) -> CallerAnswer {
+    match class.repeatable {
+        true => run_repeatable(node, request, class, deadline).await,
+        false => once_worker::run(node, request, class, deadline).await,
+    }
+}
+
+async fn run_repeatable(
+    node: &Arc<Node>,
+    request: &CallerRequest,
+    class: &RequestClass,
+    deadline: MonoTime,
+) -> CallerAnswer {
+    let mut unclear = false;
+    for retry in 0.. {
+        let refused = match admit(node, request, deadline).await {
+            Err(notice) => notice,
+            Ok(admission) => match exchange(node, request, class, admission, deadline).await {
+                Ok(answer @ CallerAnswer::Whole { .. }) => {
+                    if retry == 0 {
+                        node.servers.succeeded(&request.service);
+                    }
+                    return answer;
+                }
+                Ok(CallerAnswer::Refusal(notice)) => notice,
+                Err(fault) => {
+                    unclear |= fault != AttemptFault::NotSent;
+                    if may_retry(node, request, retry, deadline).await {
+                        continue;
+                    }
+                    RefusalNotice {
+                        retry_after: Some(FAULT_RETRY),
+                        ..fault.notice()
+                    }
+                }
+            },
+        };
+        return CallerAnswer::Refusal(match unclear {
+            true => refused.or_unclear(),
+            false => refused,
+        });
+    }
+    unreachable!("the loop ends by an answer")
+}
+
+/// Whether another attempt may follow, after a pause with jitter.
+pub(crate) async fn may_retry(
+    node: &Node,
+    request: &CallerRequest,
+    retry: u32,
+    deadline: MonoTime,
+) -> bool {
+    let pause = RetryBudget::pause(retry, rand::random());
+    if node.clock.now().after(pause) >= deadline || !node.servers.take_retry(&request.service) {
+        return false;
+    }
+    Timer::after(pause).await;
+    true
+}
+
+/// Waits for the key's server and a slot of it.
+pub(crate) async fn admit(
+    node: &Arc<Node>,
+    request: &CallerRequest,
+    deadline: MonoTime,
+) -> Result<SlotAdmission, RefusalNotice> {
     loop {
         let now = node.clock.now();
-        match target(node, request, now) {
-            TargetStep::Refuse(notice) => return CallerAnswer::Refusal(notice),
+        let target = match target(node, request, now) {
+            TargetStep::Refuse(notice) => return Err(notice),
             TargetStep::Wait(reason) if now.after(RETRY_INTERVAL) >= deadline => {
-                let notice = RefusalNotice::try_again(reason, Duration::from_secs(1));
-                return CallerAnswer::Refusal(notice);
+                return Err(RefusalNotice::try_again(reason, UNOWNED_RETRY));
             }
             TargetStep::Wait(_) => {
                 Timer::after(RETRY_INTERVAL).await;
+                continue;
             }
-            TargetStep::Send(target) => return send(node, request, class, &target, deadline).await,
+            TargetStep::Send(target) => target,
+        };
+        let server = target.session.name().clone();
+        let patience = deadline.since(now);
+        let slot = node
+            .slots
+            .acquire(&server, target.limit, patience)
+            .await
+            .map_err(|reason| RefusalNotice::try_again(reason, FAULT_RETRY))?;
+        if let Some(target) = refreshed(node, request, target, now) {
+            return Ok(SlotAdmission { target, slot });
         }
     }
 }
 
+/// Target as of now when the wait for the slot took time; none when the owner has changed.
+fn refreshed(
+    node: &Arc<Node>,
+    request: &CallerRequest,
+    target: ServerTarget,
+    decided_at: MonoTime,
+) -> Option<ServerTarget> {
+    let now = node.clock.now();
+    if now.since(decided_at) < RETRY_INTERVAL && target.not_after > now {
+        return Some(target);
+    }
+    let server = target.session.name();
+    match self::target(node, request, now) {
+        TargetStep::Send(fresh) if fresh.session.name() == server => Some(fresh),
+        _ => None,
+    }
+}
+
 fn target(node: &Arc<Node>, request: &CallerRequest, now: MonoTime) -> TargetStep {
     let gate = node.tables.gate.lock().unwrap();
     let Some(head) = gate.head() else {
@@ -98,42 +211,23 @@
     })
 }
 
-async fn send(
+/// Sends the request to its server and reads the whole answer; the slot is given back at the end.
+pub(crate) async fn exchange(
     node: &Arc<Node>,
     request: &CallerRequest,
     class: &RequestClass,
-    target: &ServerTarget,
+    admission: SlotAdmission,
     deadline: MonoTime,
-) -> CallerAnswer {
-    let server = target.session.name();
-    let slot = match node
-        .slots
-        .acquire(server, target.limit, deadline.since(node.clock.now()))
-        .await
-    {
-        Ok(slot) => slot,
-        Err(reason) => {
-            let notice = RefusalNotice::try_again(reason, Duration::from_secs(1));
-            return CallerAnswer::Refusal(notice);
-        }
-    };
+) -> Result<CallerAnswer, AttemptFault> {
+    let SlotAdmission { target, slot } = admission;
     let remaining = deadline.since(node.clock.now());
-    let answer = target
-        .session
-        .run(request, target.fence, target.not_after, remaining)
-        .await;
+    let order = ServerOrder {
+        fence: target.fence,
+        not_after: target.not_after,
+        remaining,
+        max_answer: class.max_answer_bytes as usize,
+    };
+    let answer = target.session.run(request, order).await;
     drop(slot);
-    match answer {
-        Ok(answer) => answer,
-        Err(ExchangeError::NotSent(_)) => {
-            let reason = RefusalReason::ServerUnreachable;
-            CallerAnswer::Refusal(RefusalNotice::try_again(reason, Duration::from_secs(1)))
-        }
-        Err(ExchangeError::Unclear(_)) if class.repeatable => CallerAnswer::Refusal(
-            RefusalNotice::try_again(RefusalReason::ServerLost, Duration::from_secs(1)),
-        ),
-        Err(ExchangeError::Unclear(_)) => {
-            CallerAnswer::Refusal(RefusalNotice::unknown(RefusalReason::ServerLost))
-        }
-    }
+    answer
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! leads the key's part, and there by `leader_worker` to the key's owner. The tables that workers
 //! share are in `node_tables`, with the order in which they are locked.
 
+mod attempt_fault;
 mod caller_answer;
 mod caller_gateway;
 mod caller_request;
@@ -16,12 +17,18 @@
 mod leader_worker;
 mod leadership_worker;
 mod node_tables;
+mod notes_book;
+mod notes_guard;
+mod notes_wire;
+mod notes_worker;
+mod once_worker;
 mod operator_listener;
 mod peer_client;
 mod peer_error;
 mod peer_frame;
 mod peer_listener;
 mod peer_proof;
+mod running_calls;
 mod server_book;
 mod server_session;
 mod slot_broker;
@@ -37,18 +44,25 @@
 mod prelude {
     pub(crate) use {
         crate::{
+            attempt_fault::AttemptFault,
             caller_answer::CallerAnswer,
             caller_request::{CallerRequest, HeaderField},
             forward_wire::{ForwardReplyWire, ForwardWire},
             instance_node::Node,
-            node_tables::NodeTables,
+            leader_worker::SlotAdmission,
+            node_tables::{FormerLead, NodeTables},
+            notes_book::{NotesBook, NotesMarks, NotesStep},
+            notes_guard::NotesGuard,
+            notes_wire::*,
+            notes_worker::NotesLead,
             peer_client::PeerClient,
             peer_error::PeerError,
-            peer_frame::{PeerBody, PeerFrame},
+            peer_frame::{CancelWire, PeerBody, PeerFrame},
             peer_proof::PeerProof,
+            running_calls::RunningCalls,
             server_book::ServerBook,
-            server_session::ServerSession,
-            slot_broker::SlotBroker,
+            server_session::{ServerOrder, ServerSession},
+            slot_broker::{SlotBroker, SlotGuard},
             *,
         },
         async_io::Timer,
--- a/crates/daemon/src/node_tables.rs
+++ b/crates/daemon/src/node_tables.rs
@@ -25,6 +25,19 @@
     pub(crate) version: ObjectVersion,
     /// Record.
     pub(crate) record: PartRecord,
+    /// Last record of the term before, where this instance has seen it.
+    pub(crate) former: Option<PartRecord>,
+}
+
+/// Who led a part before.
+#[derive(Clone, Debug)]
+pub(crate) enum FormerLead {
+    /// Nobody.
+    Never,
+    /// This instance has not seen it.
+    Unknown,
+    /// The trio of this record.
+    Record(PartRecord),
 }
 
 /// Where the leader of a part is reached.
@@ -72,6 +85,11 @@
         {
             return;
         }
+        let former = match parts.get(&record.id) {
+            Some(known) if known.record.term < record.term => Some(known.record.clone()),
+            Some(known) => known.former.clone(),
+            None => None,
+        };
         let mut led = self.led.lock().unwrap();
         if record.leader != *me {
             led.swap_remove(&record.id);
@@ -80,6 +98,46 @@
         } else {
             led.insert(record.id.clone(), LedPart::new(record.clone()));
         }
-        parts.insert(record.id.clone(), KnownPart { version, record });
+        let known = KnownPart {
+            version,
+            record,
+            former,
+        };
+        parts.insert(known.record.id.clone(), known);
+    }
+
+    /// Who led `part` before the holder of `authority`.
+    pub(crate) fn former_of(&self, part: &PartId, authority: FenceToken) -> FormerLead {
+        let parts = self.parts.lock().unwrap();
+        let Some(known) = parts.get(part) else {
+            return FormerLead::Unknown;
+        };
+        if authority.rank > 0 && known.record.term == authority.term {
+            return FormerLead::Record(known.record.clone());
+        }
+        match &known.former {
+            Some(former) if former.term + 1 == authority.term => FormerLead::Record(former.clone()),
+            None if authority.term == 1 && known.record.term == 1 => FormerLead::Never,
+            _ => FormerLead::Unknown,
+        }
+    }
+
+    /// Leader and standbys of `part`.
+    pub(crate) fn trio_of(&self, part: &PartId) -> Vec<InstanceId> {
+        let parts = self.parts.lock().unwrap();
+        let Some(known) = parts.get(part) else {
+            return Vec::new();
+        };
+        std::iter::once(&known.record.leader)
+            .chain(&known.record.standbys)
+            .cloned()
+            .collect()
+    }
+
+    /// Address of the peers' listener of a run of an instance.
+    pub(crate) fn address_of(&self, id: &InstanceId) -> Option<SocketAddr> {
+        let instances = self.instances.lock().unwrap();
+        let record = instances.get(&id.name)?;
+        (record.id == *id).then_some(record.peer_address)
     }
 }
--- /dev/null
+++ b/crates/daemon/src/notes_wire.rs
@@ -0,0 +1,183 @@
+//! Notes of non-repeatable requests as passed between instances.
+
+use crate::prelude::*;
+
+/// Notes from a part's leader to a standby.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct NotesWire {
+    #[prost(string, tag = "1")]
+    pub(crate) part: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) term: u64,
+    #[prost(uint32, tag = "3")]
+    pub(crate) rank: u32,
+    /// Ids made earlier are not run, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "4")]
+    pub(crate) floor_ms: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) entries: Vec<NotesEntryWire>,
+    /// Set on the last page of the leader's whole memory.
+    #[prost(bool, tag = "6")]
+    pub(crate) whole: bool,
+}
+
+/// A standby's answer.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct NotesReplyWire {
+    #[prost(bool, tag = "1")]
+    pub(crate) accepted: bool,
+}
+
+/// One remembered request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct NotesEntryWire {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) id: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) digest: Vec<u8>,
+    #[prost(uint64, tag = "3")]
+    pub(crate) attempt: u64,
+    #[prost(enumeration = "NotesStage", tag = "4")]
+    pub(crate) stage: i32,
+    #[prost(message, optional, tag = "5")]
+    pub(crate) answer: Option<ForwardReplyWire>,
+    #[prost(uint64, tag = "6")]
+    pub(crate) answer_bytes: u64,
+}
+
+/// How far a request came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum NotesStage {
+    Running = 0,
+    Unclear = 1,
+    Ran = 2,
+    /// The attempt surely did not run.
+    Withdrawn = 3,
+}
+
+/// A successor's call for the notes of a part.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct NotesPullWire {
+    #[prost(string, tag = "1")]
+    pub(crate) part: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) term: u64,
+    #[prost(uint32, tag = "3")]
+    pub(crate) rank: u32,
+    /// Id after which to go on, empty for the first page.
+    #[prost(bytes = "vec", tag = "4")]
+    pub(crate) after: Vec<u8>,
+}
+
+/// One page of notes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct NotesPageWire {
+    #[prost(bool, tag = "1")]
+    pub(crate) accepted: bool,
+    #[prost(uint64, tag = "2")]
+    pub(crate) floor_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) entries: Vec<NotesEntryWire>,
+    #[prost(message, optional, tag = "4")]
+    pub(crate) led: Option<NotesAuthorityWire>,
+    #[prost(message, optional, tag = "5")]
+    pub(crate) whole: Option<NotesAuthorityWire>,
+    #[prost(message, optional, tag = "6")]
+    pub(crate) noted: Option<NotesAuthorityWire>,
+}
+
+/// Authority under which notes were made.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct NotesAuthorityWire {
+    #[prost(uint64, tag = "1")]
+    pub(crate) term: u64,
+    #[prost(uint32, tag = "2")]
+    pub(crate) rank: u32,
+}
+
+/// A note with its place in the memory.
+pub(crate) enum NotedChange {
+    /// More is known of a request.
+    Learn(Uuid, RepeatEntry<CallerAnswer>),
+    /// An attempt surely did not run.
+    Withdraw(Uuid, u64),
+}
+
+impl From<FenceToken> for NotesAuthorityWire {
+    fn from(fence: FenceToken) -> Self {
+        Self {
+            term: fence.term,
+            rank: fence.rank,
+        }
+    }
+}
+
+impl From<NotesAuthorityWire> for FenceToken {
+    fn from(wire: NotesAuthorityWire) -> Self {
+        Self {
+            term: wire.term,
+            rank: wire.rank,
+            edition: 0,
+        }
+    }
+}
+
+impl From<&NotedChange> for NotesEntryWire {
+    fn from(change: &NotedChange) -> Self {
+        let (id, entry) = match change {
+            NotedChange::Learn(id, entry) => (id, entry),
+            NotedChange::Withdraw(id, attempt) => {
+                return Self {
+                    id: id.as_bytes().to_vec(),
+                    attempt: *attempt,
+                    stage: NotesStage::Withdrawn as i32,
+                    ..Self::default()
+                };
+            }
+        };
+        let (stage, kept) = match &entry.stage {
+            RepeatStage::Running => (NotesStage::Running, None),
+            RepeatStage::Unclear => (NotesStage::Unclear, None),
+            RepeatStage::Ran(kept) => (NotesStage::Ran, kept.as_ref()),
+        };
+        Self {
+            id: id.as_bytes().to_vec(),
+            digest: entry.digest.to_be_bytes().to_vec(),
+            attempt: entry.attempt,
+            stage: stage as i32,
+            answer: kept.map(|kept| (&kept.answer).into()),
+            answer_bytes: kept.map_or(0, |kept| kept.bytes as u64),
+        }
+    }
+}
+
+impl TryFrom<NotesEntryWire> for NotedChange {
+    type Error = WireError;
+
+    fn try_from(wire: NotesEntryWire) -> Result<Self, WireError> {
+        let stage = wire.stage();
+        let id = Uuid::from_slice(&wire.id).map_err(|_| WireError::new("id", "", "16 bytes"))?;
+        if stage == NotesStage::Withdrawn {
+            return Ok(Self::Withdraw(id, wire.attempt));
+        }
+        let digest = wire.digest[..]
+            .try_into()
+            .map_err(|_| WireError::new("digest", "", "16 bytes"))?;
+        let answer = wire.answer.map(CallerAnswer::try_from).transpose()?;
+        let stage = match stage {
+            NotesStage::Running => RepeatStage::Running,
+            NotesStage::Unclear | NotesStage::Withdrawn => RepeatStage::Unclear,
+            NotesStage::Ran => RepeatStage::Ran(answer.map(|answer| KeptAnswer {
+                answer,
+                bytes: wire.answer_bytes as usize,
+            })),
+        };
+        let entry = RepeatEntry {
+            digest: u128::from_be_bytes(digest),
+            attempt: wire.attempt,
+            stage,
+        };
+        Ok(Self::Learn(id, entry))
+    }
+}
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -19,6 +19,27 @@
     calls: Arc<CallTable>,
 }
 
+/// A call that waits for its reply; dropped before, it is cancelled at the peer.
+struct WaitingCall {
+    line: Arc<PeerLine>,
+    number: u64,
+    done: bool,
+}
+
+impl Drop for WaitingCall {
+    fn drop(&mut self) {
+        let waiting = &self.line.calls.waiting;
+        waiting.lock().unwrap().swap_remove(&self.number);
+        if !self.done {
+            let cancel = PeerBody::Cancel(CancelWire {});
+            let _ = self
+                .line
+                .frames
+                .try_send(PeerFrame::new(self.number, cancel));
+        }
+    }
+}
+
 #[derive(Default)]
 struct CallTable {
     waiting: Mutex<IndexMap<u64, async_channel::Sender<PeerBody>>>,
@@ -58,6 +79,11 @@
             line.calls.waiting.lock().unwrap().swap_remove(&number);
             return Err(PeerError::NotSent("connection congested".into()));
         }
+        let mut call = WaitingCall {
+            line,
+            number,
+            done: false,
+        };
         let late = async {
             Timer::after(timeout).await;
             Err(PeerError::Unclear("timed out".into()))
@@ -69,7 +95,7 @@
                 .map_err(|_| PeerError::Unclear("connection lost".into()))
         };
         let result = future::or(result, late).await;
-        line.calls.waiting.lock().unwrap().swap_remove(&number);
+        call.done = result.is_ok();
         result
     }
 
@@ -121,8 +147,10 @@
                 else {
                     return;
                 };
-                if let Some(reply) = calls.waiting.lock().unwrap().swap_remove(&call) {
-                    let _ = reply.try_send(body);
+                let waiting = calls.waiting.lock().unwrap().swap_remove(&call);
+                match waiting {
+                    Some(reply) => drop(reply.try_send(body)),
+                    None => metrics::counter!("geraniummast_late_replies_total").increment(1),
                 }
             }
         };
--- a/crates/daemon/src/peer_frame.rs
+++ b/crates/daemon/src/peer_frame.rs
@@ -7,7 +7,7 @@
 pub(crate) struct PeerFrame {
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 20, 21, 22, 23, 24")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -26,8 +26,27 @@
     /// The leader's answer.
     #[prost(message, tag = "5")]
     ForwardReply(ForwardReplyWire),
+    /// A leader's notes for a standby.
+    #[prost(message, tag = "20")]
+    Notes(NotesWire),
+    /// The standby's answer.
+    #[prost(message, tag = "21")]
+    NotesReply(NotesReplyWire),
+    /// A successor's call for notes.
+    #[prost(message, tag = "22")]
+    NotesPull(NotesPullWire),
+    /// One page of notes.
+    #[prost(message, tag = "23")]
+    NotesPage(NotesPageWire),
+    /// The call of the same number is no longer waited for.
+    #[prost(message, tag = "24")]
+    Cancel(CancelWire),
 }
 
+/// End of the caller's interest in a call.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct CancelWire {}
+
 impl PeerFrame {
     /// Largest frame, in bytes.
     pub(crate) const MAX_BYTES: usize = 8 << 20;
--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -49,6 +49,7 @@
     }
     let (mut sink, mut stream) = futures_util::StreamExt::split(framed);
     let (replies, to_send) = async_channel::bounded::<PeerFrame>(MAX_WAITING_REPLIES);
+    let running = RunningCalls::default();
     let write = async {
         while let Ok(frame) = to_send.recv().await {
             sink.send(frame.encoded()).await?;
@@ -64,10 +65,16 @@
             else {
                 return Err(io::ErrorKind::InvalidData.into());
             };
+            if matches!(body, PeerBody::Cancel(_)) {
+                running.cancel(call);
+                continue;
+            }
             let node = node.clone();
             let replies = replies.clone();
+            let guard = running.begin(call);
             node.pool.clone().spawn(async move {
-                if let Some(reply) = answer(&node, body).await {
+                let reply = async { answer(&node, body).await };
+                if let Some(reply) = future::or(reply, guard.cancelled()).await {
                     let _ = replies.send(PeerFrame::new(call, reply)).await;
                 }
             });
@@ -80,7 +87,20 @@
 async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
     match body {
         PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
-        PeerBody::Challenge(_) | PeerBody::Proof(_) | PeerBody::ForwardReply(_) => None,
+        PeerBody::Notes(wire) => {
+            let accepted = node.notes.accept(wire).unwrap_or(false);
+            Some(PeerBody::NotesReply(NotesReplyWire { accepted }))
+        }
+        PeerBody::NotesPull(wire) => {
+            let page = node.notes.pull(&wire).unwrap_or_default();
+            Some(PeerBody::NotesPage(page))
+        }
+        PeerBody::Challenge(_)
+        | PeerBody::Proof(_)
+        | PeerBody::ForwardReply(_)
+        | PeerBody::NotesReply(_)
+        | PeerBody::NotesPage(_)
+        | PeerBody::Cancel(_) => None,
     }
 }
 
--- a/crates/daemon/src/server_session.rs
+++ b/crates/daemon/src/server_session.rs
@@ -2,6 +2,17 @@
 
 use crate::prelude::*;
 
+/// Authority and bounds of one request to a server.
+pub(crate) struct ServerOrder {
+    pub(crate) fence: FenceToken,
+    /// Our reading before which the server must have started the request.
+    pub(crate) not_after: MonoTime,
+    /// Time left to the caller's deadline.
+    pub(crate) remaining: Duration,
+    /// Largest body of the answer, in bytes.
+    pub(crate) max_answer: usize,
+}
+
 /// Connections and clock of a server.
 pub(crate) struct ServerSession {
     name: ServerName,
@@ -31,62 +42,120 @@
         &self.name
     }
 
+    /// When a caller may come back after a refusal that doesn't say it.
+    const REFUSED_RETRY: Duration = Duration::from_millis(250);
+
     /// Runs a request at the server.
     pub(crate) async fn run(
         &self,
         request: &CallerRequest,
-        fence: FenceToken,
-        not_after: MonoTime,
-        remaining: Duration,
-    ) -> Result<CallerAnswer, ExchangeError> {
-        let unsent = |cause: &str| ExchangeError::NotSent(cause.into());
-        let clock = self
-            .clock
-            .lock()
-            .unwrap()
-            .ok_or_else(|| unsent("clock unknown"))?;
-        let start_before = clock.no_later_than(not_after, &self.timing);
+        order: ServerOrder,
+    ) -> Result<CallerAnswer, AttemptFault> {
+        let message = self.message(request, &order)?;
+        let answer = self
+            .http
+            .exchange_bounded(message, order.remaining, order.max_answer)
+            .await;
+        match answer {
+            Ok(response) => self.answer_of(request, response),
+            Err(ExchangeError::NotSent(cause)) => {
+                log::debug!("{}: request not sent: {cause}", self.name);
+                Err(AttemptFault::NotSent)
+            }
+            Err(ExchangeError::Unclear(cause)) => {
+                log::debug!("{}: no whole answer: {cause}", self.name);
+                Err(AttemptFault::Lost)
+            }
+            Err(ExchangeError::TimedOut) => Err(AttemptFault::Late),
+            Err(ExchangeError::AnswerTooLarge(headers)) => Self::too_large(request, &headers),
+        }
+    }
+
+    fn message(
+        &self,
+        request: &CallerRequest,
+        order: &ServerOrder,
+    ) -> Result<Request<Full<Bytes>>, AttemptFault> {
+        let clock = *self.clock.lock().unwrap();
+        let clock = clock.ok_or(AttemptFault::NotSent)?;
+        let start_before = clock.no_later_than(order.not_after, &self.timing);
         let mut builder = Request::builder()
             .method(request.method.as_str())
             .uri(&request.target)
             .header("host", self.http.address().to_string())
             .header("geraniummast-request-id", request.id.to_string())
             .header("geraniummast-key-hash", request.hash.to_string())
-            .header("geraniummast-fence", fence.to_string())
+            .header("geraniummast-fence", order.fence.to_string())
             .header("geraniummast-start-before-us", start_before.0.to_string())
-            .header("geraniummast-timeout-ms", remaining.as_millis().to_string());
+            .header(
+                "geraniummast-timeout-ms",
+                order.remaining.as_millis().to_string(),
+            );
         for field in &request.headers {
             builder = builder.header(&field.name, field.value.as_slice());
         }
-        let message = builder
+        builder
             .body(Full::new(request.body.clone()))
-            .map_err(|error| unsent(&error.to_string()))?;
-        let response = self.http.exchange(message, remaining).await?;
-        Ok(self.answer_of(request, response))
+            .map_err(|_| AttemptFault::NotSent)
     }
 
-    fn answer_of(&self, request: &CallerRequest, response: Response<Bytes>) -> CallerAnswer {
-        let header = |name| {
-            response
-                .headers()
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-        };
-        if header("geraniummast-request-id") != Some(request.id.to_string().as_str()) {
-            let notice = RefusalNotice::unknown(RefusalReason::WrongAnswer);
-            return CallerAnswer::Refusal(notice);
+    fn answer_of(
+        &self,
+        request: &CallerRequest,
+        response: Response<Bytes>,
+    ) -> Result<CallerAnswer, AttemptFault> {
+        let headers = response.headers();
+        if !Self::echoes(request, headers) {
+            metrics::counter!("geraniummast_wrong_answers_total").increment(1);
+            return Err(AttemptFault::WrongAnswer);
         }
-        if header("geraniummast-ran") == Some(RunOutcome::NotRun.as_str()) {
-            return CallerAnswer::Refusal(RefusalNotice::try_again(
+        if Self::field(headers, "geraniummast-ran") == Some(RunOutcome::NotRun.as_str()) {
+            return Ok(CallerAnswer::Refusal(RefusalNotice::try_again(
                 RefusalReason::ServerRefused,
-                Duration::from_secs(1),
-            ));
+                Self::retry_after(headers),
+            )));
         }
-        CallerAnswer::Whole {
+        Ok(CallerAnswer::Whole {
             status: response.status().as_u16(),
-            headers: HeaderField::passed(response.headers()),
+            headers: HeaderField::passed(headers),
             body: response.into_body(),
+        })
+    }
+
+    /// A request whose answer was too large to read ran where the answer was its own.
+    fn too_large(
+        request: &CallerRequest,
+        headers: &http::HeaderMap,
+    ) -> Result<CallerAnswer, AttemptFault> {
+        if !Self::echoes(request, headers) {
+            return Err(AttemptFault::WrongAnswer);
         }
+        let not_run = Self::field(headers, "geraniummast-ran") == Some(RunOutcome::NotRun.as_str());
+        Ok(CallerAnswer::Refusal(RefusalNotice {
+            reason: RefusalReason::AnswerTooLarge,
+            outcome: match not_run {
+                true => RunOutcome::NotRun,
+                false => RunOutcome::Ran,
+            },
+            retry_after: None,
+        }))
+    }
+
+    /// Whether an answer names the request's id.
+    fn echoes(request: &CallerRequest, headers: &http::HeaderMap) -> bool {
+        let echo = Self::field(headers, "geraniummast-request-id");
+        echo.and_then(|text| Uuid::parse_str(text).ok()) == Some(request.id)
+    }
+
+    fn field<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+        headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// When the server lets its callers come back.
+    fn retry_after(headers: &http::HeaderMap) -> Duration {
+        Self::field(headers, "retry-after")
+            .and_then(|text| text.parse().ok())
+            .map_or(Self::REFUSED_RETRY, Duration::from_secs)
     }
 
     /// Sends a grant.
--- a/crates/daemon/src/slot_broker.rs
+++ b/crates/daemon/src/slot_broker.rs
@@ -17,6 +17,15 @@
     limit: SlotLimit,
 }
 
+/// A place in a server's queue; given up when dropped, with the slot if it was called meanwhile.
+struct TicketGuard<'a> {
+    broker: &'a SlotBroker,
+    server: &'a ServerName,
+    limit: SlotLimit,
+    ticket: u64,
+    held: bool,
+}
+
 impl SlotBroker {
     /// Takes a slot of `server`, waiting up to `patience`.
     pub(crate) async fn acquire(
@@ -29,36 +38,29 @@
         let (call, called) = async_channel::bounded(1);
         self.waiting.lock().unwrap().insert(ticket, call);
         let step = self.table.lock().unwrap().admit(server, ticket, limit);
-        let result = match step {
-            AdmissionStep::Start => Ok(()),
-            AdmissionStep::Refuse(reason) => Err(reason),
-            AdmissionStep::Wait => self.wait(server, ticket, &called, patience).await,
-        };
-        self.waiting.lock().unwrap().swap_remove(&ticket);
-        result.map(|()| SlotGuard {
-            broker: self.clone(),
-            server: server.clone(),
+        let guard = TicketGuard {
+            broker: self,
+            server,
             limit,
-        })
-    }
-
-    /// Waits until the ticket is called; a call that comes with the end of the patience counts.
-    async fn wait(
-        &self,
-        server: &ServerName,
-        ticket: u64,
-        called: &async_channel::Receiver<()>,
-        patience: Duration,
-    ) -> Result<(), RefusalReason> {
-        let late = async {
-            Timer::after(patience).await;
-            false
+            ticket,
+            held: !matches!(step, AdmissionStep::Refuse(_)),
         };
-        let in_time = future::or(async { called.recv().await.is_ok() }, late).await;
-        match in_time || !self.table.lock().unwrap().abandon(server, ticket) {
-            true => Ok(()),
-            false => Err(RefusalReason::DeadlineBeforeSend),
+        match step {
+            AdmissionStep::Start => {}
+            AdmissionStep::Refuse(reason) => return Err(reason),
+            AdmissionStep::Wait => {
+                let late = async {
+                    Timer::after(patience).await;
+                    Err(RefusalReason::DeadlineBeforeSend)
+                };
+                let called = async {
+                    let _ = called.recv().await;
+                    Ok(())
+                };
+                future::or(called, late).await?;
+            }
         }
+        Ok(guard.into_slot(self))
     }
 
     /// Requests running at `server`.
@@ -66,14 +68,42 @@
         self.table.lock().unwrap().running(server)
     }
 
+    /// Gives a slot back and calls the next ticket; one that is being given up gives the slot back
+    /// itself.
     fn finish(&self, server: &ServerName, limit: SlotLimit) {
         let next = self.table.lock().unwrap().finish(server, limit);
-        let Some(ticket) = next else {
+        let call = next.and_then(|ticket| self.waiting.lock().unwrap().swap_remove(&ticket));
+        if let Some(call) = call {
+            let _ = call.try_send(());
+        }
+    }
+}
+
+impl TicketGuard<'_> {
+    fn into_slot(mut self, broker: &Arc<SlotBroker>) -> SlotGuard {
+        self.held = false;
+        SlotGuard {
+            broker: broker.clone(),
+            server: self.server.clone(),
+            limit: self.limit,
+        }
+    }
+}
+
+impl Drop for TicketGuard<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.broker.waiting.lock().unwrap();
+        waiting.swap_remove(&self.ticket);
+        drop(waiting);
+        if !self.held {
             return;
+        }
+        let abandoned = {
+            let mut table = self.broker.table.lock().unwrap();
+            table.abandon(self.server, self.ticket)
         };
-        let call = self.waiting.lock().unwrap().get(&ticket).cloned();
-        if call.is_none_or(|call| call.try_send(()).is_err()) {
-            self.finish(server, limit);
+        if !abandoned {
+            self.broker.finish(self.server, self.limit);
         }
     }
 }
--- /dev/null
+++ b/crates/lab/tests/at_most_once.rs
@@ -0,0 +1,69 @@
+//! Requests that may not be repeated, over real sockets.
+
+use {
+    bytes::Bytes,
+    geraniummast_lab::{BenchPlan, InstanceBench},
+    geraniummast_net::{Dialer, HttpClient, WorkerPool},
+    http::{Request, Response},
+    http_body_util::Full,
+    std::time::Duration,
+    uuid::Uuid,
+};
+
+async fn file(bench: &InstanceBench, instance: usize, id: &str, body: &str) -> Response<Bytes> {
+    let pool = WorkerPool::start("caller", 1).unwrap();
+    let address = bench.instances[instance].caller_address();
+    let client = HttpClient::new(pool.clone(), Dialer::direct(), address);
+    let request = Request::builder()
+        .method("POST")
+        .uri("/reports/weld-7/file")
+        .header("host", "callers")
+        .header("geraniummast-request-id", id)
+        .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+        .unwrap();
+    let response = client.exchange(request, Duration::from_secs(10)).await;
+    pool.stop();
+    response.unwrap()
+}
+
+fn reason(response: &Response<Bytes>) -> (&str, &str) {
+    let field = |name| {
+        response
+            .headers()
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    };
+    (field("geraniummast-reason"), field("geraniummast-ran"))
+}
+
+#[test]
+fn a_repeat_at_another_instance_gets_the_recorded_answer() {
+    futures_lite::future::block_on(async {
+        let bench = InstanceBench::start(&BenchPlan::default()).await.unwrap();
+        let before = bench.ledger.runs().len();
+        let id = Uuid::now_v7().to_string();
+        let first = file(&bench, 0, &id, "weld 7 passed").await;
+        assert_eq!(first.status(), 200, "{first:?}");
+        let second = file(&bench, 1, &id, "weld 7 passed").await;
+        assert_eq!(second.status(), 200, "{second:?}");
+        assert_eq!(first.body(), second.body());
+        let reused = file(&bench, 1, &id, "weld 7 failed").await;
+        assert_eq!(reason(&reused), ("id-reused", "no"));
+        assert_eq!(bench.ledger.runs().len(), before + 1);
+    });
+}
+
+#[test]
+fn ids_that_bound_no_time_or_lie_outside_the_window_never_run() {
+    futures_lite::future::block_on(async {
+        let bench = InstanceBench::start(&BenchPlan::default()).await.unwrap();
+        let before = bench.ledger.runs().len();
+        let random = Uuid::new_v4().to_string();
+        let response = file(&bench, 0, &random, "").await;
+        assert_eq!(reason(&response), ("bad-request", "no"));
+        let old = "01700000-0000-7000-8000-000000000000";
+        let response = file(&bench, 0, old, "").await;
+        assert_eq!(reason(&response), ("outcome-forgotten", "unknown"));
+        assert_eq!(bench.ledger.runs().len(), before);
+    });
+}
--- a/crates/net/src/exchange_error.rs
+++ b/crates/net/src/exchange_error.rs
@@ -9,6 +9,10 @@
     NotSent(String),
     /// The request may have arrived; its answer did not, or not whole.
     Unclear(String),
+    /// The request may have arrived; no whole answer came in time.
+    TimedOut,
+    /// The other side answered with this head and a body beyond the bound.
+    AnswerTooLarge(Box<http::HeaderMap>),
 }
 
 impl Display for ExchangeError {
@@ -16,6 +20,8 @@
         match self {
             Self::NotSent(cause) => write!(f, "request not sent: {cause}"),
             Self::Unclear(cause) => write!(f, "no whole answer: {cause}"),
+            Self::TimedOut => write!(f, "no whole answer in time"),
+            Self::AnswerTooLarge(_) => write!(f, "answer too large"),
         }
     }
 }
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -40,23 +40,33 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let late = async {
-            async_io::Timer::after(timeout).await;
-            Err(ExchangeError::Unclear("timed out".into()))
-        };
-        future::or(self.exchange_unbounded(request, timeout), late).await
+        self.exchange_bounded(request, timeout, Self::MAX_ANSWER_BYTES)
+            .await
     }
 
-    async fn exchange_unbounded(
+    /// Sends a request and reads the whole answer, of at most `max_answer` bytes of body.
+    ///
+    /// The connection of an exchange that fails or is dropped is closed and not used again.
+    pub async fn exchange_bounded(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+        max_answer: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
+        let late_at = std::time::Instant::now() + timeout;
+        let late = async {
+            async_io::Timer::at(late_at).await;
+            None
+        };
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
             None => HttpConnection::open(&self.pool, &self.dialer, self.address, timeout).await?,
         };
-        let response = connection.exchange(request, Self::MAX_ANSWER_BYTES).await?;
+        let exchange = async { Some(connection.exchange(request, max_answer).await) };
+        let response = match future::or(exchange, late).await {
+            Some(response) => response?,
+            None => return Err(ExchangeError::TimedOut),
+        };
         self.keep(connection);
         Ok(response)
     }
--- a/crates/net/src/http_connection.rs
+++ b/crates/net/src/http_connection.rs
@@ -61,10 +61,16 @@
             }
         };
         let (head, body) = response.into_parts();
-        let body = http_body_util::Limited::new(body, max_answer)
+        let body = match http_body_util::Limited::new(body, max_answer)
             .collect()
             .await
-            .map_err(|error| ExchangeError::Unclear(error.to_string()))?;
+        {
+            Ok(body) => body,
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(ExchangeError::AnswerTooLarge(head.headers.into()));
+            }
+            Err(error) => return Err(ExchangeError::Unclear(error.to_string())),
+        };
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -9,6 +9,7 @@
 mod repeat_bounds;
 mod repeat_entry;
 mod repeat_memory;
+mod retry_budget;
 mod run_outcome;
 
 pub use {
@@ -18,6 +19,7 @@
     repeat_bounds::RepeatBounds,
     repeat_entry::{KeptAnswer, RepeatEntry, RepeatStage},
     repeat_memory::{RepeatMemory, RepeatQuery, RepeatStep},
+    retry_budget::RetryBudget,
     run_outcome::RunOutcome,
 };
 
--- a/crates/requests/src/refusal_notice.rs
+++ b/crates/requests/src/refusal_notice.rs
@@ -32,6 +32,14 @@
         }
     }
 
+    /// The same refusal after an earlier attempt that may have run.
+    pub fn or_unclear(mut self) -> Self {
+        if self.outcome == RunOutcome::NotRun {
+            self.outcome = RunOutcome::Unknown;
+        }
+        self
+    }
+
     /// Refusal of a request that may have run.
     pub fn unknown(reason: RefusalReason) -> Self {
         Self {
--- a/crates/store/src/store_error.rs
+++ b/crates/store/src/store_error.rs
@@ -30,6 +30,7 @@
         match error {
             ExchangeError::NotSent(cause) => Self::Unavailable(cause),
             ExchangeError::Unclear(cause) => Self::Unclear(cause),
+            error => Self::Unclear(error.to_string()),
         }
     }
 }
