--- a/crates/daemon/src/server_session.rs
+++ b/crates/daemon/src/server_session.rs
@@ -106,7 +106,7 @@
     ) -> Result<CallerAnswer, AttemptFault> {
         let headers = response.headers();
         if !Self::echoes(request, headers) {
-            metrics::counter!("geraniummast_wrong_answers_total").increment(1);
+            metrics::counter!(metric_table::WRONG_ANSWERS).increment(1);
             return Err(AttemptFault::WrongAnswer);
         }
         if Self::field(headers, "geraniummast-ran") == Some(RunOutcome::NotRun.as_str()) {
