Add the operators' command line: check, plan, apply, preset, history, drain, status

A change keeps one write id through all its attempts; the head's history tells its fate also when another change has come on top of it. Of operators who race exactly one wins, the others are told name, time and revision. A change whose fate cannot be found out in time ends with its own exit code and the command that tells later.

--- /dev/null
+++ b/crates/cli/src/declaration_folder.rs
@@ -0,0 +1,75 @@
+//! Reading of a directory of declarations.
+
+use crate::prelude::*;
+
+/// Reads directories.
+pub(crate) struct DeclarationFolder;
+
+impl DeclarationFolder {
+    /// Largest file, in bytes.
+    const MAX_FILE_BYTES: u64 = 4 << 20;
+
+    /// Declarations of all `.toml` files directly in `directory`, or every fault in them.
+    pub(crate) fn read(directory: &Path) -> Result<DeclarationSet, Vec<CheckFinding>> {
+        let paths = Self::paths(directory)?;
+        let mut files = Vec::new();
+        let mut findings = Vec::new();
+        for path in paths {
+            match Self::file(&path) {
+                Ok(file) => files.push(file),
+                Err(more) => findings.extend(more),
+            }
+        }
+        match DeclarationSet::read(&files) {
+            Ok(set) if findings.is_empty() => Ok(set),
+            Ok(_) => Err(findings),
+            Err(more) => Err(findings.into_iter().chain(more).collect()),
+        }
+    }
+
+    fn paths(directory: &Path) -> Result<Vec<PathBuf>, Vec<CheckFinding>> {
+        let name = directory.display().to_string();
+        let refused = |error: std::io::Error| {
+            vec![CheckFinding::of_file(
+                &name,
+                &error.to_string(),
+                "a directory that can be read",
+            )]
+        };
+        let mut paths = Vec::new();
+        for entry in std::fs::read_dir(directory).map_err(refused)? {
+            let path = entry.map_err(refused)?.path();
+            if path
+                .extension()
+                .is_some_and(|extension| extension == "toml")
+            {
+                paths.push(path);
+            }
+        }
+        paths.sort();
+        match paths.is_empty() {
+            true => Err(vec![CheckFinding::of_file(
+                &name,
+                "",
+                "at least one .toml file",
+            )]),
+            false => Ok(paths),
+        }
+    }
+
+    fn file(path: &Path) -> Result<SourceFile, Vec<CheckFinding>> {
+        let name = path.display().to_string();
+        let fault = |found: &str, expected| vec![CheckFinding::of_file(&name, found, expected)];
+        let unreadable =
+            |error: std::io::Error| fault(&error.to_string(), "a file that can be read");
+        let length = std::fs::metadata(path).map_err(unreadable)?.len();
+        if length > Self::MAX_FILE_BYTES {
+            return Err(fault(&format!("{length} bytes"), "at most 4194304 bytes"));
+        }
+        let bytes = std::fs::read(path).map_err(unreadable)?;
+        match String::from_utf8(bytes) {
+            Ok(text) => Ok(SourceFile::new(&name, &text)),
+            Err(_) => Err(fault("other bytes", "text in UTF-8")),
+        }
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,5 @@
 //! The operators' command line.
 
 fn main() -> std::process::ExitCode {
-    eprintln!("geraniummast: no verb is built yet");
-    std::process::ExitCode::from(2)
+    geraniummast_cli::run()
 }
--- /dev/null
+++ b/crates/cli/src/move_preview.rs
@@ -0,0 +1,84 @@
+//! Moves of keys that a change would cause, estimated from the stored assignment.
+
+use crate::prelude::*;
+
+/// Estimated moves of one service.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct MovePreview {
+    /// Service.
+    service: ServiceName,
+    /// Slices that exist now.
+    slices: usize,
+    /// Slices whose owner takes no work after the change: these surely move.
+    leaving: IndexMap<ServerName, usize>,
+    /// Servers that take work after the change only; slices move to them for balance.
+    joining: Vec<ServerName>,
+}
+
+impl Display for MovePreview {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let moved: usize = self.leaving.values().sum();
+        write!(
+            f,
+            "service {}: {moved} of {} slices move",
+            self.service, self.slices
+        )?;
+        for (server, count) in &self.leaving {
+            write!(f, "; {count} leave {server}")?;
+        }
+        if !self.joining.is_empty() {
+            let names: Vec<_> = self.joining.iter().map(ServerName::as_str).collect();
+            write!(f, "; for balance more may move to {}", names.join(", "))?;
+        }
+        f.write_str(" (estimate)")
+    }
+}
+
+/// Moves by service, for exclusive services whose servers at work change.
+pub(crate) fn moves(old: &HeadRecord, new: &HeadRecord, parts: &[PartRecord]) -> Vec<MovePreview> {
+    let mut names: Vec<&ServiceName> = old.services.keys().chain(new.services.keys()).collect();
+    names.sort();
+    names.dedup();
+    let exclusive = |name: &&ServiceName| {
+        [old, new].iter().any(|head| {
+            let service = head.services.get(*name);
+            service.is_some_and(|service| service.kind == ServiceKind::Exclusive)
+        })
+    };
+    names
+        .into_iter()
+        .filter(exclusive)
+        .map(|name| preview(name, old, new, parts))
+        .filter(|preview| !preview.leaving.is_empty() || !preview.joining.is_empty())
+        .collect()
+}
+
+fn preview(
+    service: &ServiceName,
+    old: &HeadRecord,
+    new: &HeadRecord,
+    parts: &[PartRecord],
+) -> MovePreview {
+    let active = |head: &HeadRecord| -> Vec<ServerName> {
+        let servers = head.active_servers(service);
+        servers.iter().map(|server| server.name.clone()).collect()
+    };
+    let (before, after) = (active(old), active(new));
+    let records = parts.iter().filter(|record| record.id.service == *service);
+    let entries: Vec<&SliceEntry> = records.flat_map(|record| &record.slices).collect();
+    let mut leaving = IndexMap::new();
+    for owner in entries.iter().filter_map(|entry| entry.owner.as_ref()) {
+        if !after.contains(owner) {
+            *leaving.entry(owner.clone()).or_insert(0) += 1;
+        }
+    }
+    MovePreview {
+        service: service.clone(),
+        slices: entries.len(),
+        leaving,
+        joining: after
+            .into_iter()
+            .filter(|name| !before.contains(name))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output_style.rs
@@ -0,0 +1,48 @@
+//! Printing; colour only to a terminal.
+
+use crate::prelude::*;
+use std::io::Write;
+
+const GREEN: &str = "\x1b[32m";
+const RED: &str = "\x1b[31m";
+const PLAIN: &str = "\x1b[0m";
+
+/// Words that are painted, with their colour.
+const PAINTED: [(&str, &str); 10] = [
+    ("ready", GREEN),
+    ("active", GREEN),
+    ("up", GREEN),
+    ("done", GREEN),
+    ("silent", RED),
+    ("behind", RED),
+    ("down", RED),
+    ("lost", RED),
+    ("unclear", RED),
+    ("refused", RED),
+];
+
+/// Prints a report to standard output; a closed pipe ends it quietly.
+pub(crate) fn print(report: &VerbReport, as_json: bool) {
+    let mut out = std::io::stdout().lock();
+    let text = match as_json {
+        true => serde_json::to_string_pretty(&report.json).unwrap_or_default() + "\n",
+        false if out.is_terminal() && std::env::var_os("NO_COLOR").is_none() => paint(&report.text),
+        false => report.text.clone(),
+    };
+    let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+}
+
+fn paint(text: &str) -> String {
+    let word_of = |part: &str| {
+        let word = part
+            .trim_matches(|c: char| !c.is_alphanumeric())
+            .to_string();
+        PAINTED.iter().find(|(painted, _)| *painted == word)
+    };
+    text.split_inclusive([' ', '\n'])
+        .map(|part| match word_of(part) {
+            Some((word, colour)) => part.replacen(word, &format!("{colour}{word}{PLAIN}"), 1),
+            None => part.to_string(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cli/tests/arguments.rs
@@ -0,0 +1,96 @@
+//! Reading of the command line.
+
+use geraniummast_cli::{CliRequest, CliVerb, parse};
+
+fn read(line: &str, variables: &[(&str, &str)]) -> CliRequest {
+    let variable = |name: &str| {
+        let found = variables.iter().find(|(known, _)| *known == name);
+        found.map(|(_, value)| value.to_string())
+    };
+    parse(line.split_whitespace().map(Into::into), &variable)
+}
+
+#[test]
+fn all_faults_are_found_at_once_with_flag_or_variable_and_value() {
+    let request = read(
+        "apply dir --timeout-ms soon --revision x --bogus",
+        &[("GERANIUMMAST_STORE_ADDRESS", "store:1")],
+    );
+    let CliRequest::Faults(faults) = request else {
+        panic!("{request:?}");
+    };
+    let found: Vec<_> = faults
+        .iter()
+        .map(|fault| (fault.field.as_str(), fault.value.as_str()))
+        .collect();
+    let expected = [
+        ("--timeout-ms", "soon"),
+        ("--revision", "x"),
+        ("--bogus", ""),
+        ("GERANIUMMAST_STORE_ADDRESS", "store:1"),
+    ];
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn flags_win_over_variables_and_instances_add_up() {
+    let variables = [
+        ("GERANIUMMAST_STORE_ADDRESS", "10.0.0.1:1"),
+        ("GERANIUMMAST_OPERATOR_ADDRESS", "10.0.0.2:2,10.0.0.3:3"),
+        ("USER", "ada"),
+    ];
+    let CliRequest::Run(verb, settings) =
+        read("preset use peak --store 10.0.0.9:9 --wait", &variables)
+    else {
+        panic!("not run");
+    };
+    assert_eq!(verb, CliVerb::PresetUse("peak".into()));
+    assert_eq!(settings.store, "10.0.0.9:9".parse().ok());
+    assert_eq!(settings.instances.len(), 2);
+    assert_eq!(settings.operator, "ada");
+}
+
+#[test]
+fn missing_addresses_and_strange_flags_are_faults() {
+    for (line, count) in [
+        ("preset use peak", 1),
+        ("preset use peak --wait", 2),
+        ("status", 1),
+        ("check dir --prune", 1),
+        ("preset", 1),
+        ("explain reports", 1),
+        ("launch", 1),
+    ] {
+        match read(line, &[]) {
+            CliRequest::Faults(faults) => assert_eq!(faults.len(), count, "{line}: {faults:?}"),
+            other => panic!("{line}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn every_verb_has_help_that_reads_on_80_columns() {
+    for line in [
+        "--help",
+        "check --help",
+        "plan -h",
+        "apply --help",
+        "preset use --help",
+        "preset list --help",
+        "history --help",
+        "status --help",
+        "dump --help",
+        "drain --help",
+        "explain --help",
+    ] {
+        let CliRequest::Help(text) = read(line, &[]) else {
+            panic!("{line}");
+        };
+        assert!(text.starts_with("Usage: geraniummast "), "{line}");
+        assert!(text.contains("Exit codes:"), "{line}");
+        assert!(
+            text.lines().all(|text| text.chars().count() <= 80),
+            "{line}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/instance_questions.rs
@@ -0,0 +1,180 @@
+//! Questions to instances, answered by stand-ins of their operators' port.
+
+mod support;
+
+use {
+    bytes::Bytes,
+    futures_lite::future::block_on,
+    geraniummast_cli::{CliVerb, ExitStatus, execute},
+    geraniummast_net::{HttpLimits, HttpListener, WorkerPool},
+    http::{Method, Request, Response, StatusCode},
+    http_body_util::Full,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    support::{TestFolder, WHOLE, expect, settings, store_with_declarations},
+};
+
+/// State of a stand-in.
+#[derive(Default)]
+struct PortState {
+    revision: AtomicU64,
+    draining: AtomicBool,
+}
+
+struct PortStandin {
+    pool: Arc<WorkerPool>,
+    address: SocketAddr,
+    state: Arc<PortState>,
+}
+
+impl Drop for PortStandin {
+    fn drop(&mut self) {
+        self.pool.stop();
+    }
+}
+
+fn dump(name: &str, state: &PortState) -> Value {
+    json!({
+        "instance": format!("{name}#1"),
+        "data_centre": "dc1",
+        "revision": state.revision.load(Ordering::SeqCst),
+        "preset": "ordinary",
+        "ready": true,
+        "draining": state.draining.load(Ordering::SeqCst),
+        "store": {"state": "up"},
+        "parts": [{
+            "part": "reports/0", "term": 2, "edition": 5, "leader": "entry-0#1",
+            "led_here": name == "entry-0",
+            "slices": [
+                {"start": "0", "end": "7", "owner": "view-1", "grant_left_ms": 90},
+                {"start": "8", "end": "f", "owner": "view-2", "grant_left_ms": null},
+            ],
+        }],
+        "servers": [{"service": "reports", "server": "view-1", "state": "active",
+                     "running": 1, "queued": 0, "slots": 3}],
+    })
+}
+
+fn standin(name: &'static str, revision: u64) -> PortStandin {
+    let pool = WorkerPool::start(name, 1).unwrap();
+    let state = Arc::new(PortState::default());
+    state.revision.store(revision, Ordering::SeqCst);
+    let any = ([127, 0, 0, 1], 0).into();
+    let listener = block_on(HttpListener::bind(any, HttpLimits::default())).unwrap();
+    let address = listener.local_address().unwrap();
+    let shared = state.clone();
+    let answer = move |request: Request<_>| {
+        let authorised = request
+            .headers()
+            .get("authorization")
+            .is_some_and(|value| value == "Bearer open");
+        let (status, value) = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/dump" | "/status") => (StatusCode::OK, dump(name, &shared)),
+            (&Method::GET, "/explain") => {
+                let led = name == "entry-0";
+                let query = request.uri().query().unwrap_or_default().to_string();
+                (
+                    StatusCode::OK,
+                    json!({"led_here": led, "leader": "entry-0#1", "part": query}),
+                )
+            }
+            (&Method::POST, "/drain") if authorised => {
+                shared.draining.store(true, Ordering::SeqCst);
+                (StatusCode::ACCEPTED, json!({}))
+            }
+            (&Method::POST, _) => (StatusCode::UNAUTHORIZED, json!({"error": "unauthorised"})),
+            _ => (StatusCode::NOT_FOUND, json!({"error": "not-found"})),
+        };
+        let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
+        *response.status_mut() = status;
+        std::future::ready(response)
+    };
+    pool.spawn(listener.serve(pool.clone(), answer));
+    PortStandin {
+        pool,
+        address,
+        state,
+    }
+}
+
+#[test]
+fn a_wait_names_the_instances_that_are_behind() {
+    let folder = TestFolder::new("wait", &[("a.toml", WHOLE)]);
+    let store = store_with_declarations(&folder);
+    let (first, second) = (standin("entry-0", 2), standin("entry-1", 1));
+    let mut ada = settings(&store, "ada");
+    ada.wait = true;
+    ada.wait_timeout = Duration::from_millis(300);
+    ada.instances = vec![first.address, second.address];
+    let peak = CliVerb::PresetUse("peak".into());
+    let report = expect(ExitStatus::Behind, &peak, &ada);
+    assert_eq!(report.json["behind"], json!(["entry-1#1: revision 1"]));
+    second.state.revision.store(2, Ordering::SeqCst);
+    let report = expect(ExitStatus::Done, &peak, &ada);
+    assert_eq!(report.json["behind"], json!([]));
+}
+
+#[test]
+fn status_takes_the_leaders_view_and_names_the_silent() {
+    let folder = TestFolder::new("status", &[("a.toml", WHOLE)]);
+    let store = store_with_declarations(&folder);
+    let (first, second) = (standin("entry-0", 1), standin("entry-1", 1));
+    let mut ada = settings(&store, "ada");
+    ada.instances = vec![first.address, second.address];
+    let report = expect(ExitStatus::Done, &CliVerb::Status, &ada);
+    assert_eq!(report.json["services"][0]["unavailable"], 1);
+    assert_eq!(report.json["servers"][0]["owned_slices"], 1);
+    assert!(
+        report.text.lines().all(|line| line.chars().count() <= 80),
+        "{}",
+        report.text
+    );
+    drop(first);
+    let report = expect(ExitStatus::Unreachable, &CliVerb::Status, &ada);
+    assert_eq!(report.json["services"][0]["unavailable"], Value::Null);
+    assert!(report.text.contains("silent"), "{}", report.text);
+}
+
+#[test]
+fn a_key_is_explained_by_its_parts_leader() {
+    let folder = TestFolder::new("explain", &[("a.toml", WHOLE)]);
+    let store = store_with_declarations(&folder);
+    let (first, second) = (standin("entry-0", 1), standin("entry-1", 1));
+    let mut ada = settings(&store, "ada");
+    ada.instances = vec![second.address, first.address];
+    let verb = CliVerb::Explain {
+        service: "reports".into(),
+        key: "weld 7/a".into(),
+    };
+    let report = expect(ExitStatus::Done, &verb, &ada);
+    assert_eq!(report.json["led_here"], true);
+    assert_eq!(report.json["part"], "service=reports&key=weld%207%2Fa");
+}
+
+#[test]
+fn a_server_drains_by_a_revision_and_an_instance_by_its_own_port() {
+    let folder = TestFolder::new("drain", &[("a.toml", WHOLE)]);
+    let store = store_with_declarations(&folder);
+    let port = standin("entry-0", 1);
+    let mut ada = settings(&store, "ada");
+    ada.instances = vec![port.address];
+    let report = expect(ExitStatus::Done, &CliVerb::Drain("view-1".into()), &ada);
+    assert_eq!(report.json["revision"], 2);
+    expect(ExitStatus::Refused, &CliVerb::Drain("view-2".into()), &ada);
+    expect(ExitStatus::Refused, &CliVerb::Drain("entry-9".into()), &ada);
+    expect(ExitStatus::Refused, &CliVerb::Drain("entry-0".into()), &ada);
+    assert!(!port.state.draining.load(Ordering::SeqCst));
+    ada.token = "open".into();
+    expect(ExitStatus::Done, &CliVerb::Drain("entry-0".into()), &ada);
+    assert!(port.state.draining.load(Ordering::SeqCst));
+    ada.undo = true;
+    let report = execute(&CliVerb::Drain("view-1".into()), &ada);
+    assert_eq!(report.json["revision"], 3, "{}", report.text);
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,88 @@
+//! Directories and settings for the tests of changes.
+
+use {
+    geraniummast_cli::{CliSettings, CliVerb, ExitStatus, VerbReport, execute},
+    geraniummast_lab::StoreStandin,
+    std::{
+        path::{Path, PathBuf},
+        time::Duration,
+    },
+};
+
+/// A directory of its own for one test.
+pub(crate) struct TestFolder(PathBuf);
+
+impl TestFolder {
+    /// Makes the directory with the given files.
+    pub(crate) fn new(name: &str, files: &[(&str, &str)]) -> Self {
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).unwrap();
+        let folder = Self(path);
+        for (name, text) in files {
+            folder.put(name, text);
+        }
+        folder
+    }
+
+    /// Writes one file.
+    pub(crate) fn put(&self, name: &str, text: &str) {
+        std::fs::write(self.0.join(name), text).unwrap();
+    }
+
+    /// Path of the directory.
+    pub(crate) fn path(&self) -> PathBuf {
+        self.0.clone()
+    }
+}
+
+/// Declarations of one service on two servers with two presets.
+pub(crate) const WHOLE: &str = r#"
+[place.dc1]
+region = "home"
+[service.reports]
+kind = "exclusive"
+[[service.reports.class]]
+name = "lookup"
+methods = ["GET"]
+repeatable = true
+[[service.reports.server]]
+name = "view-1"
+address = "10.0.0.1:80"
+data_centre = "dc1"
+slots = 3
+connections = 100
+[[service.reports.server]]
+name = "view-2"
+address = "10.0.0.2:80"
+data_centre = "dc1"
+slots = 3
+connections = 100
+[preset.ordinary]
+[preset.peak]
+"#;
+
+/// Settings of the operator `name` towards a store.
+pub(crate) fn settings(store: &StoreStandin, name: &str) -> CliSettings {
+    CliSettings {
+        store: Some(store.address()),
+        operator: name.into(),
+        timeout: Duration::from_secs(20),
+        ..CliSettings::default()
+    }
+}
+
+/// Runs a verb and checks its status.
+pub(crate) fn expect(status: ExitStatus, verb: &CliVerb, settings: &CliSettings) -> VerbReport {
+    let report = execute(verb, settings);
+    assert_eq!(report.status, status, "{verb:?}: {}", report.text);
+    report
+}
+
+/// A store with [`WHOLE`] in force as revision 1.
+pub(crate) fn store_with_declarations(folder: &TestFolder) -> StoreStandin {
+    let store = futures_lite::future::block_on(StoreStandin::start()).unwrap();
+    let verb = CliVerb::Apply(folder.path());
+    expect(ExitStatus::Done, &verb, &settings(&store, "ada"));
+    store
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -26,6 +26,7 @@
 mod set_rules;
 mod source_file;
 mod table_reader;
+mod write_fate;
 
 pub use {
     audit_entry::AuditEntry,
@@ -44,6 +45,7 @@
     service_declaration::ServiceDeclaration,
     service_kind::ServiceKind,
     source_file::SourceFile,
+    write_fate::WriteFate,
 };
 
 /// Imports used throughout the crate.
