--- a/crates/cli/src/help_text.rs
+++ b/crates/cli/src/help_text.rs
@@ -164,7 +164,7 @@
   2  a flag, variable or argument is faulty; nothing was tried
   3  lost a race to another operator, who is named; nothing changed
   4  outcome unclear, the store did not answer; the output names the command,
-     `geraniummast history --write ID`, that says later what became of the change
+     `geraniummast history --write ID`, that tells later what came of it
   5  the store or an instance did not answer; nothing changed
   6  accepted, not yet in force on every instance; those behind are named
 ";
