--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -22,6 +22,7 @@
     pub(crate) tables: NodeTables,
     pub(crate) peers: PeerClient,
     pub(crate) servers: ServerBook,
+    pub(crate) notes: NotesBook,
     pub(crate) slots: Arc<SlotBroker>,
     pub(crate) decisions: DecisionLog,
     pub(crate) feed: FeedState,
@@ -108,6 +109,7 @@
             tables: NodeTables::default(),
             peers: PeerClient::new(pool.clone(), dialer, &settings, feed.hints.clone()),
             servers: ServerBook::default(),
+            notes: NotesBook::default(),
             slots: Arc::default(),
             decisions: DecisionLog::default(),
             feed,
@@ -135,6 +137,7 @@
         pool.spawn(instance_pruner::run(node.clone()));
         pool.spawn(leadership_worker::run(node.clone()));
         pool.spawn(grant_worker::run(node.clone()));
+        pool.spawn(notes_worker::run(node.clone()));
         Ok(Self {
             node,
             caller_address,
--- a/crates/daemon/src/peer_frame.rs
+++ b/crates/daemon/src/peer_frame.rs
@@ -7,7 +7,7 @@
 pub(crate) struct PeerFrame {
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 30, 31")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 20, 21, 22, 23, 24, 30, 31")]
     pub(crate) body: Option<PeerBody>,
     /// Latest version of the store's objects that the sender knows.
     #[prost(uint64, tag = "15")]
@@ -29,6 +29,21 @@
     /// The leader's answer.
     #[prost(message, tag = "5")]
     ForwardReply(ForwardReplyWire),
+    /// A leader's notes for a standby.
+    #[prost(message, tag = "20")]
+    Notes(NotesWire),
+    /// The standby's answer.
+    #[prost(message, tag = "21")]
+    NotesReply(NotesReplyWire),
+    /// A successor's call for notes.
+    #[prost(message, tag = "22")]
+    NotesPull(NotesPullWire),
+    /// One page of notes.
+    #[prost(message, tag = "23")]
+    NotesPage(NotesPageWire),
+    /// The call of the same number is no longer waited for.
+    #[prost(message, tag = "24")]
+    Cancel(CancelWire),
     /// Asks for changes of the store's objects.
     #[prost(message, tag = "30")]
     FeedPull(FeedPull),
@@ -37,6 +52,10 @@
     FeedBatch(FeedBatch),
 }
 
+/// End of the caller's interest in a call.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct CancelWire {}
+
 impl PeerFrame {
     /// Frame of a call or its reply.
     pub(crate) fn new(call: u64, body: PeerBody) -> Self {
