--- a/crates/cli/src/head_verbs.rs
+++ b/crates/cli/src/head_verbs.rs
@@ -11,10 +11,13 @@
         .map(|service| service.servers.len())
         .sum();
     let text = format!(
-        "no findings: {} places, {} services, {servers} servers, {} presets\n",
+        "no findings: {} places, {} services, {servers} servers, {} presets,\n\
+         {} of at most {} bytes\n",
         set.places.len(),
         set.services.len(),
-        set.presets.len()
+        set.presets.len(),
+        set.stored_bytes(),
+        HeadPlan::MAX_DECLARED_BYTES
     );
     let json = json!({
         "findings": [],
@@ -22,6 +25,7 @@
         "services": set.services.len(),
         "servers": servers,
         "presets": set.presets.len(),
+        "bytes": set.stored_bytes(),
     });
     Ok(VerbReport::new(ExitStatus::Done, text, json))
 }
--- a/crates/cli/tests/instance_questions.rs
+++ b/crates/cli/tests/instance_questions.rs
@@ -1,4 +1,4 @@
-//! Questions to instances, answered by stand-ins of their operators' port.
+//! Questions to instances: to stand-ins of their operators' port, and to running ones.
 
 mod support;
 
@@ -6,6 +6,7 @@
     bytes::Bytes,
     futures_lite::future::block_on,
     geraniummast_cli::{CliVerb, ExitStatus, execute},
+    geraniummast_lab::{BenchPlan, InstanceBench},
     geraniummast_net::{HttpLimits, HttpListener, WorkerPool},
     http::{Method, Request, Response, StatusCode},
     http_body_util::Full,
@@ -178,3 +179,52 @@
     let report = execute(&CliVerb::Drain("view-1".into()), &ada);
     assert_eq!(report.json["revision"], 3, "{}", report.text);
 }
+
+#[test]
+fn a_drain_is_in_force_everywhere_and_every_view_shows_it() {
+    let bench = block_on(InstanceBench::start(&BenchPlan::default())).unwrap();
+    let mut ada = settings(&bench.store, "ada");
+    ada.wait = true;
+    ada.wait_timeout = Duration::from_secs(30);
+    ada.instances = bench
+        .instances
+        .iter()
+        .map(|node| node.operator_address())
+        .collect();
+
+    let dump = expect(ExitStatus::Done, &CliVerb::Dump, &ada);
+    let server = &dump.json[0]["servers"][0];
+    let name = server["server"].as_str().unwrap();
+    let drain = expect(ExitStatus::Done, &CliVerb::Drain(name.into()), &ada);
+    assert_eq!(drain.json["behind"], serde_json::json!([]));
+
+    let status = expect(ExitStatus::Done, &CliVerb::Status, &ada);
+    let servers = status.json["servers"].as_array().unwrap();
+    let row = servers.iter().find(|row| row["server"] == name).unwrap();
+    assert_eq!(row["state"], "drained");
+    let revisions: Vec<_> = status.json["instances"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .collect();
+    assert_eq!(revisions.len(), ada.instances.len());
+    assert!(
+        revisions
+            .iter()
+            .all(|row| row["revision"] == drain.json["revision"])
+    );
+    let wide = status.text.lines().find(|line| line.chars().count() > 80);
+    assert_eq!(wide, None);
+
+    let verb = CliVerb::Explain {
+        service: server["service"].as_str().unwrap().into(),
+        key: "weld 7".into(),
+    };
+    let explained = expect(ExitStatus::Done, &verb, &ada);
+    assert_eq!(explained.json["led_here"], true, "{}", explained.text);
+    let unknown = CliVerb::Explain {
+        service: "nothing".into(),
+        key: "weld 7".into(),
+    };
+    expect(ExitStatus::Refused, &unknown, &ada);
+}
--- a/crates/configuration/src/declaration_set.rs
+++ b/crates/configuration/src/declaration_set.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Size of the declarations in their stored form, in bytes.
+    pub fn stored_bytes(&self) -> usize {
+        serde_json::to_vec(self).map_or(usize::MAX, |text| text.len())
+    }
+
     /// Declared objects by kind and name; each server is one of its own.
     pub(crate) fn objects(&self) -> ObjectMap {
         let mut objects = ObjectMap::new();
--- a/crates/configuration/src/head_plan.rs
+++ b/crates/configuration/src/head_plan.rs
@@ -21,6 +21,9 @@
     /// Largest head, in bytes of its stored form; the store takes values up to a megabyte.
     pub const MAX_HEAD_BYTES: usize = 900_000;
 
+    /// Largest set of declarations, in bytes of its stored form; the rest is for the history.
+    pub const MAX_DECLARED_BYTES: usize = 850_000;
+
     /// Plan of `change` on top of `head`, or every reason why it cannot be.
     pub fn new(head: &HeadRecord, change: &HeadChange) -> Result<Self, Vec<RuleFinding>> {
         let mut plan = Self {
--- a/crates/configuration/src/head_record.rs
+++ b/crates/configuration/src/head_record.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Whether `server` takes no new work, by the preset in force or by hand.
+    pub fn is_drained(&self, server: &ServerName) -> bool {
+        let by_preset = |preset: &PresetDeclaration| preset.drained_servers.contains(server);
+        self.drained_servers.contains(server)
+            || self.presets.get(&self.preset).is_some_and(by_preset)
+    }
+
     /// Entry of the write `write_id`, as long as the head remembers it.
     pub fn entry_of(&self, write_id: &str) -> Option<&AuditEntry> {
         self.history.iter().find(|entry| entry.write_id == write_id)
@@ -65,14 +72,12 @@
 
     /// Servers of `service` that may take work: drained neither by the preset in force nor by hand.
     pub fn active_servers(&self, service: &ServiceName) -> Vec<&ServerDeclaration> {
-        let preset = self.active_preset();
         self.services
             .get(service)
             .map(|declaration| declaration.servers.iter())
             .into_iter()
             .flatten()
-            .filter(|server| !preset.drained_servers.contains(&server.name))
-            .filter(|server| !self.drained_servers.contains(&server.name))
+            .filter(|server| !self.is_drained(&server.name))
             .collect()
     }
 }
--- a/crates/configuration/src/set_rules.rs
+++ b/crates/configuration/src/set_rules.rs
@@ -51,6 +51,11 @@
     }
 
     fn check_objects(&mut self) {
+        let bytes = self.set.stored_bytes();
+        if bytes > HeadPlan::MAX_DECLARED_BYTES {
+            let expected = format!("at most {} bytes in all", HeadPlan::MAX_DECLARED_BYTES);
+            self.report("declarations", &format!("{bytes} bytes"), &expected);
+        }
         if self.set.services.is_empty() {
             self.report("service", "", "at least one service");
         }
--- a/crates/daemon/src/dump_builder.rs
+++ b/crates/daemon/src/dump_builder.rs
@@ -161,7 +161,6 @@
     let Some(head) = gate.head() else {
         return Vec::new();
     };
-    let preset = head.active_preset();
     head.services
         .iter()
         .flat_map(|(service, declaration)| {
@@ -175,7 +174,7 @@
             service: service.to_string(),
             server: server.name.to_string(),
             data_centre: server.data_centre.clone(),
-            state: match preset.drained_servers.contains(&server.name) {
+            state: match head.is_drained(&server.name) {
                 true => "drained",
                 false => "active",
             }
