--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -178,6 +178,12 @@
         self
     }
 
+    /// Sets the largest body of a request, in bytes.
+    pub fn max_body_bytes(mut self, bytes: usize) -> Self {
+        self.settings.max_body_bytes = bytes;
+        self
+    }
+
     /// Sets the longest time until a request's body has arrived.
     pub fn body_timeout(mut self, timeout: Duration) -> Self {
         self.settings.body_timeout = timeout;
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -83,6 +83,7 @@
 pub struct InstanceNode {
     node: Arc<Node>,
     caller_address: SocketAddr,
+    peer_address: SocketAddr,
     operator_address: SocketAddr,
 }
 
@@ -124,6 +125,7 @@
         });
         let caller_address = callers.local_address()?;
         let operator_address = operators.local_address()?;
+        let peer_address = peers.local_addr()?;
         pool.spawn(peer_listener::run(node.clone(), peers));
         let shared = node.clone();
         let answer = move |request| caller_listener::answer(shared.clone(), request);
@@ -141,6 +143,7 @@
         Ok(Self {
             node,
             caller_address,
+            peer_address,
             operator_address,
         })
     }
@@ -150,6 +153,11 @@
         self.caller_address
     }
 
+    /// Address for peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Address for operators.
     pub fn operator_address(&self) -> SocketAddr {
         self.operator_address
@@ -160,6 +168,11 @@
         self.node.is_ready()
     }
 
+    /// Revision of the configuration in force here, 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.node.tables.gate.lock().unwrap().revision()
+    }
+
     /// Stops gracefully: not ready, requests in flight served to their end, connections closed.
     ///
     /// False when something was still in flight at the settings' bound.
