--- a/crates/cli/src/head_verbs.rs
+++ b/crates/cli/src/head_verbs.rs
@@ -47,11 +47,11 @@
         text += "  no difference\n";
     }
     for difference in &plan.differences {
-        text += &format!("  {difference}\n");
+        text += &wrapped(2, &difference.to_string());
     }
     text += &undeclared_text(&plan);
     for preview in &moves {
-        text += &format!("  {preview}\n");
+        text += &wrapped(2, &preview.to_string());
     }
     let json = json!({
         "revision": plan.base_revision,
@@ -108,8 +108,11 @@
         return Ok(fate(&head, write_id));
     }
     let mut text = String::new();
+    if head.history.is_empty() {
+        text += "no change is remembered\n";
+    }
     for entry in head.history.iter().rev() {
-        text += &format!("{}\n  {}\n", who(entry), entry.change);
+        text += &format!("{}\n{}", who(entry), wrapped(2, &entry.change));
     }
     let json = json!({ "revision": head.revision, "history": head.history });
     Ok(VerbReport::new(ExitStatus::Done, text, json))
@@ -136,7 +139,7 @@
     } else {
         let outcome = heads.write(&found, plan, &session.settings.operator).await;
         let entry = accepted(outcome)?;
-        let text = format!("done: {}\n  {}\n{kept}", who(&entry), entry.change);
+        let text = format!("done: {}\n{}{kept}", who(&entry), wrapped(2, &entry.change));
         let json = json!({
             "revision": entry.revision,
             "changed": true,
@@ -192,9 +195,9 @@
 
 fn lost(winner: &AuditEntry) -> VerbReport {
     let text = format!(
-        "lost the race, nothing of this change took effect; the winner:\n{}\n  {}\n",
+        "lost the race, nothing of this change took effect; the winner:\n{}\n{}",
         who(winner),
-        winner.change
+        wrapped(2, &winner.change)
     );
     VerbReport::new(
         ExitStatus::LostRace,
@@ -239,7 +242,12 @@
 }
 
 fn undeclared_text(plan: &HeadPlan) -> String {
-    let line = |object: &String| format!("  not declared, kept: {object} (--prune removes it)\n");
+    let line = |object: &String| {
+        wrapped(
+            2,
+            &format!("not declared, kept: {object} (--prune removes it)"),
+        )
+    };
     plan.undeclared.iter().map(line).collect()
 }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -23,6 +23,7 @@
 mod text_table;
 mod verb_report;
 mod wait_view;
+mod wrapped_text;
 
 pub use {
     argument_reader::CliRequest,
@@ -42,7 +43,7 @@
         crate::{
             argument_reader::ArgumentReader, cli_session::CliSession,
             declaration_folder::DeclarationFolder, help_text::HelpText,
-            instance_client::InstanceClient, text_table::TextTable, *,
+            instance_client::InstanceClient, text_table::TextTable, wrapped_text::wrapped, *,
         },
         bytes::Bytes,
         geraniummast_configuration::*,
--- a/crates/cli/src/move_preview.rs
+++ b/crates/cli/src/move_preview.rs
@@ -17,6 +17,9 @@
 
 impl Display for MovePreview {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        if self.slices == 0 {
+            return write!(f, "service {}: new, no key moves", self.service);
+        }
         let moved: usize = self.leaving.values().sum();
         write!(
             f,
--- a/crates/cli/src/text_table.rs
+++ b/crates/cli/src/text_table.rs
@@ -1,13 +1,13 @@
 //! Tables that read on 80 columns.
 
+use crate::wrapped_text::MAX_WIDTH;
+
 /// A table of text cells.
 pub(crate) struct TextTable {
     rows: Vec<Vec<String>>,
 }
 
 impl TextTable {
-    /// Widest line, in characters.
-    const MAX_WIDTH: usize = 80;
     /// Characters between two columns.
     const GAP: usize = 2;
     /// Narrowest column, in characters.
@@ -51,7 +51,7 @@
         };
         let mut widths: Vec<usize> = (0..columns).map(width).collect();
         let gaps = Self::GAP * columns.saturating_sub(1);
-        while widths.iter().sum::<usize>() + gaps > Self::MAX_WIDTH {
+        while widths.iter().sum::<usize>() + gaps > MAX_WIDTH {
             match widths.iter_mut().max() {
                 Some(widest) if *widest > Self::MIN_COLUMN => *widest -= 1,
                 _ => break,
--- a/crates/cli/src/verb_report.rs
+++ b/crates/cli/src/verb_report.rs
@@ -34,7 +34,7 @@
     pub(crate) fn findings<T: Display + Serialize>(findings: &[T]) -> Self {
         let mut text: String = findings
             .iter()
-            .map(|finding| format!("{finding}\n"))
+            .map(|finding| wrapped(0, &finding.to_string()))
             .collect();
         let noun = if findings.len() == 1 {
             "finding"
--- a/crates/configuration/src/head_plan.rs
+++ b/crates/configuration/src/head_plan.rs
@@ -66,7 +66,10 @@
     /// What changes, in words.
     pub fn summary(&self) -> String {
         let words: Vec<_> = self.differences.iter().map(ToString::to_string).collect();
-        words.join("; ")
+        match words.len() {
+            0 | 1 => words.concat(),
+            count => format!("{count} changes: {}", words.join("; ")),
+        }
     }
 
     /// Record to write.
--- a/crates/configuration/src/head_rules.rs
+++ b/crates/configuration/src/head_rules.rs
@@ -14,7 +14,7 @@
     ) -> Vec<RuleFinding> {
         let set = next.declarations();
         let mut findings = match change {
-            HeadChange::Declare { .. } => SetRules::findings(&set),
+            HeadChange::Declare { .. } => Self::declared(&set, change),
             HeadChange::Preset(_) | HeadChange::Drain(_) | HeadChange::Return(_) => Vec::new(),
         };
         findings.extend(Self::fixed_fields(head, next));
@@ -24,6 +24,59 @@
         findings
     }
 
+    /// Broken rules of the declarations together with what is kept besides them.
+    fn declared(set: &DeclarationSet, change: &HeadChange) -> Vec<RuleFinding> {
+        let mut findings = SetRules::findings(set);
+        if findings.is_empty() {
+            return findings;
+        }
+        let servers = Self::servers_by_place(set);
+        for finding in &mut findings {
+            if let Some((place, (service, server))) = Self::place_in(&finding.field, &servers) {
+                let note = Self::kept_note(change, server);
+                let name = format!("server {service}/{server}");
+                finding.field = finding.field.replace(place, &name) + note;
+            }
+            if let Some((place, (service, server))) = Self::place_in(&finding.expected, &servers) {
+                let name = format!("server {service}/{server}");
+                finding.expected = finding.expected.replace(place, &name);
+            }
+        }
+        findings
+    }
+
+    /// Servers by the path under which the rules know them.
+    fn servers_by_place(set: &DeclarationSet) -> IndexMap<String, (&ServiceName, &ServerName)> {
+        let mut servers = IndexMap::new();
+        for (service, declaration) in &set.services {
+            for (index, server) in declaration.servers.iter().enumerate() {
+                let place = format!("service.{service}.server[{index}]");
+                servers.insert(place, (service, &server.name));
+            }
+        }
+        servers
+    }
+
+    /// First path of a server in `text`.
+    fn place_in<'m, T>(
+        text: &str,
+        servers: &'m IndexMap<String, T>,
+    ) -> Option<(&'m String, &'m T)> {
+        let start = text.find("service.")?;
+        let length = text[start..].find(']')? + 1;
+        servers.get_key_value(&text[start..start + length])
+    }
+
+    /// Says of a server that the declarations leave out that it is kept.
+    fn kept_note(change: &HeadChange, server: &ServerName) -> &'static str {
+        match change {
+            HeadChange::Declare { set, .. } if set.server(server).is_none() => {
+                " (kept though not declared, --prune removes it)"
+            }
+            _ => "",
+        }
+    }
+
     /// Fields that are fixed for the life of a service.
     fn fixed_fields(head: &HeadRecord, next: &HeadRecord) -> Vec<RuleFinding> {
         let mut findings = Vec::new();
--- a/crates/configuration/tests/head_plan.rs
+++ b/crates/configuration/tests/head_plan.rs
@@ -116,6 +116,16 @@
     let renamed = PLACE.to_string() + &service("reports", &[1, 2], 3).replace("\"s2\"", "\"s3\"");
     let findings = HeadPlan::new(&head, &declare(&renamed, false)).unwrap_err();
     assert_eq!(findings[0].value, "10.0.0.2:80");
+    assert!(
+        findings[0]
+            .field
+            .starts_with("server reports/s2.address (kept though")
+    );
+    assert!(
+        findings[0]
+            .expected
+            .contains("server reports/s3 has it too")
+    );
     assert!(HeadPlan::new(&head, &declare(&renamed, true)).is_ok());
 }
 
