--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -45,6 +45,7 @@
 pub struct InstanceNode {
     node: Arc<Node>,
     caller_address: SocketAddr,
+    peer_address: SocketAddr,
     operator_address: SocketAddr,
 }
 
@@ -77,6 +78,7 @@
         });
         let caller_address = callers.local_address()?;
         let operator_address = operators.local_address()?;
+        let peer_address = peers.local_addr()?;
         pool.spawn(peer_listener::run(node.clone(), peers));
         let shared = node.clone();
         let answer = move |request| caller_gateway::answer(shared.clone(), request);
@@ -91,6 +93,7 @@
         Ok(Self {
             node,
             caller_address,
+            peer_address,
             operator_address,
         })
     }
@@ -100,6 +103,11 @@
         self.caller_address
     }
 
+    /// Address for peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Address for operators.
     pub fn operator_address(&self) -> SocketAddr {
         self.operator_address
@@ -110,6 +118,11 @@
         self.node.is_ready()
     }
 
+    /// Revision of the configuration in force here, 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.node.tables.gate.lock().unwrap().revision()
+    }
+
     /// Ends the instance at once, as a crash would.
     pub fn kill(&self) {
         self.node.pool.stop();
--- a/crates/lab/src/instance_bench.rs
+++ b/crates/lab/src/instance_bench.rs
@@ -7,10 +7,18 @@
 pub struct BenchPlan {
     /// Number of instances.
     pub instances: usize,
-    /// Number of servers of each service.
+    /// Number of servers of the service `reports`, when no services are listed.
     pub servers: usize,
-    /// Behaviour of the servers.
+    /// Behaviour of the servers of `reports`.
     pub behaviour: ServerBehaviour,
+    /// Services; empty for `reports` alone.
+    pub services: Vec<BenchService>,
+    /// Whether instances dial through links that can be cut.
+    pub links: bool,
+    /// Worker threads of each instance.
+    pub workers: usize,
+    /// Addresses of the store and of the instances' callers and operators, none for free ports.
+    pub first_port: Option<u16>,
 }
 
 impl Default for BenchPlan {
@@ -18,11 +26,11 @@
         Self {
             instances: 2,
             servers: 3,
-            behaviour: ServerBehaviour {
-                run_time: Duration::from_millis(5),
-                checks_fences: false,
-                exclusive: true,
-            },
+            behaviour: ServerBehaviour::default(),
+            services: Vec::new(),
+            links: false,
+            workers: 2,
+            first_port: None,
         }
     }
 }
@@ -31,106 +39,232 @@
 pub struct InstanceBench {
     /// Store.
     pub store: StoreStandin,
-    /// Servers of the exclusive service `reports`.
+    /// Servers of all services.
     pub servers: Vec<ServerStandin>,
-    /// Instances.
-    pub instances: Vec<InstanceNode>,
+    /// Instances, by their number.
+    pub instances: Vec<Arc<InstanceNode>>,
     /// What the servers saw.
     pub ledger: Arc<TruthLedger>,
-    pool: Arc<WorkerPool>,
+    /// Links of each instance.
+    pub links: Vec<Arc<LinkTable>>,
+    /// Instances as callers find them.
+    pub directory: Arc<InstanceDirectory>,
+    /// Operators' changes.
+    pub operator: Arc<HeadOperator>,
+    pub(crate) plan: BenchPlan,
+    pub(crate) pool: Arc<WorkerPool>,
+    incarnation: u64,
+    started: Vec<MonoTime>,
 }
 
 impl InstanceBench {
     /// Shared secret of the bench's instances.
     const SECRET: &'static str = "bench-secret";
+    /// Token of the bench's operators.
+    pub const TOKEN: &'static str = "bench-token";
+    /// Interval at which the balancer checks whether instances are ready.
+    const BALANCER_CHECK: Duration = Duration::from_millis(100);
     /// Longest time until all instances serve.
     const START_TIMEOUT: Duration = Duration::from_secs(10);
 
-    /// Starts everything and waits until each instance answers a lookup.
+    /// Starts everything and waits until each instance answers lookups of each service.
     pub async fn start(plan: &BenchPlan) -> eyre::Result<Self> {
-        let ledger = Arc::new(TruthLedger::default());
-        let store = StoreStandin::start().await?;
-        let mut servers = Vec::new();
-        for index in 0..plan.servers {
-            let name = format!("reports-{index}");
-            servers
-                .push(ServerStandin::start(&name, plan.behaviour.clone(), ledger.clone()).await?);
+        let mut plan = plan.clone();
+        if plan.services.is_empty() {
+            plan.services.push(BenchService {
+                name: "reports",
+                kind: ServiceKind::Exclusive,
+                servers: plan.servers,
+                repeatable: true,
+                priority: 0,
+                behaviour: plan.behaviour.clone(),
+            });
         }
-        let pool = WorkerPool::start("bench", 1)?;
+        let port = plan.first_port.unwrap_or(0);
+        let pool = WorkerPool::start("bench", 2)?;
+        let store = StoreStandin::start_at(([127, 0, 0, 1], port).into()).await?;
         let client = StoreClient::new(pool.clone(), Dialer::direct(), store.address());
-        let head = Self::head(&servers, &plan.behaviour);
-        client
-            .write(
-                &ObjectPath::head(),
-                WriteCondition::Absent,
-                &head,
-                &head.write_id,
-            )
-            .await?;
-        let mut instances = Vec::new();
-        for index in 0..plan.instances {
-            let settings = DaemonSettings::builder(&format!("entry-{index}"))
-                .store_address(store.address())
-                .peer_secret(Self::SECRET)
-                .build();
-            instances.push(InstanceNode::start(settings, Dialer::direct()).await?);
-        }
-        let bench = Self {
+        let mut bench = Self {
             store,
-            servers,
-            instances,
-            ledger,
+            operator: Arc::new(HeadOperator::new(client)),
+            servers: Vec::new(),
+            instances: Vec::new(),
+            ledger: Arc::default(),
+            links: Vec::new(),
+            directory: Arc::default(),
             pool,
+            incarnation: 0,
+            started: Vec::new(),
+            plan,
         };
+        for service in bench.plan.services.clone() {
+            for index in 0..service.servers {
+                bench.start_server(&service, index).await?;
+            }
+        }
+        bench.declare().await?;
+        for index in 0..bench.plan.instances {
+            bench.start_instance(index).await?;
+        }
         bench.wait_serving().await?;
         Ok(bench)
     }
 
-    fn head(servers: &[ServerStandin], behaviour: &ServerBehaviour) -> HeadRecord {
-        let declare = |server: &ServerStandin| ServerDeclaration {
-            name: server.name().clone(),
-            address: server.address(),
-            data_centre: "dc1".into(),
-            slots: 3,
-            connections: 100,
-            checks_fences: behaviour.checks_fences,
+    /// Data centre of the instance or server `number`.
+    pub fn data_centre(number: usize) -> String {
+        format!("dc{}", number % 3 + 1)
+    }
+
+    async fn start_server(&mut self, service: &BenchService, index: usize) -> eyre::Result<()> {
+        let name = service.server_name(index);
+        let server =
+            ServerStandin::start(&name, service.behaviour.clone(), self.ledger.clone()).await?;
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Adds one server to a service and declares it.
+    pub async fn add_server(&mut self, service: &str) -> eyre::Result<()> {
+        let services = &mut self.plan.services;
+        let service = services.iter_mut().find(|known| known.name == service);
+        let service = service.ok_or_else(|| eyre::eyre!("no such service"))?;
+        service.servers += 1;
+        let service = service.clone();
+        self.start_server(&service, service.servers - 1).await?;
+        self.declare().await
+    }
+
+    /// The server `name`.
+    pub fn server(&self, name: &str) -> &ServerStandin {
+        let servers = &mut self.servers.iter();
+        let found = servers.find(|server| server.name().as_str() == name);
+        found.expect("a server of the plan")
+    }
+
+    /// Starts a lost server again, at its old address.
+    pub async fn return_server(&mut self, name: &str) -> eyre::Result<()> {
+        let old = self.server(name);
+        let (address, behaviour) = (old.address(), old.behaviour());
+        let behaviour = ServerBehaviour {
+            leaving: false,
+            ..behaviour
+        };
+        let ledger = self.ledger.clone();
+        let server = ServerStandin::start_at(address, name, behaviour, ledger).await?;
+        self.servers.retain(|old| old.name().as_str() != name);
+        self.servers.push(server);
+        Ok(())
+    }
+
+    /// Starts the instance `index`, or a new run of it.
+    pub async fn start_instance(&mut self, index: usize) -> eyre::Result<()> {
+        self.incarnation += 1;
+        let name = format!("entry-{index}");
+        let at = |offset: u16| {
+            let port = self.plan.first_port;
+            let port = port.map_or(0, |port| port + offset + 10 * (index as u16 + 1));
+            SocketAddr::from(([127, 0, 0, 1], port))
         };
-        let class = |name: &str, method: &str, repeatable| RequestClass {
-            name: name.into(),
-            methods: vec![method.into()],
-            path: None,
-            repeatable,
-            priority: 0,
-            deadline_ms: 2_000,
-            max_body_bytes: 1 << 20,
-            max_answer_bytes: 1 << 20,
+        let settings = DaemonSettings::builder(&name)
+            .incarnation(self.incarnation)
+            .data_centre(&Self::data_centre(index))
+            .caller_address(at(0))
+            .operator_address(at(1))
+            .store_address(self.store.address())
+            .peer_secret(Self::SECRET)
+            .operator_token(Self::TOKEN)
+            .workers(self.plan.workers)
+            .build();
+        let links = LinkTable::new(self.pool.clone());
+        let dialer = match self.plan.links {
+            true => links.dialer(),
+            false => Dialer::direct(),
         };
-        let service = ServiceDeclaration {
-            kind: ServiceKind::Exclusive,
-            parts: 1,
-            classes: vec![class("lookup", "GET", true), class("filing", "POST", false)],
-            servers: servers.iter().map(declare).collect(),
+        let instance = Arc::new(InstanceNode::start(settings, dialer).await?);
+        self.store.instance_started(ListEntry {
+            name,
+            incarnation: self.incarnation,
+            address: instance.peer_address(),
+            data_centre: Self::data_centre(index),
+            state: "live",
+        });
+        let entry = DirectoryEntry {
+            address: instance.caller_address(),
+            listed: true,
+            stopping: false,
         };
-        HeadRecord {
-            revision: 1,
-            preset: "ordinary".into(),
-            presets: IndexMap::from([("ordinary".into(), PresetDeclaration::default())]),
-            services: IndexMap::from([(ServiceName::new("reports"), service)]),
-            changed_by: "bench".into(),
-            changed_at_ms: 0,
-            write_id: "bench".into(),
+        self.directory.set(index, entry);
+        match index < self.instances.len() {
+            true => {
+                (self.instances[index], self.links[index]) = (instance, links);
+                self.started[index] = SteadyClock.now();
+            }
+            false => {
+                self.started.push(SteadyClock.now());
+                self.instances.push(instance);
+                self.links.push(links);
+            }
         }
+        Ok(())
+    }
+
+    /// Start of the instance `index`, none when it is lost or stopping.
+    pub fn served_since(&self, index: usize) -> Option<MonoTime> {
+        let listed = self.directory.is_listed(self.instances[index].caller_address());
+        listed.then(|| self.started[index])
+    }
+
+    /// Begins a graceful stop of the instance `index`; the balancer sees it at its next check.
+    pub fn stop_instance(&self, index: usize) {
+        let instance = self.instances[index].clone();
+        self.store.instance_leaving(&format!("entry-{index}"));
+        self.directory.change(index, |entry| entry.stopping = true);
+        let directory = self.directory.clone();
+        self.pool.spawn(async move {
+            let unlist = async {
+                Timer::after(Self::BALANCER_CHECK).await;
+                directory.change(index, |entry| entry.listed = false);
+                std::future::pending::<()>().await;
+            };
+            let stop = async {
+                instance.stop().await;
+            };
+            futures_lite::future::or(stop, unlist).await;
+        });
+    }
+
+    /// Declares all servers of the plan.
+    async fn declare(&self) -> eyre::Result<()> {
+        let declare = |head: &mut HeadRecord| {
+            for (name, percent) in [("ordinary", None), ("peak", Some(100)), ("maintenance", Some(67))] {
+                let preset = head.presets.entry(name.into()).or_default();
+                preset.slot_percent = percent;
+            }
+            if head.preset.is_empty() {
+                head.preset = "ordinary".into();
+            }
+            for service in &self.plan.services {
+                let prefix = format!("{}-", service.name);
+                let own = |server: &&ServerStandin| server.name().as_str().starts_with(&prefix);
+                let mut servers: Vec<_> = self.servers.iter().filter(own).collect();
+                servers.sort_by_key(|server| server.name().clone());
+                let declaration = service.declaration(&servers);
+                head.services.insert(ServiceName::new(service.name), declaration);
+            }
+        };
+        self.operator.change(declare).await
     }
 
     async fn wait_serving(&self) -> eyre::Result<()> {
         let deadline = SteadyClock.now().after(Self::START_TIMEOUT);
         for index in 0..self.instances.len() {
-            while self.get(index, "/reports/start").await?.status() != StatusCode::OK {
-                eyre::ensure!(
-                    SteadyClock.now() < deadline,
-                    "instance {index} does not serve"
-                );
-                Timer::after(Duration::from_millis(20)).await;
+            for service in &self.plan.services {
+                let target = format!("/{}/start", service.name);
+                while self.get(index, &target).await?.status() != StatusCode::OK {
+                    let in_time = SteadyClock.now() < deadline;
+                    eyre::ensure!(in_time, "instance {index} does not serve {target}");
+                    Timer::after(Duration::from_millis(20)).await;
+                }
             }
         }
         Ok(())
--- /dev/null
+++ b/crates/lab/src/link_table.rs
@@ -0,0 +1,46 @@
+//! All links of one instance.
+
+use crate::prelude::*;
+
+/// Links by the address that they lead to.
+pub struct LinkTable {
+    pool: Arc<WorkerPool>,
+    links: Mutex<IndexMap<SocketAddr, Arc<LinkForwarder>>>,
+}
+
+impl LinkTable {
+    /// Table without links.
+    pub fn new(pool: Arc<WorkerPool>) -> Arc<Self> {
+        Arc::new(Self {
+            pool,
+            links: Mutex::default(),
+        })
+    }
+
+    /// Dialer whose connections pass through the table's links.
+    pub fn dialer(self: &Arc<Self>) -> Dialer {
+        let table = self.clone();
+        Dialer::with(move |address| Box::pin(table.link(address).connect()))
+    }
+
+    /// Link to `address`.
+    pub fn link(&self, address: SocketAddr) -> Arc<LinkForwarder> {
+        let mut links = self.links.lock().unwrap();
+        links
+            .entry(address)
+            .or_insert_with(|| Arc::new(LinkForwarder::new(self.pool.clone(), address)))
+            .clone()
+    }
+
+    /// Restores all links.
+    pub fn heal(&self) {
+        let links = self.links.lock().unwrap();
+        links.values().for_each(|link| link.set_cut(false));
+    }
+
+    /// Bytes copied over all links.
+    pub fn bytes(&self) -> u64 {
+        let links = self.links.lock().unwrap();
+        links.values().map(|link| link.bytes()).sum()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scenarios/preset_race.rs
@@ -0,0 +1,12 @@
+//! Two operators switch the preset at once, three times.
+
+use crate::prelude::*;
+use FaultEvent::{RacePresets};
+
+/// The scenario.
+pub(crate) fn plan() -> ScenarioPlan {
+    ScenarioPlan::new("preset-race")
+        .at(2_500, RacePresets(["peak", "maintenance"]))
+        .at(3_500, RacePresets(["ordinary", "peak"]))
+        .at(4_500, RacePresets(["maintenance", "ordinary"]))
+}
--- /dev/null
+++ b/crates/lab/src/scenarios/rebalance.rs
@@ -0,0 +1,12 @@
+//! A server joins each exclusive service.
+
+use crate::prelude::*;
+use FaultEvent::{AddServer};
+
+/// The scenario.
+pub(crate) fn plan() -> ScenarioPlan {
+    ScenarioPlan::new("rebalance")
+        .at(3_000, AddServer("viewing"))
+        .at(4_500, AddServer("filing"))
+        .lasting(9_000)
+}
