--- a/crates/lab/src/caller_load.rs
+++ b/crates/lab/src/caller_load.rs
@@ -80,10 +80,7 @@
             cut: 0,
         };
         let mut last = None;
-        loop {
-            let Some(address) = self.address(&record.call, last) else {
-                break;
-            };
+        while let Some(address) = self.address(&record.call, last) {
             last = Some(address);
             let step = self.attempt(&mut record, address, deadline).await;
             record.attempts += 1;
--- a/crates/lab/src/demo_command.rs
+++ b/crates/lab/src/demo_command.rs
@@ -35,28 +35,47 @@
 
 async fn show() -> eyre::Result<ExitCode> {
     let plan = plan();
-    println!("A store, {} instances and these servers start on loopback:", plan.bench.instances);
+    println!(
+        "A store, {} instances and these servers start on loopback:",
+        plan.bench.instances
+    );
     for service in &plan.bench.services {
         let kind = match service.kind {
             ServiceKind::Exclusive => "one owner for each key",
             ServiceKind::Shared => "any server may answer",
         };
-        println!("  {:<9} {} servers, 3 slots each, {kind}", service.name, service.servers);
+        println!(
+            "  {:<9} {} servers, 3 slots each, {kind}",
+            service.name, service.servers
+        );
     }
     println!("Callers send lookups, filings and archive requests for 8 s, at 40% of all slots.");
     println!("After 3.5 s the server viewing-1 is lost; after 5.5 s the preset changes to peak.");
     let figures = ScenarioRun::new(&plan, 1).measure().await?;
     let unavailable = figures.unavailable_ms;
-    println!("\n{} requests were due; {:.0} a second were answered.", figures.requests, figures.throughput_per_s);
+    println!(
+        "\n{} requests were due; {:.0} a second were answered.",
+        figures.requests, figures.throughput_per_s
+    );
     println!(
         "Keys of the lost server were served again after {:.0} ms (median), {:.0} ms (longest).",
         unavailable.p50,
         unavailable.max.unwrap_or(0.0)
     );
     let in_force = figures.in_force_ms.unwrap_or_default();
-    println!("The preset was in force on every instance after {:.0} ms.", in_force.max.unwrap_or(0.0));
-    println!("\nMeasured at the servers and callers:\n{}", measure_command::text(&figures));
-    let faults: Vec<_> = figures.zeros().into_iter().filter(|(_, value)| *value != 0).collect();
+    println!(
+        "The preset was in force on every instance after {:.0} ms.",
+        in_force.max.unwrap_or(0.0)
+    );
+    println!(
+        "\nMeasured at the servers and callers:\n{}",
+        measure_command::text(&figures)
+    );
+    let faults: Vec<_> = figures
+        .zeros()
+        .into_iter()
+        .filter(|(_, value)| *value != 0)
+        .collect();
     for (name, value) in &faults {
         println!("{name} is {value} and must be 0");
     }
@@ -69,7 +88,10 @@
         ..plan().bench
     };
     let bench = InstanceBench::start(&bench).await?;
-    println!("Store:  http://{}/objects/config/head", bench.store.address());
+    println!(
+        "Store:  http://{}/objects/config/head",
+        bench.store.address()
+    );
     for (index, instance) in bench.instances.iter().enumerate() {
         let (callers, operators) = (instance.caller_address(), instance.operator_address());
         println!("entry-{index}: callers http://{callers}, operators http://{operators}");
--- a/crates/lab/src/fault_injector.rs
+++ b/crates/lab/src/fault_injector.rs
@@ -153,7 +153,9 @@
     fn instance(&self, choice: InstanceChoice) -> usize {
         let leader = |service: &str| {
             let parts = self.bench.store.parts();
-            let part = parts.values().find(|part| part.id.service.as_str() == service);
+            let part = parts
+                .values()
+                .find(|part| part.id.service.as_str() == service);
             part.and_then(|part| part.leader.name.rsplit('-').next()?.parse().ok())
         };
         match choice {
@@ -174,8 +176,12 @@
     fn fair_share(&self, name: &str) -> usize {
         let service = name.rsplit_once('-').map_or(name, |(service, _)| service);
         let parts = self.bench.store.parts();
-        let own = parts.values().filter(|part| part.id.service.as_str() == service);
-        let slices = own.flat_map(|part| &part.slices).filter(|slice| slice.owner.is_some());
+        let own = parts
+            .values()
+            .filter(|part| part.id.service.as_str() == service);
+        let slices = own
+            .flat_map(|part| &part.slices)
+            .filter(|slice| slice.owner.is_some());
         let servers = self.bench.servers.iter();
         let prefix = format!("{service}-");
         let servers = servers.filter(|server| server.name().as_str().starts_with(&prefix));
--- a/crates/lab/src/figure_bounds.rs
+++ b/crates/lab/src/figure_bounds.rs
@@ -77,7 +77,10 @@
             .filter(|(_, value)| *value != 0)
             .map(|(name, value)| format!("{name} is {value}, must be 0"))
             .collect();
-        for bound in Self::ALL.iter().filter(|bound| bound.scenario == figures.scenario) {
+        for bound in Self::ALL
+            .iter()
+            .filter(|bound| bound.scenario == figures.scenario)
+        {
             let name = bound.figure;
             let value = figures.value(name);
             match (value, bound.limit) {
--- a/crates/lab/src/figure_builder.rs
+++ b/crates/lab/src/figure_builder.rs
@@ -27,7 +27,9 @@
         let answered = self.records.iter().filter(|record| record.answered);
         let in_time = self.records.iter().filter(|record| record.in_time());
         let first_event = self.plan.events.first().map(|(at, _)| *at);
-        let since = self.start.after(first_event.unwrap_or(ScenarioPlan::SETTLE));
+        let since = self
+            .start
+            .after(first_event.unwrap_or(ScenarioPlan::SETTLE));
         let unavailable = UnavailableTime::of(&self.records, since);
         let compared = |records: &[CallerRecord]| {
             let (from, until) = self.plan.compared_span();
@@ -40,9 +42,17 @@
             seed,
             ran_twice: self.ran_twice(),
             untrue_refusals: self.untrue_refusals(),
-            wrong_answers: self.records.iter().map(|record| u64::from(record.wrong)).sum(),
+            wrong_answers: self
+                .records
+                .iter()
+                .map(|record| u64::from(record.wrong))
+                .sum(),
             cut_in_flight: self.notes.cut
-                + self.records.iter().map(|record| u64::from(record.cut)).sum::<u64>(),
+                + self
+                    .records
+                    .iter()
+                    .map(|record| u64::from(record.cut))
+                    .sum::<u64>(),
             unavailable_ms: SpreadFigures::of(unavailable.values().copied()),
             imbalance: self.imbalance(),
             churn: self.churn(),
@@ -112,7 +122,10 @@
             };
             let sum: f64 = windows.clone().map(ratio).sum();
             let count = windows.clone().count().max(1) as f64;
-            figures.insert(service.name.to_string(), (sum / count * 1_000.0).round() / 1_000.0);
+            figures.insert(
+                service.name.to_string(),
+                (sum / count * 1_000.0).round() / 1_000.0,
+            );
         }
         figures
     }
@@ -158,7 +171,9 @@
             FaultEvent::KillServer(name) => name.split('-').next(),
             _ => None,
         });
-        let untouched = unavailable.keys().filter(|(service, _)| Some(*service) != lost_first);
+        let untouched = unavailable
+            .keys()
+            .filter(|(service, _)| Some(*service) != lost_first);
         let extra = &mut figures.extra;
         extra.insert("untouched_keys_troubled", untouched.count() as f64);
         let late = self.notes.leaving.iter().flat_map(|(server, at)| {
@@ -171,7 +186,10 @@
             let own: Vec<_> = self.records.iter().filter(|record| own(record)).collect();
             own.iter().filter(|record| good(record)).count() as f64 / own.len().max(1) as f64
         };
-        let modest = share(&|record| record.call.caller != LoadShape::GREEDY, CallerRecord::in_time);
+        let modest = share(
+            &|record| record.call.caller != LoadShape::GREEDY,
+            CallerRecord::in_time,
+        );
         extra.insert("modest_in_time", modest);
         let answered = share(&|record| record.call.repeatable, |record| record.answered);
         extra.insert("repeatable_answered", answered);
@@ -189,7 +207,9 @@
     fn phase(&self, index: usize) -> (f64, f64) {
         let phases = &self.plan.load.percent;
         let from = phases[index].0 + Duration::from_secs(1);
-        let until = phases.get(index + 1).map_or(self.plan.load.length, |next| next.0);
+        let until = phases
+            .get(index + 1)
+            .map_or(self.plan.load.length, |next| next.0);
         let span = |record: &&CallerRecord| (from..until).contains(&record.call.at);
         let own: Vec<_> = self.records.iter().filter(span).collect();
         let good = own.iter().filter(|record| record.in_time()).count() as f64;
--- a/crates/lab/src/head_operator.rs
+++ b/crates/lab/src/head_operator.rs
@@ -64,7 +64,10 @@
         head.changed_by = "bench".into();
         head.write_id = uuid::Uuid::new_v4().to_string();
         let path = ObjectPath::head();
-        let outcome = self.client.write(&path, condition, &head, &head.write_id).await;
+        let outcome = self
+            .client
+            .write(&path, condition, &head, &head.write_id)
+            .await;
         let written = matches!(outcome, Ok(WriteOutcome::Written(_)));
         if written {
             let mut accepted = self.accepted.lock().unwrap();
--- a/crates/lab/src/instance_bench.rs
+++ b/crates/lab/src/instance_bench.rs
@@ -181,12 +181,12 @@
             false => Dialer::direct(),
         };
         let instance = Arc::new(InstanceNode::start(settings, dialer).await?);
-        self.store.instance_started(ListEntry {
+        self.store.instance_started(ListedInstance {
             name,
             incarnation: self.incarnation,
             address: instance.peer_address(),
             data_centre: Self::data_centre(index),
-            state: "live",
+            state: ListedState::Live,
         });
         let entry = DirectoryEntry {
             address: instance.caller_address(),
@@ -210,7 +210,9 @@
 
     /// Start of the instance `index`, none when it is lost or stopping.
     pub fn served_since(&self, index: usize) -> Option<MonoTime> {
-        let listed = self.directory.is_listed(self.instances[index].caller_address());
+        let listed = self
+            .directory
+            .is_listed(self.instances[index].caller_address());
         listed.then(|| self.started[index])
     }
 
@@ -236,7 +238,11 @@
     /// Declares all servers of the plan.
     async fn declare(&self) -> eyre::Result<()> {
         let declare = |head: &mut HeadRecord| {
-            for (name, percent) in [("ordinary", None), ("peak", Some(100)), ("maintenance", Some(67))] {
+            for (name, percent) in [
+                ("ordinary", None),
+                ("peak", Some(100)),
+                ("maintenance", Some(67)),
+            ] {
                 let preset = head.presets.entry(name.into()).or_default();
                 preset.slot_percent = percent;
             }
@@ -249,7 +255,8 @@
                 let mut servers: Vec<_> = self.servers.iter().filter(own).collect();
                 servers.sort_by_key(|server| server.name().clone());
                 let declaration = service.declaration(&servers);
-                head.services.insert(ServiceName::new(service.name), declaration);
+                head.services
+                    .insert(ServiceName::new(service.name), declaration);
             }
         };
         self.operator.change(declare).await
--- a/crates/lab/src/instance_list.rs
+++ b/crates/lab/src/instance_list.rs
@@ -2,30 +2,15 @@
 
 use crate::prelude::*;
 
-/// One entry of the list.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct ListEntry {
-    /// Name.
-    pub name: String,
-    /// Number of its run.
-    pub incarnation: u64,
-    /// Address of its peers' listener.
-    pub address: SocketAddr,
-    /// Data centre.
-    pub data_centre: String,
-    /// Whether it is `live` or `leaving`.
-    pub state: &'static str,
-}
-
 /// All changes to the list, each with its time.
 #[derive(Default)]
 pub(crate) struct InstanceList {
-    changes: Vec<(MonoTime, String, Option<ListEntry>)>,
+    changes: Vec<(MonoTime, String, Option<ListedInstance>)>,
 }
 
 impl InstanceList {
     /// Notes an instance's entry, none when it has ended.
-    pub(crate) fn change(&mut self, name: &str, entry: Option<ListEntry>) {
+    pub(crate) fn change(&mut self, name: &str, entry: Option<ListedInstance>) {
         self.changes.push((SteadyClock.now(), name.into(), entry));
     }
 
@@ -33,13 +18,13 @@
     pub(crate) fn leaving(&mut self, name: &str) {
         let latest = self.at(SteadyClock.now()).swap_remove(name);
         if let Some(entry) = latest {
-            let state = "leaving";
-            self.change(name, Some(ListEntry { state, ..entry }));
+            let state = ListedState::Leaving;
+            self.change(name, Some(ListedInstance { state, ..entry }));
         }
     }
 
     /// The list as it stood at `when`.
-    pub(crate) fn at(&self, when: MonoTime) -> IndexMap<String, ListEntry> {
+    pub(crate) fn at(&self, when: MonoTime) -> IndexMap<String, ListedInstance> {
         let mut list = IndexMap::new();
         for (_, name, entry) in self.changes.iter().filter(|(at, ..)| *at <= when) {
             match entry {
--- a/crates/lab/src/measure_command.rs
+++ b/crates/lab/src/measure_command.rs
@@ -56,7 +56,10 @@
         table.push(row(&figures, &missed));
     }
     if plans.len() > 1 {
-        eprintln!("\n{:<28} {:>8} {:>8} {:>8} {:>8}  verdict", "scenario", "requests", "unav p50", "unav p99", "churn");
+        eprintln!(
+            "\n{:<28} {:>8} {:>8} {:>8} {:>8}  verdict",
+            "scenario", "requests", "unav p50", "unav p99", "churn"
+        );
         table.iter().for_each(|row| eprintln!("{row}"));
     }
     ExitCode::from(code)
--- a/crates/lab/src/measured_figures.rs
+++ b/crates/lab/src/measured_figures.rs
@@ -107,7 +107,9 @@
     pub fn of(times: impl IntoIterator<Item = Duration>) -> Self {
         let mut histogram = hdrhistogram::Histogram::<u64>::new(3).expect("three digits are valid");
         for time in times {
-            histogram.saturating_record(time.as_micros() as u64);
+            histogram
+                .record(time.as_micros() as u64)
+                .expect("the histogram resizes");
         }
         let at = |quantile| match histogram.is_empty() {
             true => 0.0,
--- a/crates/lab/src/resource_usage.rs
+++ b/crates/lab/src/resource_usage.rs
@@ -45,7 +45,9 @@
     pub(crate) fn store_calls_per_s(&self) -> IndexMap<String, f64> {
         let rate = |count: &u64| (self.per_s(*count as f64) * 100.0).round() / 100.0;
         let calls = self.calls.iter();
-        calls.map(|(kind, count)| (kind.clone(), rate(count))).collect()
+        calls
+            .map(|(kind, count)| (kind.clone(), rate(count)))
+            .collect()
     }
 
     /// Bytes per second and instance.
@@ -66,12 +68,14 @@
     /// Processor time of the threads of all instances, which carry their names.
     fn instances_processor_time() -> Duration {
         let tasks = std::fs::read_dir("/proc/self/task").into_iter().flatten();
-        let stats = tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("stat")).ok());
+        let stats =
+            tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("stat")).ok());
         let ticks = stats.filter_map(|stat| {
             let (name, fields) = stat.split_once('(')?.1.rsplit_once(')')?;
             let fields: Vec<_> = fields.split_whitespace().collect();
             let ticks = |index: usize| fields.get(index)?.parse::<u32>().ok();
-            name.starts_with("entry-").then_some(ticks(11)? + ticks(12)?)
+            name.starts_with("entry-")
+                .then_some(ticks(11)? + ticks(12)?)
         });
         Self::TICK * ticks.sum::<u32>()
     }
--- a/crates/lab/src/scenario_plan.rs
+++ b/crates/lab/src/scenario_plan.rs
@@ -94,14 +94,18 @@
 
     /// Whether figures of the scenario concern changes of configuration.
     pub(crate) fn changes_configuration(&self) -> bool {
-        let change =
-            |event: &FaultEvent| matches!(event, FaultEvent::UsePreset(_) | FaultEvent::RacePresets(_));
+        let change = |event: &FaultEvent| {
+            matches!(event, FaultEvent::UsePreset(_) | FaultEvent::RacePresets(_))
+        };
         self.events.iter().any(|(_, event)| change(event))
     }
 
     /// Time span, from the start of the load, whose requests are compared with straight ones.
     pub(crate) fn compared_span(&self) -> (Duration, Duration) {
         let first = self.events.first().map_or(self.load.length, |(at, _)| *at);
-        (Self::SETTLE, first.min(Self::SETTLE + Duration::from_secs(2)))
+        (
+            Self::SETTLE,
+            first.min(Self::SETTLE + Duration::from_secs(2)),
+        )
     }
 }
--- a/crates/lab/src/scenario_run.rs
+++ b/crates/lab/src/scenario_run.rs
@@ -78,7 +78,11 @@
             straight,
             runs: ledger.runs(),
             parts: bench.store.part_history(),
-            servers: stays.iter().filter(there).map(|server| server.name().clone()).collect(),
+            servers: stays
+                .iter()
+                .filter(there)
+                .map(|server| server.name().clone())
+                .collect(),
             notes: &injector.notes,
         };
         let mut figures = builder.figures(self.seed);
@@ -101,7 +105,12 @@
     }
 
     /// Observes the instances until a time.
-    async fn observe(&self, observer: &mut RevisionObserver, bench: &InstanceBench, until: MonoTime) {
+    async fn observe(
+        &self,
+        observer: &mut RevisionObserver,
+        bench: &InstanceBench,
+        until: MonoTime,
+    ) {
         loop {
             observer.observe(bench);
             let left = until.since(SteadyClock.now());
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -36,8 +36,12 @@
 mod watcher_loss;
 
 /// Scenarios that have a twin without instances.
-const BASELINES: [fn() -> ScenarioPlan; 4] =
-    [steady::plan, hot_key::plan, hot_key_move::plan, overload::plan];
+const BASELINES: [fn() -> ScenarioPlan; 4] = [
+    steady::plan,
+    hot_key::plan,
+    hot_key_move::plan,
+    overload::plan,
+];
 /// Numbers of instances whose cost is compared.
 const SCALES: [usize; 5] = [4, 8, 16, 32, 64];
 
@@ -85,7 +89,9 @@
 
 /// Cost of `instances` without load, with a change of configuration each second.
 fn scale(instances: usize) -> ScenarioPlan {
-    let mut plan = ScenarioPlan::new(&format!("scale-{instances}")).load(0, 0.0).linked();
+    let mut plan = ScenarioPlan::new(&format!("scale-{instances}"))
+        .load(0, 0.0)
+        .linked();
     plan.bench.instances = instances;
     plan.bench.workers = 1;
     for (second, preset) in ["peak", "ordinary", "peak", "ordinary"].iter().enumerate() {
--- a/crates/lab/src/scenarios/config_storm.rs
+++ b/crates/lab/src/scenarios/config_storm.rs
@@ -1,7 +1,7 @@
 //! The preset changes each second.
 
 use crate::prelude::*;
-use FaultEvent::{UsePreset};
+use FaultEvent::UsePreset;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/late_answers.rs
+++ b/crates/lab/src/scenarios/late_answers.rs
@@ -1,7 +1,7 @@
 //! Every twentieth request of two servers is answered after its deadline.
 
 use crate::prelude::*;
-use FaultEvent::{ChangeServer};
+use FaultEvent::ChangeServer;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/preset_race.rs
+++ b/crates/lab/src/scenarios/preset_race.rs
@@ -1,7 +1,7 @@
 //! Two operators switch the preset at once, three times.
 
 use crate::prelude::*;
-use FaultEvent::{RacePresets};
+use FaultEvent::RacePresets;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/rebalance.rs
+++ b/crates/lab/src/scenarios/rebalance.rs
@@ -1,7 +1,7 @@
 //! A server joins each exclusive service.
 
 use crate::prelude::*;
-use FaultEvent::{AddServer};
+use FaultEvent::AddServer;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/repeat_after_instance_loss.rs
+++ b/crates/lab/src/scenarios/repeat_after_instance_loss.rs
@@ -1,8 +1,8 @@
 //! A leader of filings is lost, and callers repeat at other instances.
 
 use crate::prelude::*;
-use FaultEvent::{KillInstance};
-use InstanceChoice::{LeaderOf};
+use FaultEvent::KillInstance;
+use InstanceChoice::LeaderOf;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/repeat_elsewhere.rs
+++ b/crates/lab/src/scenarios/repeat_elsewhere.rs
@@ -1,7 +1,7 @@
 //! Instances' connections to servers fall silent, and callers repeat at other instances.
 
 use crate::prelude::*;
-use FaultEvent::{SilenceServers};
+use FaultEvent::SilenceServers;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/silent_connection.rs
+++ b/crates/lab/src/scenarios/silent_connection.rs
@@ -1,7 +1,7 @@
 //! All open connections to servers fall silent, and new ones work.
 
 use crate::prelude::*;
-use FaultEvent::{SilenceServers};
+use FaultEvent::SilenceServers;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/steady.rs
+++ b/crates/lab/src/scenarios/steady.rs
@@ -4,7 +4,5 @@
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
-    ScenarioPlan::new("steady")
-        .load(0, 70.0)
-        .lasting(9_000)
+    ScenarioPlan::new("steady").load(0, 70.0).lasting(9_000)
 }
--- a/crates/lab/src/scenarios/store_outage.rs
+++ b/crates/lab/src/scenarios/store_outage.rs
@@ -1,7 +1,7 @@
 //! The store is down for some seconds, and nothing else fails.
 
 use crate::prelude::*;
-use FaultEvent::{Store};
+use FaultEvent::Store;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/store_outage_instance_loss.rs
+++ b/crates/lab/src/scenarios/store_outage_instance_loss.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use FaultEvent::{KillInstance, Store};
-use InstanceChoice::{LeaderOf};
+use InstanceChoice::LeaderOf;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/scenarios/watcher_loss.rs
+++ b/crates/lab/src/scenarios/watcher_loss.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use FaultEvent::{KillInstance, UsePreset};
-use InstanceChoice::{Number};
+use InstanceChoice::Number;
 
 /// The scenario.
 pub(crate) fn plan() -> ScenarioPlan {
--- a/crates/lab/src/store_standin.rs
+++ b/crates/lab/src/store_standin.rs
@@ -92,7 +92,7 @@
     }
 
     /// Lists an instance that has started.
-    pub fn instance_started(&self, entry: ListEntry) {
+    pub fn instance_started(&self, entry: ListedInstance) {
         let name = entry.name.clone();
         self.state.list.lock().unwrap().change(&name, Some(entry));
     }
--- a/crates/lab/src/unavailable_time.rs
+++ b/crates/lab/src/unavailable_time.rs
@@ -37,7 +37,8 @@
             }
             let answered = records[index..].iter().filter(|later| later.answered);
             let end = answered.map(|later| later.ended).min();
-            served_from = end.unwrap_or(record.ended).max(record.due);
+            let last = records.iter().map(|later| later.ended).max();
+            served_from = end.or(last).unwrap_or(record.ended).max(record.due);
             longest = longest.max(Some(served_from.since(record.due)));
         }
         longest
