--- a/crates/daemon/src/metric_table.rs
+++ b/crates/daemon/src/metric_table.rs
@@ -51,6 +51,10 @@
 pub(crate) const FEED_AGE: &str = "geraniummast_feed_age_seconds";
 /// Bytes of the change feed by direction.
 pub(crate) const FEED_BYTES: &str = "geraniummast_feed_bytes_total";
+/// Replies of peers that nobody waited for any more.
+pub(crate) const LATE_REPLIES: &str = "geraniummast_late_replies_total";
+/// Answers of servers that were not to the request sent.
+pub(crate) const WRONG_ANSWERS: &str = "geraniummast_wrong_answers_total";
 
 /// All metrics.
 pub(crate) const METRICS: &[MetricSpec] = &[
@@ -58,6 +62,14 @@
         CALLER_REQUESTS,
         "Requests of callers answered, by service, whether they ran, and reason",
     ),
+    counter(
+        LATE_REPLIES,
+        "Replies of peers dropped because nobody waited for them any more",
+    ),
+    counter(
+        WRONG_ANSWERS,
+        "Answers of servers dropped because they were not to the request sent",
+    ),
     MetricSpec {
         name: CALLER_SECONDS,
         kind: MetricKind::Histogram,
