--- a/crates/lab/src/figure_builder.rs
+++ b/crates/lab/src/figure_builder.rs
@@ -118,14 +118,12 @@
                 let busy = servers.iter().map(|server| self.busy(server, from));
                 let busy: Vec<_> = busy.map(|time| time.as_secs_f64()).collect();
                 let mean = busy.iter().sum::<f64>() / busy.len().max(1) as f64;
-                busy.into_iter().fold(0.0, f64::max) / mean.max(f64::MIN_POSITIVE)
+                (mean > 0.0).then(|| busy.into_iter().fold(0.0, f64::max) / mean)
             };
-            let sum: f64 = windows.clone().map(ratio).sum();
-            let count = windows.clone().count().max(1) as f64;
-            figures.insert(
-                service.name.to_string(),
-                (sum / count * 1_000.0).round() / 1_000.0,
-            );
+            let ratios: Vec<f64> = windows.clone().filter_map(ratio).collect();
+            let mean = ratios.iter().sum::<f64>() / ratios.len().max(1) as f64;
+            let mean = (mean * 1_000.0).round() / 1_000.0;
+            figures.insert(service.name.to_string(), mean);
         }
         figures
     }
