--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -49,6 +49,7 @@
     let running = RunningCalls::default();
     let write = async {
         while let Ok(frame) = to_send.recv().await {
+            let frame = frame.knowing(node.feed.hints.own());
             sink.send(frame.encoded()).await?;
         }
         Ok(())
@@ -58,10 +59,12 @@
             let PeerFrame {
                 call,
                 body: Some(body),
+                known,
             } = PeerFrame::decoded(&bytes?)?
             else {
                 return Err(io::ErrorKind::InvalidData.into());
             };
+            node.feed.hints.hear(known);
             if matches!(body, PeerBody::Cancel(_)) {
                 running.cancel(call);
                 continue;
@@ -105,6 +108,9 @@
 async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
     match body {
         PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
+        PeerBody::FeedPull(pull) => {
+            Some(PeerBody::FeedBatch(feed_worker::answer(node, &pull).await))
+        }
         PeerBody::Notes(wire) => {
             let accepted = node.notes.accept(wire).unwrap_or(false);
             Some(PeerBody::NotesReply(NotesReplyWire { accepted }))
@@ -116,6 +122,7 @@
         PeerBody::Challenge(_)
         | PeerBody::Proof(_)
         | PeerBody::ForwardReply(_)
+        | PeerBody::FeedBatch(_)
         | PeerBody::NotesReply(_)
         | PeerBody::NotesPage(_)
         | PeerBody::Cancel(_) => None,
