--- a/crates/daemon/src/dump_builder.rs
+++ b/crates/daemon/src/dump_builder.rs
@@ -1,6 +1,6 @@
 //! Collection of an instance's state.
 
-use crate::{dump_wire::*, metric_worker, prelude::*};
+use crate::{dump_wire::*, feed_worker, metric_worker, prelude::*};
 
 /// Most parts in one dump.
 const MAX_PARTS: usize = 512;
@@ -41,6 +41,7 @@
             state: node.store.state().as_str().into(),
             calls: node.store.calls(),
         },
+        feed: feed(node),
         queues: servers
             .iter()
             .filter(|server| server.queued > 0)
@@ -63,6 +64,22 @@
     }
 }
 
+fn feed(node: &Node) -> FeedDump {
+    let mark = node.feed.mark();
+    let heard = node.feed.heard();
+    let now = node.clock.now();
+    FeedDump {
+        watches: feed_worker::is_watcher(node),
+        cut_off: node.is_cut_off(),
+        complete: mark.complete.0,
+        newest: mark.newest.0,
+        store_heard_ms: now.since(heard.store).as_millis() as u64,
+        peer_heard_ms: now.since(heard.peer).as_millis() as u64,
+        bytes_in: node.feed.bytes_in.load(Ordering::Relaxed),
+        bytes_out: node.feed.bytes_out.load(Ordering::Relaxed),
+    }
+}
+
 /// The state without slices and decisions.
 pub(crate) fn status(node: &Node) -> StatusWire {
     let dump = dump(node);
--- a/crates/daemon/src/dump_wire.rs
+++ b/crates/daemon/src/dump_wire.rs
@@ -14,6 +14,7 @@
     pub(crate) in_flight: usize,
     pub(crate) connections: ConnectionDump,
     pub(crate) store: StoreDump,
+    pub(crate) feed: FeedDump,
     pub(crate) parts: Vec<PartDump>,
     pub(crate) servers: Vec<ServerDump>,
     pub(crate) peers: Vec<PeerDump>,
@@ -82,6 +83,19 @@
     pub(crate) calls: IndexMap<String, u64>,
 }
 
+/// The change feed as this instance sees it.
+#[derive(Debug, Serialize)]
+pub(crate) struct FeedDump {
+    pub(crate) watches: bool,
+    pub(crate) cut_off: bool,
+    pub(crate) complete: u64,
+    pub(crate) newest: u64,
+    pub(crate) store_heard_ms: u64,
+    pub(crate) peer_heard_ms: u64,
+    pub(crate) bytes_in: u64,
+    pub(crate) bytes_out: u64,
+}
+
 /// A part as known here.
 #[derive(Debug, Serialize)]
 pub(crate) struct PartDump {
