Require the operator's name for a change, keep the lab's changes in the history

A change by nobody's name would defeat the audit. The lab's operator wrote heads without an entry, so a command that raced it could not have named the winner; both stamp heads by the same function now.

--- a/crates/cli/src/argument_reader.rs
+++ b/crates/cli/src/argument_reader.rs
@@ -213,6 +213,10 @@
             let expected = format!("addresses of instances' operators' ports, here or in {name}");
             self.fault(flag, "", &expected);
         }
+        if verb.makes_change() && self.settings.operator.is_empty() {
+            let expected = "your name, here or in GERANIUMMAST_OPERATOR_NAME";
+            self.fault("--operator", "", expected);
+        }
         for flag in self.flags.clone() {
             if !HelpText::takes(&self.words, &flag) {
                 let expected = "a flag that this verb takes; see its --help";
--- a/crates/cli/src/cli_settings.rs
+++ b/crates/cli/src/cli_settings.rs
@@ -39,7 +39,7 @@
             store: None,
             instances: Vec::new(),
             token: String::new(),
-            operator: "unknown".into(),
+            operator: String::new(),
             timeout: Duration::from_secs(10),
             wait_timeout: Duration::from_secs(20),
             revision: None,
--- a/crates/cli/src/cli_verb.rs
+++ b/crates/cli/src/cli_verb.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Whether the verb makes a change that keeps the operator's name.
+    pub(crate) fn makes_change(&self) -> bool {
+        matches!(self, Self::Apply(_) | Self::PresetUse(_) | Self::Drain(_))
+    }
+
     /// Whether the verb talks to instances.
     pub(crate) fn needs_instances(&self) -> bool {
         matches!(self, Self::Status | Self::Dump | Self::Explain { .. })
--- a/crates/cli/tests/arguments.rs
+++ b/crates/cli/tests/arguments.rs
@@ -14,7 +14,7 @@
 fn all_faults_are_found_at_once_with_flag_or_variable_and_value() {
     let request = read(
         "apply dir --timeout-ms soon --revision x --bogus",
-        &[("GERANIUMMAST_STORE_ADDRESS", "store:1")],
+        &[("GERANIUMMAST_STORE_ADDRESS", "store:1"), ("USER", "ada")],
     );
     let CliRequest::Faults(faults) = request else {
         panic!("{request:?}");
@@ -53,8 +53,9 @@
 #[test]
 fn missing_addresses_and_strange_flags_are_faults() {
     for (line, count) in [
-        ("preset use peak", 1),
-        ("preset use peak --wait", 2),
+        ("preset use peak", 2),
+        ("preset use peak --operator ada", 1),
+        ("preset use peak --operator ada --wait", 2),
         ("status", 1),
         ("check dir --prune", 1),
         ("preset", 1),
--- a/crates/configuration/src/head_plan.rs
+++ b/crates/configuration/src/head_plan.rs
@@ -74,19 +74,9 @@
 
     /// Record to write.
     pub fn into_record(self, stamp: &ChangeStamp) -> HeadRecord {
-        let revision = self.base_revision + 1;
-        let entry = stamp.entry(revision, &self.summary());
+        let summary = self.summary();
         let mut record = self.next;
-        record.revision = revision;
-        record.changed_by.clone_from(&entry.changed_by);
-        record.changed_at_ms = stamp.changed_at_ms;
-        record.write_id.clone_from(&stamp.write_id);
-        record.history.push(entry);
-        let surplus = record
-            .history
-            .len()
-            .saturating_sub(HeadRecord::HISTORY_ENTRIES);
-        record.history.drain(..surplus);
+        record.stamp(stamp, &summary);
         record
     }
 
--- a/crates/configuration/src/head_record.rs
+++ b/crates/configuration/src/head_record.rs
@@ -57,6 +57,18 @@
         self.history.iter().find(|entry| entry.write_id == write_id)
     }
 
+    /// Makes a changed copy the next revision and remembers the change.
+    pub fn stamp(&mut self, stamp: &ChangeStamp, change: &str) {
+        self.revision += 1;
+        let entry = stamp.entry(self.revision, change);
+        self.changed_by.clone_from(&entry.changed_by);
+        self.changed_at_ms = stamp.changed_at_ms;
+        self.write_id.clone_from(&stamp.write_id);
+        self.history.push(entry);
+        let surplus = self.history.len().saturating_sub(Self::HISTORY_ENTRIES);
+        self.history.drain(..surplus);
+    }
+
     /// Everything that a change may touch, by kind and name.
     pub(crate) fn objects(&self) -> ObjectMap {
         let mut objects = self.declarations().objects();
--- a/crates/configuration/src/head_rules.rs
+++ b/crates/configuration/src/head_rules.rs
@@ -114,10 +114,13 @@
         let mut findings = Vec::new();
         if !next.presets.contains_key(&next.preset) {
             let names = next.presets.keys().map(String::as_str);
-            let expected = format!(
-                "a declared preset: {}",
-                names.collect::<Vec<_>>().join(", ")
-            );
+            let expected = match next.presets.is_empty() {
+                true => "a declared preset; apply a directory first, none is in force".into(),
+                false => format!(
+                    "a declared preset: {}",
+                    names.collect::<Vec<_>>().join(", ")
+                ),
+            };
             findings.push(RuleFinding::new("preset in force", &next.preset, &expected));
         }
         if let HeadChange::Drain(server) | HeadChange::Return(server) = change
--- a/crates/lab/src/head_operator.rs
+++ b/crates/lab/src/head_operator.rs
@@ -60,9 +60,12 @@
     }
 
     async fn offer(&self, condition: WriteCondition, mut head: HeadRecord) -> bool {
-        head.revision += 1;
-        head.changed_by = "bench".into();
-        head.write_id = uuid::Uuid::new_v4().to_string();
+        let stamp = ChangeStamp {
+            changed_by: "bench".into(),
+            changed_at_ms: 0,
+            write_id: uuid::Uuid::new_v4().to_string(),
+        };
+        head.stamp(&stamp, "changed by the bench");
         let path = ObjectPath::head();
         let outcome = self
             .client
