Admit by priority, caller and expected wait; follow what a server takes

Each server's queue serves priorities in order with every eighth start for the lowest that waits, callers of a priority in turn, and at most half a queue to one caller while others wait. A request whose expected answer lies beyond its deadline is refused at once with the time at which a slot is expected. A server that refuses work below its declared slots gets less until it answers again; the preset's share of slots applies. The slot of an abandoned request stays taken until the server can have noticed.

--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -6,6 +6,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Requests that may wait for one server, per slot.
 const QUEUE_PER_SLOT: usize = 16;
+/// Longest time that a request may be expected to wait for a slot.
+const QUEUE_WAIT: Duration = Duration::from_secs(1);
 /// When a caller may come back after no server could be reached.
 pub(crate) const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
 /// When a caller may come back after a failure that a repeat may mend.
@@ -63,7 +65,7 @@
 ) -> CallerAnswer {
     let mut unclear = false;
     for retry in 0.. {
-        let refused = match admit(node, request, deadline).await {
+        let refused = match admit(node, request, class, deadline).await {
             Err(notice) => notice,
             Ok(admission) => match exchange(node, request, class, admission, deadline).await {
                 Ok(answer @ CallerAnswer::Whole { .. }) => {
@@ -112,6 +114,7 @@
 pub(crate) async fn admit(
     node: &Arc<Node>,
     request: &CallerRequest,
+    class: &RequestClass,
     deadline: MonoTime,
 ) -> Result<SlotAdmission, RefusalNotice> {
     loop {
@@ -128,12 +131,14 @@
             TargetStep::Send(target) => target,
         };
         let server = target.session.name().clone();
-        let patience = deadline.since(now);
-        let slot = node
-            .slots
-            .acquire(&server, target.limit, patience)
-            .await
-            .map_err(|reason| RefusalNotice::try_again(reason, FAULT_RETRY))?;
+        let ask = SlotAsk {
+            server: &server,
+            limit: target.limit,
+            priority: class.priority,
+            caller: &request.caller,
+            deadline,
+        };
+        let slot = node.slots.acquire(ask).await?;
         if let Some(target) = refreshed(node, request, target, now) {
             return Ok(SlotAdmission { target, slot });
         }
@@ -205,12 +210,20 @@
         fence,
         not_after,
         limit: SlotLimit {
-            slots: declared.slots,
+            slots: usable_slots(head, declared),
             queue: declared.slots as usize * QUEUE_PER_SLOT,
+            wait: QUEUE_WAIT,
         },
     })
 }
 
+/// Slots of a server under the preset in force, at least 1.
+fn usable_slots(head: &HeadRecord, declared: &ServerDeclaration) -> u32 {
+    let preset = head.presets.get(&head.preset);
+    let percent = preset.and_then(|preset| preset.slot_percent).unwrap_or(100);
+    (declared.slots * percent.min(100) / 100).max(1)
+}
+
 /// Sends the request to its server and reads the whole answer; the slot is given back at the end.
 pub(crate) async fn exchange(
     node: &Arc<Node>,
@@ -219,7 +232,7 @@
     admission: SlotAdmission,
     deadline: MonoTime,
 ) -> Result<CallerAnswer, AttemptFault> {
-    let SlotAdmission { target, slot } = admission;
+    let SlotAdmission { target, mut slot } = admission;
     let remaining = deadline.since(node.clock.now());
     let order = ServerOrder {
         fence: target.fence,
@@ -227,7 +240,16 @@
         remaining,
         max_answer: class.max_answer_bytes as usize,
     };
+    slot.sent(&node.pool);
     let answer = target.session.run(request, order).await;
+    match &answer {
+        Ok(CallerAnswer::Whole { .. }) => slot.answered(),
+        Ok(CallerAnswer::Refusal(notice)) if notice.reason == RefusalReason::ServerRefused => {
+            slot.shed();
+        }
+        Err(AttemptFault::NotSent) => slot.unsent(),
+        Ok(CallerAnswer::Refusal(_)) | Err(_) => {}
+    }
     drop(slot);
     answer
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -82,7 +82,7 @@
             running_calls::RunningCalls,
             server_book::ServerBook,
             server_session::{ServerOrder, ServerSession},
-            slot_broker::{SlotBroker, SlotGuard},
+            slot_broker::{SlotAsk, SlotBroker, SlotGuard},
             *,
         },
         async_io::Timer,
--- a/crates/daemon/src/once_worker.rs
+++ b/crates/daemon/src/once_worker.rs
@@ -35,7 +35,7 @@
                 _ => true,
             }
         };
-        let admitted = leader_worker::admit(node, request, deadline);
+        let admitted = leader_worker::admit(node, request, class, deadline);
         let admission = match future::zip(noted, admitted).await {
             (_, Err(notice)) => return CallerAnswer::Refusal(notice),
             (true, Ok(admission)) if admission.is_under(lead.authority) => admission,
--- a/crates/requests/src/admission_table.rs
+++ b/crates/requests/src/admission_table.rs
@@ -1,14 +1,15 @@
 //! Admission of requests to the slots of servers.
 //!
 //! The leader of a part counts every request that it has sent to a server and not seen ended, so
-//! that a server never holds more than its slots.
+//! that a server never holds more than its slots. A request that would be answered after its deadline
+//! is refused at once, by the mean time that requests have run at the server.
 
 use crate::prelude::*;
 
 /// Slots and waiting requests of each server of a part.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionTable {
-    servers: IndexMap<ServerName, ServerQueue>,
+    servers: IndexMap<ServerName, ServerLoad>,
 }
 
 /// Requests that a server may hold at once and that may wait for it.
@@ -16,8 +17,10 @@
 pub struct SlotLimit {
     /// Requests running at once.
     pub slots: u32,
-    /// Requests waiting.
+    /// Requests of one priority and those before it that may wait.
     pub queue: usize,
+    /// Longest time that a request may be expected to wait.
+    pub wait: Duration,
 }
 
 /// What to do with a request.
@@ -27,55 +30,155 @@
     Start,
     /// Wait until the ticket is called.
     Wait,
-    /// Refuse it.
-    Refuse(RefusalReason),
+    /// Refuse it; a slot is expected to be free after `retry_after`.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When a repeat has a chance.
+        retry_after: Duration,
+    },
+}
+
+/// What to do with a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallStep {
+    /// Send it now; a slot is taken.
+    Start(u64),
+    /// Refuse it: its answer would come after its deadline.
+    Expire(u64),
+}
+
+/// How a request ended at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotEnd {
+    /// Answered after this time.
+    Answered(Duration),
+    /// Refused by the server.
+    Shed,
+    /// Neither.
+    Failed,
 }
 
 #[derive(Clone, Debug, Default)]
-struct ServerQueue {
+struct ServerLoad {
     running: u32,
-    waiting: VecDeque<u64>,
+    queue: ServerQueue,
+    shed: ShedLimit,
+    /// Mean time that requests run, in microseconds; 0 while none has been answered.
+    mean_us: u64,
 }
 
 impl AdmissionTable {
-    /// Asks for a slot for the request `ticket`.
-    pub fn admit(&mut self, server: &ServerName, ticket: u64, limit: SlotLimit) -> AdmissionStep {
-        let queue = self.servers.entry(server.clone()).or_default();
-        if queue.running < limit.slots && queue.waiting.is_empty() {
-            queue.running += 1;
+    /// Share of a queue that one caller may fill while others wait: one part in this many.
+    pub const CALLER_SHARE: usize = 2;
+    /// Shortest time after which a refused caller is told to come back.
+    const MIN_RETRY: Duration = Duration::from_millis(20);
+
+    /// Asks for a slot for a request.
+    pub fn admit(
+        &mut self,
+        server: &ServerName,
+        request: WaitingRequest,
+        limit: SlotLimit,
+        now: MonoTime,
+    ) -> AdmissionStep {
+        let load = self.load(server);
+        let slots = load.shed.of(limit.slots);
+        if load.running < slots && load.queue.is_empty() {
+            load.running += 1;
             return AdmissionStep::Start;
         }
-        if queue.waiting.len() >= limit.queue {
-            return AdmissionStep::Refuse(RefusalReason::Overloaded);
+        let ahead = load.queue.ahead_of(request.priority);
+        let wait = load.expected_wait(ahead, slots);
+        let refuse = |reason| AdmissionStep::Refuse {
+            reason,
+            retry_after: wait.max(Self::MIN_RETRY),
+        };
+        if now.after(wait + load.mean()) > request.deadline {
+            return refuse(RefusalReason::DeadlineBeforeSend);
+        }
+        if ahead >= limit.queue || wait > limit.wait {
+            return refuse(RefusalReason::Overloaded);
         }
-        queue.waiting.push_back(ticket);
+        let (own, callers) = load.queue.share_of(&request.caller, request.priority);
+        let others = callers > usize::from(own > 0);
+        if others && own >= (limit.queue / Self::CALLER_SHARE).max(1) {
+            return refuse(RefusalReason::CallerLimit);
+        }
+        load.queue.push(request);
         AdmissionStep::Wait
     }
 
-    /// Gives a slot back; returns the ticket that takes it over.
-    pub fn finish(&mut self, server: &ServerName, limit: SlotLimit) -> Option<u64> {
-        let queue = self.servers.get_mut(server)?;
-        queue.running = queue.running.saturating_sub(1);
-        if queue.running >= limit.slots {
+    /// Gives a slot back.
+    pub fn finish(&mut self, server: &ServerName, end: SlotEnd, limit: SlotLimit, now: MonoTime) {
+        let load = self.load(server);
+        match end {
+            SlotEnd::Answered(took) => {
+                load.shed.answered(limit.slots);
+                let took = took.as_micros() as u64;
+                load.mean_us = match load.mean_us {
+                    0 => took,
+                    mean => (mean * 7 + took) / 8,
+                };
+            }
+            SlotEnd::Shed => load.shed.refused(load.running, limit.slots, now),
+            SlotEnd::Failed => {}
+        }
+        load.running = load.running.saturating_sub(1);
+    }
+
+    /// Next waiting request to act on; asked until there is none.
+    pub fn call(
+        &mut self,
+        server: &ServerName,
+        limit: SlotLimit,
+        now: MonoTime,
+    ) -> Option<CallStep> {
+        let load = self.servers.get_mut(server)?;
+        if load.running >= load.shed.of(limit.slots) {
             return None;
         }
-        let ticket = queue.waiting.pop_front()?;
-        queue.running += 1;
-        Some(ticket)
+        let request = load.queue.pop()?;
+        if now.after(load.mean()) > request.deadline {
+            return Some(CallStep::Expire(request.ticket));
+        }
+        load.running += 1;
+        Some(CallStep::Start(request.ticket))
     }
 
-    /// Takes a waiting request out; false when it already holds a slot.
+    /// Takes a waiting request out; false when it does not wait.
     pub fn abandon(&mut self, server: &ServerName, ticket: u64) -> bool {
-        let Some(queue) = self.servers.get_mut(server) else {
-            return false;
-        };
-        let before = queue.waiting.len();
-        queue.waiting.retain(|waiting| *waiting != ticket);
-        queue.waiting.len() < before
+        let load = self.servers.get_mut(server);
+        load.is_some_and(|load| load.queue.remove(ticket))
     }
 
     /// Requests running at `server`.
     pub fn running(&self, server: &ServerName) -> u32 {
-        self.servers.get(server).map_or(0, |queue| queue.running)
+        self.servers.get(server).map_or(0, |load| load.running)
+    }
+
+    /// Requests that wait for `server`.
+    pub fn waiting(&self, server: &ServerName) -> usize {
+        let load = self.servers.get(server);
+        load.map_or(0, |load| load.queue.len())
+    }
+
+    fn load(&mut self, server: &ServerName) -> &mut ServerLoad {
+        if !self.servers.contains_key(server) {
+            self.servers.insert(server.clone(), ServerLoad::default());
+        }
+        &mut self.servers[server]
+    }
+}
+
+impl ServerLoad {
+    fn mean(&self) -> Duration {
+        Duration::from_micros(self.mean_us)
+    }
+
+    /// Expected time until a request behind `ahead` others gets a slot.
+    fn expected_wait(&self, ahead: usize, slots: u32) -> Duration {
+        let rounds = ahead as u64 + 1;
+        Duration::from_micros(self.mean_us * rounds / u64::from(slots.max(1)))
     }
 }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -11,9 +11,12 @@
 mod repeat_memory;
 mod retry_budget;
 mod run_outcome;
+mod server_queue;
+mod shed_limit;
+mod waiting_request;
 
 pub use {
-    admission_table::{AdmissionStep, AdmissionTable, SlotLimit},
+    admission_table::{AdmissionStep, AdmissionTable, CallStep, SlotEnd, SlotLimit},
     refusal_notice::RefusalNotice,
     refusal_reason::RefusalReason,
     repeat_bounds::RepeatBounds,
@@ -21,13 +24,16 @@
     repeat_memory::{RepeatMemory, RepeatQuery, RepeatStep},
     retry_budget::RetryBudget,
     run_outcome::RunOutcome,
+    server_queue::ServerQueue,
+    shed_limit::ShedLimit,
+    waiting_request::WaitingRequest,
 };
 
 /// Imports used throughout the crate.
 mod prelude {
     pub(crate) use {
-        crate::*,
-        geraniummast_model::ServerName,
+        crate::{waiting_request::LOWEST_PRIORITY, *},
+        geraniummast_model::{MonoTime, ServerName},
         indexmap::IndexMap,
         std::{
             collections::{BTreeMap, VecDeque},
