Spread by what is in flight, eject failing servers, replace silent connections

Shared services: the least running and waiting first, of equal ones the one that has run least lately; before, all ties and full servers went to the first. A repeatable request leaves a silent used connection after a bounded wait and goes on over a new one; connections not used for 2 s are closed.

--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -8,6 +8,10 @@
 const QUEUE_PER_SLOT: usize = 16;
 /// Longest time that a request may be expected to wait for a slot.
 const QUEUE_WAIT: Duration = Duration::from_secs(1);
+/// Shortest silence that counts against a connection.
+const SILENCE_BASE: Duration = Duration::from_millis(100);
+/// Mean runs of the server that are added to it.
+const SILENCE_RUNS: u32 = 8;
 /// When a caller may come back after no server could be reached.
 pub(crate) const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
 /// When a caller may come back after a failure that a repeat may mend.
@@ -181,13 +185,15 @@
     };
     let route = match declaration.kind {
         ServiceKind::Exclusive => part.route(request.hash, now),
-        ServiceKind::Shared => part.route_any(
-            head.active_servers(&request.service)
-                .into_iter()
-                .map(|server| &server.name),
-            |server| node.slots.running(server),
-            now,
-        ),
+        ServiceKind::Shared => {
+            let servers = head.active_servers(&request.service);
+            let running = |server: &ServerName| node.slots.running(server);
+            part.route_any(
+                node.servers.eligible(&servers, running, now),
+                |server| node.slots.pressure(server, now),
+                now,
+            )
+        }
     };
     let (server, fence, not_after) = match route {
         RouteDecision::Send {
@@ -217,6 +223,15 @@
     })
 }
 
+/// Longest silence on a connection that was used before, after which a repeatable request goes on
+/// over a new one.
+fn silence_bound(mean_run: Duration, remaining: Duration) -> Duration {
+    match mean_run.is_zero() {
+        true => remaining / 2,
+        false => (SILENCE_BASE + mean_run * SILENCE_RUNS).min(remaining / 2),
+    }
+}
+
 /// Slots of a server under the preset in force, at least 1.
 fn usable_slots(head: &HeadRecord, declared: &ServerDeclaration) -> u32 {
     let preset = head.presets.get(&head.preset);
@@ -234,7 +249,12 @@
 ) -> Result<CallerAnswer, AttemptFault> {
     let SlotAdmission { target, mut slot } = admission;
     let remaining = deadline.since(node.clock.now());
+    let name = target.session.name();
     let order = ServerOrder {
+        reused_patience: match class.repeatable {
+            true => silence_bound(node.slots.mean_run(name), remaining),
+            false => remaining,
+        },
         fence: target.fence,
         not_after: target.not_after,
         remaining,
@@ -242,6 +262,14 @@
     };
     slot.sent(&node.pool);
     let answer = target.session.run(request, order).await;
+    let answered = match &answer {
+        Ok(_) => Some(true),
+        Err(AttemptFault::Late) => None,
+        Err(_) => Some(false),
+    };
+    if let Some(answered) = answered {
+        node.servers.exchanged(name, answered, node.clock.now());
+    }
     match &answer {
         Ok(CallerAnswer::Whole { .. }) => slot.answered(),
         Ok(CallerAnswer::Refusal(notice)) if notice.reason == RefusalReason::ServerRefused => {
--- a/crates/daemon/src/notes_worker.rs
+++ b/crates/daemon/src/notes_worker.rs
@@ -57,6 +57,7 @@
             work.push(sync(&node, lead));
         }
         work.count().await;
+        node.servers.close_idle();
         Timer::after(SYNC_INTERVAL).await;
     }
 }
--- a/crates/daemon/src/server_book.rs
+++ b/crates/daemon/src/server_book.rs
@@ -6,6 +6,7 @@
 #[derive(Default)]
 pub(crate) struct ServerBook {
     sessions: Mutex<IndexMap<SocketAddr, Arc<ServerSession>>>,
+    health: Mutex<HealthTable>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
 }
 
@@ -20,6 +21,37 @@
             .clone()
     }
 
+    /// Names of those of `servers` that may be sent a request of a shared service.
+    pub(crate) fn eligible<'a>(
+        &self,
+        servers: &[&'a ServerDeclaration],
+        running: impl Fn(&ServerName) -> u32,
+        now: MonoTime,
+    ) -> Vec<&'a ServerName> {
+        let health = self.health.lock().unwrap();
+        health
+            .eligible(servers, |server| &server.name, running, now)
+            .into_iter()
+            .map(|server| &server.name)
+            .collect()
+    }
+
+    /// Notes whether an exchange with `server` brought an answer of its own.
+    pub(crate) fn exchanged(&self, server: &ServerName, answered: bool, now: MonoTime) {
+        let mut health = self.health.lock().unwrap();
+        match answered {
+            true => health.answered(server),
+            false => health.failed(server, now),
+        }
+    }
+
+    /// Closes connections that have not been used for a while.
+    pub(crate) fn close_idle(&self) {
+        for session in self.sessions.lock().unwrap().values() {
+            session.close_idle();
+        }
+    }
+
     /// Notes a request that was answered at its first attempt.
     pub(crate) fn succeeded(&self, service: &ServiceName) {
         let mut budgets = self.budgets.lock().unwrap();
--- a/crates/daemon/src/server_session.rs
+++ b/crates/daemon/src/server_session.rs
@@ -9,6 +9,8 @@
     pub(crate) not_after: MonoTime,
     /// Time left to the caller's deadline.
     pub(crate) remaining: Duration,
+    /// Longest silence on a connection that was used before.
+    pub(crate) reused_patience: Duration,
     /// Largest body of the answer, in bytes.
     pub(crate) max_answer: usize,
 }
@@ -52,10 +54,12 @@
         order: ServerOrder,
     ) -> Result<CallerAnswer, AttemptFault> {
         let message = self.message(request, &order)?;
-        let answer = self
-            .http
-            .exchange_bounded(message, order.remaining, order.max_answer)
-            .await;
+        let bounds = ExchangeBounds {
+            timeout: order.remaining,
+            reused_timeout: order.reused_patience,
+            max_answer: order.max_answer,
+        };
+        let answer = self.http.exchange_bounded(message, bounds).await;
         match answer {
             Ok(response) => self.answer_of(request, response),
             Err(ExchangeError::NotSent(cause)) => {
@@ -158,6 +162,12 @@
             .map_or(Self::REFUSED_RETRY, Duration::from_secs)
     }
 
+    /// Closes connections that have not been used for a while.
+    pub(crate) fn close_idle(&self) {
+        self.http.close_idle();
+        self.control.close_idle();
+    }
+
     /// Sends a grant.
     pub(crate) async fn grant(&self, order: &GrantOrder) -> Result<GrantReplyWire, ExchangeError> {
         let body = serde_json::to_vec(&GrantWire::from(order)).unwrap_or_default();
--- a/crates/daemon/src/slot_broker.rs
+++ b/crates/daemon/src/slot_broker.rs
@@ -112,6 +112,16 @@
         self.table.lock().unwrap().running(server)
     }
 
+    /// Order of servers that may all answer a request, the least loaded first.
+    pub(crate) fn pressure(&self, server: &ServerName, now: MonoTime) -> u32 {
+        self.table.lock().unwrap().pressure(server, now)
+    }
+
+    /// Mean time that requests run at `server`.
+    pub(crate) fn mean_run(&self, server: &ServerName) -> Duration {
+        self.table.lock().unwrap().mean_run(server)
+    }
+
     /// Gives a slot back and calls the tickets whose turn has come; one that is being given up gives
     /// its slot back itself.
     fn finish(&self, server: &ServerName, end: SlotEnd, limit: SlotLimit) {
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -4,20 +4,42 @@
 //! was abandoned is closed.
 
 use crate::prelude::*;
+use std::time::Instant;
 
 /// Client of one address.
 pub struct HttpClient {
     pool: Arc<WorkerPool>,
     dialer: Dialer,
     address: SocketAddr,
-    idle: Mutex<Vec<HttpConnection>>,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+/// A connection that waits to be used again.
+struct IdleConnection {
+    connection: HttpConnection,
+    since: Instant,
+}
+
+/// Bounds of one exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct ExchangeBounds {
+    /// Time until the whole answer has been read.
+    pub timeout: Duration,
+    /// The same on a connection that was used before, which may have gone silent.
+    pub reused_timeout: Duration,
+    /// Largest body of the answer, in bytes.
+    pub max_answer: usize,
 }
 
 impl HttpClient {
     /// Largest answer read, in bytes.
     pub const MAX_ANSWER_BYTES: usize = 4 << 20;
     /// Idle connections kept.
-    const MAX_IDLE: usize = 4;
+    const MAX_IDLE: usize = 16;
+    /// Time after which a connection that is not used is closed.
+    const IDLE_TIME: Duration = Duration::from_secs(2);
+    /// Longest time that a new connection may take.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
     /// Client of `address`.
     pub fn new(pool: Arc<WorkerPool>, dialer: Dialer, address: SocketAddr) -> Self {
@@ -40,32 +62,48 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        self.exchange_bounded(request, timeout, Self::MAX_ANSWER_BYTES)
-            .await
+        let bounds = ExchangeBounds {
+            timeout,
+            reused_timeout: timeout,
+            max_answer: Self::MAX_ANSWER_BYTES,
+        };
+        self.exchange_bounded(request, bounds).await
     }
 
-    /// Sends a request and reads the whole answer, of at most `max_answer` bytes of body.
+    /// Sends a request and reads the whole answer within `bounds`.
     ///
-    /// The connection of an exchange that fails or is dropped is closed and not used again.
+    /// The connection of an exchange that fails or is dropped is closed and not used again; after a
+    /// silent one, so are the idle ones, which may have been lost together with it.
     pub async fn exchange_bounded(
         &self,
         request: Request<Full<Bytes>>,
-        timeout: Duration,
-        max_answer: usize,
+        bounds: ExchangeBounds,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let late_at = std::time::Instant::now() + timeout;
+        let started = Instant::now();
+        let reused = self.take_idle();
+        let patience = match reused {
+            Some(_) => bounds.reused_timeout.min(bounds.timeout),
+            None => bounds.timeout,
+        };
+        let late_at = started + patience;
         let late = async {
             async_io::Timer::at(late_at).await;
             None
         };
-        let mut connection = match self.take_idle() {
+        let mut connection = match reused {
             Some(connection) => connection,
-            None => HttpConnection::open(&self.pool, &self.dialer, self.address, timeout).await?,
+            None => {
+                let timeout = patience.min(Self::CONNECT_TIMEOUT);
+                HttpConnection::open(&self.pool, &self.dialer, self.address, timeout).await?
+            }
         };
-        let exchange = async { Some(connection.exchange(request, max_answer).await) };
+        let exchange = async { Some(connection.exchange(request, bounds.max_answer).await) };
         let response = match future::or(exchange, late).await {
             Some(response) => response?,
-            None => return Err(ExchangeError::TimedOut),
+            None => {
+                self.idle.lock().unwrap().clear();
+                return Err(ExchangeError::TimedOut);
+            }
         };
         self.keep(connection);
         Ok(response)
@@ -73,13 +111,30 @@
 
     fn take_idle(&self) -> Option<HttpConnection> {
         let mut idle = self.idle.lock().unwrap();
-        std::iter::from_fn(|| idle.pop()).find(HttpConnection::is_open)
+        std::iter::from_fn(|| idle.pop())
+            .find(IdleConnection::is_usable)
+            .map(|idle| idle.connection)
+    }
+
+    /// Closes connections that have not been used for a while.
+    pub fn close_idle(&self) {
+        let mut idle = self.idle.lock().unwrap();
+        idle.retain(IdleConnection::is_usable);
     }
 
     fn keep(&self, connection: HttpConnection) {
         let mut idle = self.idle.lock().unwrap();
         if connection.is_open() && idle.len() < Self::MAX_IDLE {
-            idle.push(connection);
+            idle.push(IdleConnection {
+                connection,
+                since: Instant::now(),
+            });
         }
     }
 }
+
+impl IdleConnection {
+    fn is_usable(&self) -> bool {
+        self.connection.is_open() && self.since.elapsed() < HttpClient::IDLE_TIME
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,7 +14,7 @@
 pub use {
     dialer::{Connecting, Dialer},
     exchange_error::ExchangeError,
-    http_client::HttpClient,
+    http_client::{ExchangeBounds, HttpClient},
     http_connection::HttpConnection,
     http_listener::{HttpLimits, HttpListener},
     open_connections::{ConnectionGuard, OpenConnections},
--- /dev/null
+++ b/crates/net/tests/silent_connection.rs
@@ -0,0 +1,67 @@
+//! A connection that has gone silent while its server serves on.
+
+use {
+    bytes::Bytes,
+    geraniummast_net::{Dialer, ExchangeBounds, ExchangeError, HttpClient, WorkerPool},
+    http::Request,
+    http_body_util::Full,
+    std::{
+        io::{Read, Write},
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+        time::Duration,
+    },
+};
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+fn request() -> Request<Full<Bytes>> {
+    let request = Request::builder().uri("/").header("host", "server");
+    request.body(Full::default()).unwrap()
+}
+
+#[test]
+fn a_silent_connection_is_closed_and_the_next_exchange_opens_another() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closed, closings) = mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut first, _) = listener.accept().unwrap();
+        assert!(read_head(&mut first));
+        first.write_all(ANSWER).unwrap();
+        assert!(read_head(&mut first));
+        let (mut second, _) = listener.accept().unwrap();
+        assert!(read_head(&mut second));
+        second.write_all(ANSWER).unwrap();
+        closed.send(!read_head(&mut first)).unwrap();
+    });
+    let pool = WorkerPool::start("client", 1).unwrap();
+    let client = HttpClient::new(pool.clone(), Dialer::direct(), address);
+    let bounds = ExchangeBounds {
+        timeout: Duration::from_secs(60),
+        reused_timeout: Duration::from_millis(20),
+        max_answer: 16,
+    };
+    futures_lite::future::block_on(async {
+        let first = client.exchange_bounded(request(), bounds).await.unwrap();
+        assert_eq!(first.body(), "ok");
+        let silent = client.exchange_bounded(request(), bounds).await;
+        assert!(matches!(silent, Err(ExchangeError::TimedOut)), "{silent:?}");
+        let again = client.exchange_bounded(request(), bounds).await.unwrap();
+        assert_eq!(again.body(), "ok");
+        assert_eq!(closings.recv_timeout(Duration::from_secs(60)), Ok(true));
+    });
+    pool.stop();
+}
--- a/crates/requests/src/admission_table.rs
+++ b/crates/requests/src/admission_table.rs
@@ -66,6 +66,9 @@
     shed: ShedLimit,
     /// Mean time that requests run, in microseconds; 0 while none has been answered.
     mean_us: u64,
+    /// Time that requests ran lately, halved with each [`ServerLoad::HALF_LIFE`].
+    recent_us: u64,
+    recent_at: MonoTime,
 }
 
 impl AdmissionTable {
@@ -116,6 +119,8 @@
             SlotEnd::Answered(took) => {
                 load.shed.answered(limit.slots);
                 let took = took.as_micros() as u64;
+                load.recent_us = load.recent(now) + took;
+                load.recent_at = now;
                 load.mean_us = match load.mean_us {
                     0 => took,
                     mean => (mean * 7 + took) / 8,
@@ -163,6 +168,23 @@
         load.map_or(0, |load| load.queue.len())
     }
 
+    /// Mean time that requests run at `server`; zero while none has been answered.
+    pub fn mean_run(&self, server: &ServerName) -> Duration {
+        let load = self.servers.get(server);
+        load.map_or(Duration::ZERO, ServerLoad::mean)
+    }
+
+    /// Order of servers that may all answer a request: the least running and waiting first, of equal
+    /// ones the one that has run least lately.
+    pub fn pressure(&self, server: &ServerName, now: MonoTime) -> u32 {
+        let Some(load) = self.servers.get(server) else {
+            return 0;
+        };
+        let held = (load.running as usize + load.queue.len()).min(0xff) as u32;
+        let recent = (load.recent(now) >> 2).min(0xff_ffff) as u32;
+        held << 24 | recent
+    }
+
     fn load(&mut self, server: &ServerName) -> &mut ServerLoad {
         if !self.servers.contains_key(server) {
             self.servers.insert(server.clone(), ServerLoad::default());
@@ -172,6 +194,15 @@
 }
 
 impl ServerLoad {
+    /// Time in which the weight of what ran before halves.
+    const HALF_LIFE: Duration = Duration::from_millis(500);
+
+    fn recent(&self, now: MonoTime) -> u64 {
+        let elapsed = now.since(self.recent_at).as_micros() as f64;
+        let halvings = elapsed / Self::HALF_LIFE.as_micros() as f64;
+        (self.recent_us as f64 * (-halvings).exp2()) as u64
+    }
+
     fn mean(&self) -> Duration {
         Duration::from_micros(self.mean_us)
     }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -4,6 +4,7 @@
 //! numbers are used here.
 
 mod admission_table;
+mod health_table;
 mod refusal_notice;
 mod refusal_reason;
 mod repeat_bounds;
@@ -17,6 +18,7 @@
 
 pub use {
     admission_table::{AdmissionStep, AdmissionTable, CallStep, SlotEnd, SlotLimit},
+    health_table::{HealthState, HealthTable},
     refusal_notice::RefusalNotice,
     refusal_reason::RefusalReason,
     repeat_bounds::RepeatBounds,
--- a/crates/requests/tests/admission.rs
+++ b/crates/requests/tests/admission.rs
@@ -143,6 +143,41 @@
     assert!(refused(steps.last().unwrap()));
 }
 
+#[test]
+fn requests_that_any_server_may_answer_spread_evenly() {
+    for seed in 0..20 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut table = AdmissionTable::default();
+        let names: Vec<_> = (0..10)
+            .map(|index| ServerName::new(&format!("archives-{index}")))
+            .collect();
+        let mut busy: HashMap<&ServerName, u64> = HashMap::new();
+        let mut ends: Vec<(u64, &ServerName, u64)> = Vec::new();
+        for step in 0..4_000_u64 {
+            let now = step * 1_000;
+            ends.retain(|(end, server, took)| {
+                let over = *end <= now;
+                if over {
+                    let took = SlotEnd::Answered(Duration::from_micros(*took));
+                    table.finish(server, took, LIMIT, MonoTime(now));
+                }
+                !over
+            });
+            let least = |name: &&ServerName| table.pressure(name, MonoTime(now));
+            let server = names.iter().min_by_key(least).unwrap();
+            if table.admit(server, request(step, 1, ""), LIMIT, MonoTime(now))
+                == AdmissionStep::Start
+            {
+                let took = random.random_range(5_000..35_000);
+                ends.push((now + took, server, took));
+                *busy.entry(server).or_default() += took;
+            }
+        }
+        let (most, sum) = (busy.values().max().unwrap(), busy.values().sum::<u64>());
+        assert!(most * 10 * 100 <= sum * 110, "seed {seed}: {busy:?}");
+    }
+}
+
 #[test]
 fn low_priorities_take_no_place_from_high_ones() {
     let mut table = AdmissionTable::default();
