--- a/crates/daemon/src/dump_builder.rs
+++ b/crates/daemon/src/dump_builder.rs
@@ -197,7 +197,7 @@
             }
             .into(),
             running: node.slots.running(&server.name),
-            queued: 0,
+            queued: node.slots.waiting(&server.name),
             slots: server.slots,
             reported_busy: None,
         })
--- a/crates/daemon/src/feed_state.rs
+++ b/crates/daemon/src/feed_state.rs
@@ -1,6 +1,6 @@
 //! What an instance knows of the store's objects, and when it last heard.
 
-use crate::prelude::*;
+use crate::{feed_worker::FeedPosition, prelude::*};
 use event_listener::Event;
 
 /// Cache of objects with its listeners.
@@ -11,6 +11,8 @@
     heard: Mutex<HeardTimes>,
     silent: Mutex<IndexMap<String, MonoTime>>,
     revisions: Mutex<IndexMap<String, u64>>,
+    /// Place in the tree, as last worked out.
+    pub(crate) position: Mutex<Option<FeedPosition>>,
     started: AtomicBool,
     pub(crate) hints: Arc<FeedHints>,
     pub(crate) bytes_in: AtomicU64,
@@ -48,6 +50,7 @@
             }),
             silent: Mutex::default(),
             revisions: Mutex::default(),
+            position: Mutex::default(),
             started: AtomicBool::new(false),
             hints: Arc::default(),
             bytes_in: AtomicU64::new(0),
--- a/crates/daemon/src/feed_worker.rs
+++ b/crates/daemon/src/feed_worker.rs
@@ -16,6 +16,22 @@
 /// Parents asked at once for one hint.
 const MAX_HINTED_PULLS: usize = 4;
 
+/// Where an instance stands in the tree.
+#[derive(Clone, Debug)]
+pub(crate) struct FeedPosition {
+    basis: PositionBasis,
+    watches: bool,
+    is_first: bool,
+    parents: Vec<FeedParent>,
+}
+
+/// What a place was worked out from.
+#[derive(Clone, Debug, PartialEq)]
+struct PositionBasis {
+    mark: CacheMark,
+    silent: Vec<String>,
+}
+
 /// A peer to pull from.
 #[derive(Clone, Debug)]
 struct FeedParent {
@@ -34,7 +50,7 @@
 pub(crate) async fn run(node: Arc<Node>) {
     let mut hinted = 0;
     loop {
-        let (_, parents) = place(&node);
+        let parents = place(&node).parents;
         let Some(parent) = parents.get(hinted % parents.len().max(1)) else {
             Timer::after(IDLE_PAUSE).await;
             continue;
@@ -62,45 +78,56 @@
     }
 }
 
-/// Whether this instance watches the store, and its parents in order.
-fn place(node: &Node) -> (bool, Vec<FeedParent>) {
+/// This instance's place, worked out anew only when an instance came, went or fell silent.
+fn place(node: &Node) -> FeedPosition {
     let silent = node.feed.silent_peers(node.clock.now());
+    let basis = PositionBasis {
+        mark: node.feed.mark(),
+        silent,
+    };
+    let mut known = node.feed.position.lock().unwrap();
+    match &*known {
+        Some(position) if position.basis == basis => position.clone(),
+        _ => known.insert(work_out(node, basis)).clone(),
+    }
+}
+
+fn work_out(node: &Node, basis: PositionBasis) -> FeedPosition {
     let instances = node.tables.instances.lock().unwrap();
     let known = instances
         .values()
-        .filter(|record| record.id.name == node.id.name || !silent.contains(&record.id.name));
+        .filter(|record| record.id.name == node.id.name || !basis.silent.contains(&record.id.name));
     let ranked = RendezvousRank::order("change-feed", known, |record| &record.id.name);
     let rank = ranked.iter().position(|record| record.id == node.id);
     let Some(rank) = rank else {
         let others = ranked.iter().take(FeedPlace::WATCHERS);
-        return (
-            true,
-            others.map(|record| FeedParent::from(*record)).collect(),
-        );
+        return FeedPosition {
+            basis,
+            watches: true,
+            is_first: false,
+            parents: others.map(|record| FeedParent::from(*record)).collect(),
+        };
     };
     let place = FeedPlace::at(rank, ranked.len());
-    let parents = place
-        .parents
-        .iter()
-        .map(|parent| FeedParent::from(ranked[*parent]));
-    (place.watches, parents.collect())
+    let parents = place.parents.iter();
+    FeedPosition {
+        basis,
+        watches: place.watches,
+        is_first: rank == 0,
+        parents: parents
+            .map(|parent| FeedParent::from(ranked[*parent]))
+            .collect(),
+    }
 }
 
 /// Whether this instance watches the store by its place.
 pub(crate) fn is_watcher(node: &Node) -> bool {
-    place(node).0
+    place(node).watches
 }
 
-/// Whether this instance watches the store and is the first to do so.
+/// Whether this instance is the first to watch the store.
 pub(crate) fn is_first_watcher(node: &Node) -> bool {
-    let silent = node.feed.silent_peers(node.clock.now());
-    let instances = node.tables.instances.lock().unwrap();
-    let known = instances
-        .values()
-        .filter(|record| !silent.contains(&record.id.name));
-    RendezvousRank::order("change-feed", known, |record| &record.id.name)
-        .first()
-        .is_some_and(|first| first.id == node.id)
+    place(node).is_first
 }
 
 async fn pull(node: &Node, parent: &FeedParent, wait: Duration) -> PullStep {
--- a/crates/daemon/src/slot_broker.rs
+++ b/crates/daemon/src/slot_broker.rs
@@ -112,6 +112,11 @@
         self.table.lock().unwrap().running(server)
     }
 
+    /// Requests waiting for `server`.
+    pub(crate) fn waiting(&self, server: &ServerName) -> usize {
+        self.table.lock().unwrap().waiting(server)
+    }
+
     /// Order of servers that may all answer a request, the least loaded first.
     pub(crate) fn pressure(&self, server: &ServerName, now: MonoTime) -> u32 {
         self.table.lock().unwrap().pressure(server, now)
