--- a/crates/lab/src/lab_arguments.rs
+++ b/crates/lab/src/lab_arguments.rs
@@ -22,6 +22,8 @@
         seed: u64,
         /// Print one JSON object on one line.
         json: bool,
+        /// Log what broke a promise.
+        verbose: bool,
     },
 }
 
@@ -43,6 +45,7 @@
 
 Options:
   --seed N    seed of the load, 1 by default
+  --verbose   log each broken promise to the standard error output
   --json      print one JSON object on one line for each scenario
   -h, --help  print this text
 
@@ -61,7 +64,8 @@
     /// Reads arguments.
     pub(crate) fn parse(mut parser: lexopt::Parser) -> Result<Self, lexopt::Error> {
         let (mut verb, mut scenario, mut seed) = (None, None, 1);
-        let (mut stay, mut all, mut list, mut json) = (false, false, false, false);
+        let (mut stay, mut all, mut list) = (false, false, false);
+        let (mut json, mut verbose) = (false, false);
         while let Some(argument) = parser.next()? {
             match argument {
                 Short('h') | Long("help") => return Ok(Self::Help),
@@ -69,6 +73,7 @@
                 Long("all") => all = true,
                 Long("list") => list = true,
                 Long("json") => json = true,
+                Long("verbose") => verbose = true,
                 Long("seed") => seed = parser.value()?.parse()?,
                 Value(text) if verb.is_none() => verb = Some(text.string()?),
                 Value(text) if scenario.is_none() => scenario = Some(text.string()?),
@@ -83,6 +88,7 @@
                 scenario,
                 seed,
                 json,
+                verbose,
             }),
             (Some("measure"), _) => Err("measure needs a scenario, --all or --list".into()),
             (Some(verb), _) => Err(format!("unknown command `{verb}`").into()),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -116,7 +116,14 @@
             scenario,
             seed,
             json,
-        }) => measure_command::measure(scenario.as_deref(), seed, json),
+            verbose,
+        }) => {
+            if verbose {
+                logforth::starter_log::stderr().apply();
+                log::set_max_level(log::LevelFilter::Error);
+            }
+            measure_command::measure(scenario.as_deref(), seed, json)
+        }
         Err(error) => {
             eprintln!("{error}; `geraniummast-lab --help` shows how to use it");
             std::process::ExitCode::from(2)
