--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -4,6 +4,7 @@
 //! numbers are used here.
 
 mod admission_table;
+mod health_table;
 mod refusal_notice;
 mod refusal_reason;
 mod repeat_bounds;
@@ -11,9 +12,13 @@
 mod repeat_memory;
 mod retry_budget;
 mod run_outcome;
+mod server_queue;
+mod shed_limit;
+mod waiting_request;
 
 pub use {
-    admission_table::{AdmissionStep, AdmissionTable, SlotLimit},
+    admission_table::{AdmissionStep, AdmissionTable, CallStep, SlotEnd, SlotLimit},
+    health_table::{HealthState, HealthTable},
     refusal_notice::RefusalNotice,
     refusal_reason::RefusalReason,
     repeat_bounds::RepeatBounds,
@@ -21,13 +26,16 @@
     repeat_memory::{RepeatMemory, RepeatQuery, RepeatStep},
     retry_budget::RetryBudget,
     run_outcome::RunOutcome,
+    server_queue::ServerQueue,
+    shed_limit::ShedLimit,
+    waiting_request::WaitingRequest,
 };
 
 /// Imports used throughout the crate.
 mod prelude {
     pub(crate) use {
-        crate::*,
-        geraniummast_model::ServerName,
+        crate::{waiting_request::LOWEST_PRIORITY, *},
+        geraniummast_model::{MonoTime, ServerName},
         indexmap::IndexMap,
         std::{
             collections::{BTreeMap, VecDeque},
