Count a forwarded request as in flight until its reply is written; check spans against intervals

Cause: a stop ended once no request was counted, and a reply to a peer was counted out before it was written; it could have been cut (found by reading, not seen to fail). Now the count is held by the reply's frame. Tests: an instance stopped during a filing, as its leader, as another's leader and as its entry; the daemon's exit codes and both signals as a process.

--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -1,6 +1,6 @@
 //! Serving of other instances' calls.
 
-use crate::prelude::*;
+use crate::{instance_node::FlightGuard, prelude::*};
 use async_net::{TcpListener, TcpStream};
 use futures_lite::StreamExt;
 use futures_util::SinkExt;
@@ -15,6 +15,12 @@
 /// Connection of a peer.
 type PeerStream = Framed<Compat<TcpStream>, tokio_util::codec::LengthDelimitedCodec>;
 
+/// A reply, counted as in flight until it is written.
+struct CountedReply {
+    frame: PeerFrame,
+    _flight: Option<FlightGuard>,
+}
+
 /// Accepts peers until the pool stops.
 pub(crate) async fn run(node: Arc<Node>, listener: TcpListener) {
     loop {
@@ -45,11 +51,11 @@
         return Err(error);
     }
     let (mut sink, mut stream) = futures_util::StreamExt::split(framed);
-    let (replies, to_send) = async_channel::bounded::<PeerFrame>(MAX_WAITING_REPLIES);
+    let (replies, to_send) = async_channel::bounded::<CountedReply>(MAX_WAITING_REPLIES);
     let running = RunningCalls::default();
     let write = async {
-        while let Ok(frame) = to_send.recv().await {
-            let frame = frame.knowing(node.feed.hints.own());
+        while let Ok(reply) = to_send.recv().await {
+            let frame = reply.frame.knowing(node.feed.hints.own());
             sink.send(frame.encoded()).await?;
         }
         Ok(())
@@ -72,10 +78,15 @@
             let node = node.clone();
             let replies = replies.clone();
             let guard = running.begin(call);
+            let flight = matches!(body, PeerBody::Forward(_)).then(|| node.count_in_flight());
             node.pool.clone().spawn(async move {
                 let reply = async { answer(&node, body).await };
                 if let Some(reply) = future::or(reply, guard.cancelled()).await {
-                    let _ = replies.send(PeerFrame::new(call, reply)).await;
+                    let reply = CountedReply {
+                        frame: PeerFrame::new(call, reply),
+                        _flight: flight,
+                    };
+                    let _ = replies.send(reply).await;
                 }
             });
         }
@@ -130,7 +141,6 @@
 }
 
 async fn run_forwarded(node: &Arc<Node>, wire: ForwardWire) -> ForwardReplyWire {
-    let _counted = node.count_in_flight();
     let deadline = node
         .clock
         .now()
--- /dev/null
+++ b/crates/daemon/tests/process.rs
@@ -0,0 +1,61 @@
+//! The daemon as a process: exit codes and signals.
+
+use std::{
+    io::{BufRead, BufReader},
+    process::{Child, Command, Stdio},
+};
+
+fn daemon(flags: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_geraniummastd"));
+    command
+        .args(flags)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    command
+}
+
+const WHOLE: [&str; 8] = [
+    "--name=a1",
+    "--data-centre=dc1",
+    "--caller-address=127.0.0.1:0",
+    "--peer-address=127.0.0.1:0",
+    "--operator-address=127.0.0.1:0",
+    "--store-address=127.0.0.1:9",
+    "--peer-secret=0123456789abcdef",
+    "--operator-token=0123456789abcdef",
+];
+
+fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    let sent = Command::new("kill").args(["-s", name, &pid]).status();
+    assert!(sent.unwrap().success());
+}
+
+#[test]
+fn three_faulty_settings_give_three_findings_and_exit_code_2() {
+    let faulty = [
+        "--worker-threads=0",
+        "--max-headers=many",
+        "--log-level=loud",
+    ];
+    let output = daemon(&[&WHOLE[..], &faulty].concat()).output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for place in ["--worker-threads:", "--max-headers:", "--log-level:"] {
+        assert_eq!(text.matches(place).count(), 1, "{text}");
+    }
+    assert!(!text.contains("started"), "{text}");
+}
+
+#[test]
+fn either_signal_stops_an_idle_daemon_with_exit_code_0() {
+    for name in ["TERM", "INT"] {
+        let mut child = daemon(&WHOLE).spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let started = lines.any(|line| line.unwrap().contains("started"));
+        assert!(started, "the daemon ended before it started");
+        signal(&child, name);
+        lines.for_each(drop);
+        assert_eq!(child.wait().unwrap().code(), Some(0), "SIG{name}");
+    }
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -98,4 +98,16 @@
     };
     assert_eq!(faults.len(), 1);
     assert_eq!(faults[0].place, "--max-frame-bytes");
+    let SettingRequest::Refuse(faults) = with_whole(&["--heartbeat-ms=150", "--grant-ms=100"])
+    else {
+        panic!("two calls must fit into a span");
+    };
+    let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        faults,
+        [
+            "--suspicion-ms: value '250', expected milliseconds, at least 2 times heartbeat-ms",
+            "--grant-ms: value '100', expected milliseconds, at least 2 times grant-renewal-ms",
+        ]
+    );
 }
--- /dev/null
+++ b/crates/lab/tests/graceful_stop.rs
@@ -0,0 +1,97 @@
+//! A planned stop cuts nothing that is in flight.
+
+use {
+    async_io::Timer,
+    bytes::Bytes,
+    futures_lite::future::{block_on, zip},
+    geraniummast_lab::{BenchPlan, InstanceBench, ServerBehaviour},
+    geraniummast_net::{Dialer, HttpClient, SteadyClock, WorkerPool},
+    http::{Method, Request},
+    http_body_util::Full,
+    serde_json::Value,
+    std::time::Duration,
+};
+
+/// Longest time that any test waits for an outcome.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+async fn start() -> InstanceBench {
+    let behaviour = ServerBehaviour {
+        run_time: Duration::from_millis(300),
+        ..ServerBehaviour::default()
+    };
+    let plan = BenchPlan {
+        behaviour,
+        ..BenchPlan::default()
+    };
+    InstanceBench::start(&plan).await.unwrap()
+}
+
+/// Number of the instance that leads the only part.
+async fn leader(bench: &InstanceBench) -> usize {
+    let pool = WorkerPool::start("test", 1).unwrap();
+    let mut leaders = Vec::new();
+    for (number, instance) in bench.instances.iter().enumerate() {
+        let address = instance.operator_address();
+        let client = HttpClient::new(pool.clone(), Dialer::direct(), address);
+        let request = Request::get("/dump").header("host", "test");
+        let request = request.body(Full::default()).unwrap();
+        let response = client.exchange(request, PATIENCE).await.unwrap();
+        let dump: Value = serde_json::from_slice(response.body()).unwrap();
+        if dump["parts"][0]["led_here"] == true {
+            leaders.push(number);
+        }
+    }
+    pool.stop();
+    assert_eq!(leaders.len(), 1);
+    leaders[0]
+}
+
+/// Stops `stopped` while a filing that came in at `entry` runs.
+async fn stop_during_filing(bench: &InstanceBench, entry: usize, stopped: usize) {
+    let before = bench.ledger.runs().len();
+    let body = Bytes::from_static(b"weld 7 passed");
+    let filing = bench.send(entry, Method::POST, "/reports/weld-7/file", body);
+    let stop = async {
+        let deadline = SteadyClock.now().after(PATIENCE);
+        while bench.ledger.runs().len() == before {
+            assert!(SteadyClock.now() < deadline, "the filing does not run");
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        bench.instances[stopped].stop().await
+    };
+    let (answer, whole) = zip(filing, stop).await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    assert_eq!(answer.headers()["geraniummast-ran"], "yes");
+    assert!(answer.body().ends_with(b": 13 bytes\n"), "{answer:?}");
+    assert!(whole);
+    assert_eq!(bench.ledger.runs().len(), before + 1);
+}
+
+#[test]
+fn a_leader_answers_its_own_callers_before_it_ends() {
+    block_on(async {
+        let bench = start().await;
+        let leader = leader(&bench).await;
+        stop_during_filing(&bench, leader, leader).await;
+    });
+}
+
+#[test]
+fn a_leader_answers_requests_of_other_instances_before_it_ends() {
+    block_on(async {
+        let bench = start().await;
+        let leader = leader(&bench).await;
+        stop_during_filing(&bench, 1 - leader, leader).await;
+    });
+}
+
+#[test]
+fn an_entry_passes_the_answer_on_before_it_ends() {
+    block_on(async {
+        let bench = start().await;
+        let entry = 1 - leader(&bench).await;
+        stop_during_filing(&bench, entry, entry).await;
+    });
+}
