--- a/crates/cli/src/instance_drain.rs
+++ b/crates/cli/src/instance_drain.rs
@@ -1,7 +1,7 @@
 //! Drains of servers and of instances.
 
 use crate::{
-    head_verbs,
+    head_change_run,
     instance_client::{CallFault, ask_all, text_at},
     prelude::*,
 };
@@ -9,11 +9,11 @@
 /// Drains a declared server through the head, else the instance of that name.
 pub(crate) async fn drain(session: &CliSession<'_>, name: &str) -> Result<VerbReport, VerbReport> {
     let server = ServerName::new(name);
-    let head = head_verbs::find(&session.heads()?).await?.head;
+    let head = head_change_run::find(&session.heads()?).await?.head;
     let is_server = head.declarations().server(&server).is_some();
     match (is_server, session.settings.undo) {
-        (true, false) => head_verbs::change(session, &HeadChange::Drain(server)).await,
-        (true, true) => head_verbs::change(session, &HeadChange::Return(server)).await,
+        (true, false) => head_change_run::change(session, &HeadChange::Drain(server)).await,
+        (true, true) => head_change_run::change(session, &HeadChange::Return(server)).await,
         (false, false) => drain_instance(session, name).await,
         (false, true) => Err(refused(
             "only a declared server's drain can be undone; a drained instance is replaced",
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 mod declaration_folder;
 mod exit_status;
 mod explain_view;
+mod head_change_run;
 mod head_store;
 mod head_verbs;
 mod help_text;
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -15,6 +15,7 @@
 mod head_plan;
 mod head_record;
 mod head_rules;
+mod list_reader;
 mod place_declaration;
 mod preset_declaration;
 mod request_class;
--- a/crates/configuration/src/table_reader.rs
+++ b/crates/configuration/src/table_reader.rs
@@ -111,75 +111,6 @@
         }
     }
 
-    /// List of texts, empty when absent.
-    pub(crate) fn texts(&mut self, log: &mut FindingLog, name: &'static str) -> Vec<String> {
-        let mut texts = Vec::new();
-        for (path, place, value) in self.items(log, name, "a list of texts") {
-            match value {
-                DeValue::String(text) => {
-                    log.note(&format!("{}[{}]", self.field(name), texts.len()), place);
-                    texts.push(text.to_string());
-                }
-                _ => log.report(place, RuleFinding::new(&path, log.excerpt(place), "text")),
-            }
-        }
-        texts
-    }
-
-    /// List of tables, empty when absent.
-    pub(crate) fn tables(&mut self, log: &mut FindingLog, name: &'static str) -> Vec<Self> {
-        let mut tables = Vec::new();
-        for (path, place, value) in self.items(log, name, "a list of tables") {
-            match value {
-                DeValue::Table(table) => {
-                    let path = format!("{}[{}]", self.field(name), tables.len());
-                    log.note(&path, place);
-                    tables.push(Self::new(table, &path, place));
-                }
-                _ => log.report(
-                    place,
-                    RuleFinding::new(&path, log.excerpt(place), "a table"),
-                ),
-            }
-        }
-        tables
-    }
-
-    /// Tables by name, none when absent.
-    pub(crate) fn named_tables(
-        &mut self,
-        log: &mut FindingLog,
-        name: &'static str,
-    ) -> Vec<(String, Self)> {
-        if !self.has(name) {
-            return Vec::new();
-        }
-        let expected = format!("tables of the form [{name}.NAME]");
-        let Some((value, place)) = self.required(log, name, &expected) else {
-            return Vec::new();
-        };
-        let DeValue::Table(table) = value else {
-            self.wrong::<()>(log, name, place, &expected);
-            return Vec::new();
-        };
-        let mut tables = Vec::new();
-        for (key, value) in table.iter() {
-            let path = format!("{}.{}", self.field(name), key.get_ref());
-            let place = self.place_of(&key.span());
-            match value.get_ref() {
-                DeValue::Table(table) => {
-                    tables.push((key.get_ref().to_string(), Self::new(table, &path, place)));
-                }
-                _ => {
-                    let place = self.place_of(&value.span());
-                    let rule = RuleFinding::new(&path, log.excerpt(place), &expected);
-                    log.report(place, rule);
-                }
-            }
-        }
-        tables
-    }
-
     /// Reports every field that was not asked for.
     pub(crate) fn finish(self, log: &mut FindingLog) {
         for key in self.table.keys() {
@@ -193,12 +124,14 @@
         }
     }
 
-    fn has(&mut self, name: &'static str) -> bool {
+    /// Whether the field is there; it is known from now on.
+    pub(crate) fn has(&mut self, name: &'static str) -> bool {
         self.known.push(name);
         self.table.contains_key(name)
     }
 
-    fn required(
+    /// Value of a field that must be there.
+    pub(crate) fn required(
         &mut self,
         log: &mut FindingLog,
         name: &'static str,
@@ -221,33 +154,8 @@
         }
     }
 
-    fn items(
-        &mut self,
-        log: &mut FindingLog,
-        name: &'static str,
-        expected: &str,
-    ) -> Vec<(String, FieldPlace, &'t DeValue<'t>)> {
-        if !self.has(name) {
-            return Vec::new();
-        }
-        let Some((value, place)) = self.required(log, name, expected) else {
-            return Vec::new();
-        };
-        let DeValue::Array(items) = value else {
-            self.wrong::<()>(log, name, place, expected);
-            return Vec::new();
-        };
-        items
-            .iter()
-            .enumerate()
-            .map(|(index, item)| {
-                let path = format!("{}[{index}]", self.field(name));
-                (path, self.place_of(&item.span()), item.get_ref())
-            })
-            .collect()
-    }
-
-    fn wrong<T>(
+    /// Reports a field of another type or value than expected.
+    pub(crate) fn wrong<T>(
         &self,
         log: &mut FindingLog,
         name: &str,
@@ -259,7 +167,8 @@
         None
     }
 
-    fn field(&self, name: &str) -> String {
+    /// Path of a field.
+    pub(crate) fn field(&self, name: &str) -> String {
         let name = match name {
             "" => "\"\"",
             name => name,
@@ -270,7 +179,8 @@
         }
     }
 
-    fn place_of(&self, span: &Range<usize>) -> FieldPlace {
+    /// Place of a span in the table's file.
+    pub(crate) fn place_of(&self, span: &Range<usize>) -> FieldPlace {
         FieldPlace {
             file: self.place.file,
             start: span.start,
