--- a/crates/model/src/part_record.rs
+++ b/crates/model/src/part_record.rs
@@ -22,6 +22,10 @@
     pub slices: Vec<SliceEntry>,
     /// Last hash that belongs to the part.
     pub end: u64,
+    /// Earlier trios that must lend too until the record has been acted on.
+    pub former: Vec<Vec<InstanceId>>,
+    /// Ranges whose former owner may still hold them.
+    pub moving: Vec<SliceRange>,
     /// Identity of the write, to recognise a write whose answer was lost.
     pub write_id: String,
 }
@@ -64,6 +68,18 @@
             .collect()
     }
 
+    /// Leader and standbys: the instances that lend each other the part's lease.
+    pub fn trio(&self) -> Vec<InstanceId> {
+        let mut trio = vec![self.leader.clone()];
+        trio.extend(self.standbys.iter().cloned());
+        trio
+    }
+
+    /// Whether `range` touches one whose former owner may still hold it.
+    pub fn is_moving(&self, range: &SliceRange) -> bool {
+        self.moving.iter().any(|moving| moving.overlaps(range))
+    }
+
     /// Fence of orders that the leader on record gives from this record.
     pub fn fence(&self) -> FenceToken {
         FenceToken {
--- a/crates/model/src/part_wire.rs
+++ b/crates/model/src/part_wire.rs
@@ -12,6 +12,10 @@
     standbys: Vec<String>,
     slices: Vec<SliceWire>,
     end: String,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    former: Vec<Vec<String>>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    moving: Vec<[String; 2]>,
     write_id: String,
 }
 
@@ -29,14 +33,35 @@
             term: record.term,
             edition: record.edition,
             leader: record.leader.to_string(),
-            standbys: record.standbys.iter().map(ToString::to_string).collect(),
+            standbys: texts(&record.standbys),
             slices: record.slices.iter().map(SliceWire::from).collect(),
             end: KeyHash(record.end).to_string(),
+            former: record.former.iter().map(|trio| texts(trio)).collect(),
+            moving: record
+                .moving
+                .iter()
+                .map(|range| [range.start, range.end].map(|hash| KeyHash(hash).to_string()))
+                .collect(),
             write_id: record.write_id.clone(),
         }
     }
 }
 
+fn texts(ids: &[InstanceId]) -> Vec<String> {
+    ids.iter().map(ToString::to_string).collect()
+}
+
+fn instances(texts: &[String]) -> Result<Vec<InstanceId>, WireError> {
+    texts.iter().map(|text| text.parse()).collect()
+}
+
+fn range_of([start, end]: &[String; 2]) -> Result<SliceRange, WireError> {
+    Ok(SliceRange {
+        start: start.parse::<KeyHash>()?.0,
+        end: end.parse::<KeyHash>()?.0,
+    })
+}
+
 impl From<&SliceEntry> for SliceWire {
     fn from(entry: &SliceEntry) -> Self {
         Self {
@@ -67,13 +92,15 @@
             term: wire.term,
             edition: wire.edition,
             leader: wire.leader.parse()?,
-            standbys: wire
-                .standbys
-                .iter()
-                .map(|id| id.parse())
-                .collect::<Result<_, _>>()?,
+            standbys: instances(&wire.standbys)?,
             slices,
             end: wire.end.parse::<KeyHash>()?.0,
+            former: wire
+                .former
+                .iter()
+                .map(|trio| instances(trio))
+                .collect::<Result<_, _>>()?,
+            moving: wire.moving.iter().map(range_of).collect::<Result<_, _>>()?,
             write_id: wire.write_id,
         })
     }
--- a/crates/ownership/src/grant_table.rs
+++ b/crates/ownership/src/grant_table.rs
@@ -1,71 +1,160 @@
 //! The grants that one part's leader has given, per server.
+//!
+//! A server may hold whatever any order sent to it allowed, until that order's deadline, or until it
+//! has accepted an order that was sent after the earlier one had been answered.
 
 use crate::prelude::*;
 
 /// Grants of one part.
 #[derive(Clone, Debug, Default)]
 pub struct GrantTable {
-    grants: IndexMap<ServerName, ServerGrant>,
+    grants: IndexMap<ServerName, ServerGrants>,
+    inherited_until: MonoTime,
 }
 
 #[derive(Clone, Debug, Default)]
-struct ServerGrant {
+struct ServerGrants {
     clock: Option<ServerClock>,
-    /// Our reading until which an acknowledged grant stands, and its edition.
-    acknowledged: Option<(MonoTime, u64)>,
-    /// Our reading after which no grant sent can still stand.
-    lapsed_after: MonoTime,
-    heard: Option<MonoTime>,
+    orders: Vec<SentOrder>,
+    next: u64,
+}
+
+#[derive(Clone, Debug)]
+struct SentOrder {
+    number: u64,
+    ranges: Vec<SliceRange>,
+    sent: MonoTime,
+    deadline: MonoTime,
+    answered: Option<MonoTime>,
+    accepted: bool,
+}
+
+impl SentOrder {
+    fn covers(&self, range: &SliceRange) -> bool {
+        self.ranges.iter().any(|granted| granted.overlaps(range))
+    }
 }
 
 impl GrantTable {
-    /// Order to send to `server` now, none while its clock is unknown.
-    pub fn order(
+    /// Lets grants of an earlier holder count until `until`.
+    pub fn inherit(&mut self, until: MonoTime) {
+        self.inherited_until = self.inherited_until.max(until);
+    }
+
+    /// Notes an order for `ranges` that is about to be sent and stands until `deadline`; gives its
+    /// number and the deadline on the server's clock, none while that clock is unknown.
+    pub fn send(
         &mut self,
-        record: &PartRecord,
         server: &ServerName,
+        ranges: Vec<SliceRange>,
+        now: MonoTime,
         deadline: MonoTime,
         timing: &TimingPlan,
-    ) -> Option<GrantOrder> {
-        let grant = self.grants.entry(server.clone()).or_default();
-        let clock = grant.clock?;
-        grant.lapsed_after = grant.lapsed_after.max(deadline);
-        Some(GrantOrder {
-            part: record.id.clone(),
-            fence: record.fence(),
-            ranges: record.ranges_of(server),
-            not_after: clock.no_later_than(deadline, timing),
+    ) -> Option<(u64, MonoTime)> {
+        let grants = self.grants.entry(server.clone()).or_default();
+        let not_after = grants.clock?.no_later_than(deadline, timing);
+        grants.orders.retain(|order| order.deadline > now);
+        grants.next += 1;
+        grants.orders.push(SentOrder {
+            number: grants.next,
+            ranges,
+            sent: now,
+            deadline,
+            answered: None,
+            accepted: false,
+        });
+        Some((grants.next, not_after))
+    }
+
+    /// Notes a reading of the clock of `server`.
+    pub fn heard(&mut self, server: &ServerName, clock: ServerClock) {
+        self.grants.entry(server.clone()).or_default().clock = Some(clock);
+    }
+
+    /// Notes that `server` answered the order `number`.
+    pub fn answered(&mut self, server: &ServerName, number: u64, accepted: bool, now: MonoTime) {
+        let Some(grants) = self.grants.get_mut(server) else {
+            return;
+        };
+        let Some(index) = grants
+            .orders
+            .iter()
+            .position(|order| order.number == number)
+        else {
+            return;
+        };
+        if !accepted {
+            grants.orders.remove(index);
+            return;
+        }
+        let order = &mut grants.orders[index];
+        order.answered = Some(now);
+        order.accepted = true;
+        let sent = order.sent;
+        grants
+            .orders
+            .retain(|order| order.answered.is_none_or(|answered| answered > sent));
+    }
+
+    /// Notes that the order `number` never left.
+    pub fn unsent(&mut self, server: &ServerName, number: u64) {
+        if let Some(grants) = self.grants.get_mut(server) {
+            grants.orders.retain(|order| order.number != number);
+        }
+    }
+
+    /// Whether an order to `server` has waited for its answer for longer than `patience`.
+    pub fn is_silent(&self, server: &ServerName, now: MonoTime, patience: Duration) -> bool {
+        self.grants.get(server).is_some_and(|grants| {
+            grants
+                .orders
+                .iter()
+                .any(|order| order.answered.is_none() && now.since(order.sent) > patience)
         })
     }
 
-    /// Notes an answer of `server` that carried a reading of its clock.
-    pub fn heard(&mut self, server: &ServerName, clock: ServerClock, now: MonoTime) {
-        let grant = self.grants.entry(server.clone()).or_default();
-        grant.clock = Some(clock);
-        grant.heard = Some(now);
+    /// Our reading until which `server` surely may serve `hash`.
+    pub fn stands_until(&self, server: &ServerName, hash: KeyHash) -> Option<MonoTime> {
+        let point = SliceRange {
+            start: hash.0,
+            end: hash.0,
+        };
+        let order = self.last_accepted(server)?;
+        order.covers(&point).then_some(order.deadline)
     }
 
-    /// Notes that `server` accepted the grant of `edition` that stands until `deadline`.
-    pub fn acknowledged(&mut self, server: &ServerName, deadline: MonoTime, edition: u64) {
-        let grant = self.grants.entry(server.clone()).or_default();
-        grant.acknowledged = grant.acknowledged.max(Some((deadline, edition)));
+    /// Our reading until which `server` surely holds any grant.
+    pub fn any_stands_until(&self, server: &ServerName) -> Option<MonoTime> {
+        self.last_accepted(server).map(|order| order.deadline)
     }
 
-    /// Our reading until which `server` may be sent requests under `edition`.
-    pub fn stands_until(&self, server: &ServerName, edition: u64) -> Option<MonoTime> {
-        let (deadline, granted) = self.grants.get(server)?.acknowledged?;
-        (granted == edition).then_some(deadline)
+    fn last_accepted(&self, server: &ServerName) -> Option<&SentOrder> {
+        let orders = &self.grants.get(server)?.orders;
+        orders.iter().rev().find(|order| order.accepted)
     }
 
-    /// When `server` last answered.
-    pub fn last_heard(&self, server: &ServerName) -> Option<MonoTime> {
-        self.grants.get(server)?.heard
+    /// Whether `server` may still hold a part of `range` through an order of this holder.
+    pub fn may_hold(&self, server: &ServerName, range: &SliceRange, now: MonoTime) -> bool {
+        self.grants.get(server).is_some_and(|grants| {
+            grants
+                .orders
+                .iter()
+                .any(|order| order.deadline > now && order.covers(range))
+        })
     }
 
-    /// Our reading after which no grant sent to `server` can still stand.
-    pub fn lapsed_after(&self, server: &ServerName) -> MonoTime {
-        self.grants
-            .get(server)
-            .map_or(MonoTime::default(), |grant| grant.lapsed_after)
+    /// Whether nobody but `owner` can hold a part of `range`, whose owner changed if `moved`.
+    pub fn is_free_for(
+        &self,
+        owner: &ServerName,
+        range: &SliceRange,
+        moved: bool,
+        now: MonoTime,
+    ) -> bool {
+        (!moved || now >= self.inherited_until)
+            && self
+                .grants
+                .keys()
+                .all(|other| other == owner || !self.may_hold(other, range, now))
     }
 }
--- /dev/null
+++ b/crates/ownership/src/lease_step.rs
@@ -0,0 +1,19 @@
+//! What a part's holder or candidate does next.
+
+use crate::prelude::*;
+
+/// One message or write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Ask for a loan.
+    Ask(LoanAsk),
+    /// Give a loan back and tell who is to lead.
+    Return {
+        /// Instance to tell.
+        to: InstanceId,
+        /// What it is told.
+        notice: LoanReturn,
+    },
+    /// Write the record in place of the one before it.
+    Write(PartRecord),
+}
--- a/crates/ownership/src/led_part.rs
+++ b/crates/ownership/src/led_part.rs
@@ -2,43 +2,137 @@
 
 use crate::prelude::*;
 
-/// Record, lease and grants of a part under this instance's lead.
+/// Authority, grants and servers of a part under this instance's lead.
 #[derive(Clone, Debug)]
 pub struct LedPart {
-    /// Record as last committed.
+    /// Record that is acted on.
     pub record: PartRecord,
+    /// Fence of orders.
+    pub fence: FenceToken,
     /// Our reading until which this instance may give orders.
     pub lease_until: MonoTime,
+    /// Whether ranges on the move are left alone.
+    pub frozen: bool,
     /// Grants given.
     pub grants: GrantTable,
+    /// Servers.
+    pub servers: IndexMap<ServerName, ServerWatch>,
+    /// Requests begun and not ended, by their hash.
+    in_flight: IndexMap<KeyHash, u32>,
 }
 
 impl LedPart {
-    /// A part led from `record` on, without a lease yet.
-    pub fn new(record: PartRecord) -> Self {
+    /// A part led from `now` on.
+    pub fn new(lead: &LeadState, now: MonoTime, timing: &TimingPlan) -> Self {
+        let mut grants = GrantTable::default();
+        grants.inherit(now.after(timing.lengthened(timing.lease)));
         Self {
-            record,
-            lease_until: MonoTime::default(),
-            grants: GrantTable::default(),
+            record: lead.record.clone(),
+            fence: lead.fence(),
+            lease_until: lead.until,
+            frozen: lead.frozen,
+            grants,
+            servers: IndexMap::new(),
+            in_flight: IndexMap::new(),
         }
     }
 
+    /// Takes over a changed authority.
+    pub fn renew(&mut self, lead: &LeadState, now: MonoTime, timing: &TimingPlan) {
+        if self.frozen && !lead.frozen {
+            self.grants
+                .inherit(now.after(timing.lengthened(timing.lease)));
+        }
+        if self.record.edition != lead.record.edition {
+            self.record = lead.record.clone();
+        }
+        self.fence = lead.fence();
+        self.lease_until = lead.until;
+        self.frozen = lead.frozen;
+    }
+
+    /// Ranges that `server` may be granted at `now`.
+    ///
+    /// A range on the move stays with its former owner while requests for it run there, and goes to
+    /// the new one once nobody else can hold it.
+    pub fn grantable(&self, server: &ServerName, now: MonoTime) -> Vec<SliceRange> {
+        let allowed = |range: &SliceRange, owner: Option<&ServerName>| {
+            let moved = self.record.is_moving(range);
+            match owner == Some(server) {
+                true if moved && self.frozen => false,
+                true => self.grants.is_free_for(server, range, moved, now),
+                false => {
+                    moved
+                        && !self.frozen
+                        && self.running(range) > 0
+                        && self.grants.may_hold(server, range, now)
+                }
+            }
+        };
+        self.record
+            .ranges()
+            .filter(|(range, entry)| allowed(range, entry.owner.as_ref()))
+            .map(|(range, _)| range)
+            .collect()
+    }
+
+    /// Ranges on the move that only their new owner can still hold.
+    pub fn moves_done(&self, now: MonoTime) -> Vec<SliceRange> {
+        let done = |moving: &SliceRange| {
+            self.record
+                .ranges()
+                .filter(|(range, _)| range.overlaps(moving))
+                .all(|(range, entry)| {
+                    entry
+                        .owner
+                        .as_ref()
+                        .is_some_and(|owner| self.grants.is_free_for(owner, &range, true, now))
+                })
+        };
+        let moving = self.record.moving.iter();
+        moving.filter(|range| done(range)).copied().collect()
+    }
+
+    /// State of `server`.
+    pub fn state_of(&self, server: &ServerName, now: MonoTime, timing: &TimingPlan) -> ServerState {
+        let watch = self.servers.get(server);
+        watch.map_or(ServerState::Joining, |watch| watch.state(now, timing))
+    }
+
+    /// Notes that a request for `hash` is sent.
+    pub fn begin(&mut self, hash: KeyHash) {
+        *self.in_flight.entry(hash).or_default() += 1;
+    }
+
+    /// Notes that a request for `hash` has ended.
+    pub fn finish(&mut self, hash: KeyHash) {
+        if let Some(count) = self.in_flight.get_mut(&hash) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.swap_remove(&hash);
+            }
+        }
+    }
+
+    /// Requests running for keys in `range`.
+    pub fn running(&self, range: &SliceRange) -> u32 {
+        self.in_flight
+            .iter()
+            .filter(|(hash, _)| range.contains(**hash))
+            .map(|(_, count)| count)
+            .sum()
+    }
+
     /// Where a request for `hash` goes.
     pub fn route(&self, hash: KeyHash, now: MonoTime) -> RouteDecision {
-        let Some(entry) = self.record.slice_of(hash) else {
+        let owner = self
+            .record
+            .slice_of(hash)
+            .and_then(|entry| entry.owner.as_ref());
+        let Some(owner) = owner else {
             return RouteDecision::Unowned;
         };
-        let Some(owner) = &entry.owner else {
-            return RouteDecision::Unowned;
-        };
-        match self.grants.stands_until(owner, self.record.edition) {
-            Some(until) if until.min(self.lease_until) > now => RouteDecision::Send {
-                server: owner.clone(),
-                fence: self.record.fence(),
-                not_after: until.min(self.lease_until),
-            },
-            _ => RouteDecision::Wait,
-        }
+        self.decision(owner, self.grants.stands_until(owner, hash), now)
     }
 
     /// Where a request goes that any of `servers` may answer: to the one with the least running.
@@ -49,22 +143,29 @@
         now: MonoTime,
     ) -> RouteDecision {
         let granted = |server: &&ServerName| {
-            self.grants
-                .stands_until(server, self.record.edition)
-                .is_some_and(|until| until > now)
-        };
-        let Some(server) = servers
-            .into_iter()
-            .filter(granted)
-            .min_by_key(|name| running(name))
-        else {
-            return RouteDecision::Wait;
+            let until = self.grants.any_stands_until(server);
+            until.is_some_and(|until| until > now)
         };
-        let until = self.grants.stands_until(server, self.record.edition);
-        RouteDecision::Send {
-            server: server.clone(),
-            fence: self.record.fence(),
-            not_after: until.unwrap_or_default().min(self.lease_until),
+        let servers = servers.into_iter().filter(granted);
+        match servers.min_by_key(|name| running(name)) {
+            Some(server) => self.decision(server, self.grants.any_stands_until(server), now),
+            None => RouteDecision::Wait,
+        }
+    }
+
+    fn decision(
+        &self,
+        server: &ServerName,
+        until: Option<MonoTime>,
+        now: MonoTime,
+    ) -> RouteDecision {
+        match until.map(|until| until.min(self.lease_until)) {
+            Some(until) if until > now => RouteDecision::Send {
+                server: server.clone(),
+                fence: self.fence,
+                not_after: until,
+            },
+            _ => RouteDecision::Wait,
         }
     }
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -1,31 +1,57 @@
 //! Decisions on ownership: who leads a part, which server owns a slice, and until when.
 //!
 //! Only a conditional update of a part's record in the store decides either. What is kept in memory
-//! here bounds time: leases of leaders and grants of servers.
+//! here bounds time: loans of a trio to a holder, and grants to servers.
 
+mod fleet_view;
 mod grant_order;
 mod grant_table;
+mod held_loans;
+mod lead_state;
+mod lease_holder;
+mod lease_settle;
+mod lease_step;
 mod led_part;
+mod loan_ask;
+mod loan_reply;
+mod loan_table;
 mod part_layout;
+mod record_plan;
 mod rendezvous_rank;
 mod route_decision;
 mod server_clock;
+mod server_watch;
 mod slice_change;
+mod slice_deal;
 mod timing_plan;
 
 pub use {
-    grant_order::GrantOrder, grant_table::GrantTable, led_part::LedPart, part_layout::PartLayout,
-    rendezvous_rank::RendezvousRank, route_decision::RouteDecision, server_clock::ServerClock,
-    slice_change::SliceChange, timing_plan::TimingPlan,
+    fleet_view::{FleetView, LiveInstance},
+    grant_order::GrantOrder,
+    grant_table::GrantTable,
+    held_loans::HeldLoans,
+    lead_state::LeadState,
+    lease_holder::LeaseHolder,
+    lease_step::LeaseStep,
+    led_part::LedPart,
+    loan_ask::{LoanAsk, LoanReturn},
+    loan_reply::{LoanReply, LoanVerdict},
+    loan_table::LoanTable,
+    part_layout::PartLayout,
+    record_plan::RecordPlan,
+    rendezvous_rank::RendezvousRank,
+    route_decision::RouteDecision,
+    server_clock::ServerClock,
+    server_watch::{ServerState, ServerWatch},
+    slice_change::SliceChange,
+    slice_deal::SliceDeal,
+    timing_plan::TimingPlan,
 };
 
 /// Imports used throughout the crate.
 mod prelude {
     pub(crate) use {
-        crate::*,
-        geraniummast_configuration::{ServerDeclaration, ServiceKind},
-        geraniummast_model::*,
-        indexmap::IndexMap,
-        std::time::Duration,
+        crate::*, geraniummast_configuration::ServiceKind, geraniummast_model::*,
+        indexmap::IndexMap, std::time::Duration,
     };
 }
--- a/crates/ownership/src/part_layout.rs
+++ b/crates/ownership/src/part_layout.rs
@@ -2,54 +2,86 @@
 
 use crate::prelude::*;
 
-/// Cuts a part into slices and deals them out.
-#[derive(Clone, Copy, Debug)]
-pub struct PartLayout;
+/// Builds the record of a new part: cuts it into slices and deals them out.
+#[derive(Clone, Debug)]
+pub struct PartLayout {
+    id: PartId,
+    parts: u32,
+    kind: ServiceKind,
+    servers: Vec<ServerName>,
+    trio: Vec<InstanceId>,
+}
 
 impl PartLayout {
     /// Slices that each server gets.
     pub const SLICES_PER_SERVER: usize = 8;
 
-    /// Record of a new part.
-    pub fn first_record(
-        id: &PartId,
-        parts: u32,
-        kind: ServiceKind,
-        servers: &[&ServerDeclaration],
-        leader: &InstanceId,
-        standbys: Vec<InstanceId>,
-        write_id: &str,
-    ) -> PartRecord {
-        let range = id.range(parts);
-        PartRecord {
+    /// Layout of the part `id`, the only one of an exclusive service without servers.
+    pub fn new(id: &PartId) -> Self {
+        Self {
             id: id.clone(),
+            parts: 1,
+            kind: ServiceKind::Exclusive,
+            servers: Vec::new(),
+            trio: Vec::new(),
+        }
+    }
+
+    /// Sets the number of parts of the service.
+    pub fn parts(mut self, parts: u32) -> Self {
+        self.parts = parts;
+        self
+    }
+
+    /// Sets the kind of the service.
+    pub fn kind(mut self, kind: ServiceKind) -> Self {
+        self.kind = kind;
+        self
+    }
+
+    /// Sets the servers that the slices are dealt to.
+    pub fn servers(mut self, servers: impl IntoIterator<Item = ServerName>) -> Self {
+        self.servers = servers.into_iter().collect();
+        self
+    }
+
+    /// Sets the leader and the standbys, in this order.
+    pub fn trio(mut self, trio: Vec<InstanceId>) -> Self {
+        self.trio = trio;
+        self
+    }
+
+    /// Record written by the write `write_id`, none without a leader.
+    pub fn record(&self, write_id: &str) -> Option<PartRecord> {
+        let range = self.id.range(self.parts);
+        let (leader, standbys) = self.trio.split_first()?;
+        Some(PartRecord {
+            id: self.id.clone(),
             term: 1,
             edition: 1,
             leader: leader.clone(),
-            standbys,
-            slices: Self::slices(range, kind, servers),
+            standbys: standbys.to_vec(),
+            slices: self.slices(range),
             end: range.end,
+            former: Vec::new(),
+            moving: Vec::new(),
             write_id: write_id.into(),
-        }
+        })
     }
 
-    fn slices(
-        range: SliceRange,
-        kind: ServiceKind,
-        servers: &[&ServerDeclaration],
-    ) -> Vec<SliceEntry> {
-        if kind == ServiceKind::Shared || servers.is_empty() {
+    fn slices(&self, range: SliceRange) -> Vec<SliceEntry> {
+        if self.kind == ServiceKind::Shared || self.servers.is_empty() {
             return vec![SliceEntry {
                 start: range.start,
                 owner: None,
             }];
         }
-        let count = servers.len() * Self::SLICES_PER_SERVER;
+        let count = self.servers.len() * Self::SLICES_PER_SERVER;
         let width = (range.end - range.start) / count as u64;
         (0..count)
             .map(|index| SliceEntry {
                 start: range.start + width * index as u64,
-                owner: Some(servers[index % servers.len()].name.clone()),
+                owner: Some(self.servers[index % self.servers.len()].clone()),
             })
             .collect()
     }
