--- a/crates/balance/benches/planning.rs
+++ b/crates/balance/benches/planning.rs
@@ -32,6 +32,8 @@
             })
             .collect(),
         end: u64::MAX,
+        former: Vec::new(),
+        moving: Vec::new(),
         write_id: String::new(),
     }
 }
--- a/crates/balance/tests/levelling.rs
+++ b/crates/balance/tests/levelling.rs
@@ -100,6 +100,8 @@
             })
             .collect(),
         end: u64::MAX,
+        former: Vec::new(),
+        moving: Vec::new(),
         write_id: String::new(),
     }
 }
