Lead parts by loans of a trio, move slices by what servers may still hold

The leader extended its own lease, so a paused or isolated leader and its successor could both grant; a lost server's slices never moved. A holder now orders while two of the trio lend to it, a successor acts when their loans lapse, and a slice is granted once nobody else can hold it.

--- a/crates/daemon/src/forward_worker.rs
+++ b/crates/daemon/src/forward_worker.rs
@@ -19,8 +19,14 @@
     deadline: MonoTime,
 ) -> CallerAnswer {
     loop {
-        if let ForwardStep::Done(answer) = attempt(node, &request, class, deadline).await {
-            return answer;
+        let leader = node.tables.leader_of(&request.service, request.hash);
+        if let Some(leader) = leader {
+            let step = attempt(node, &request, class, deadline, &leader).await;
+            if let ForwardStep::Done(answer) = step {
+                return answer;
+            }
+            node.tables
+                .leader_missed(&request.service, request.hash, &leader.id);
         }
         if node.clock.now().after(RETRY_INTERVAL) >= deadline {
             let notice = RefusalNotice::try_again(RefusalReason::NoLeader, Duration::from_secs(1));
@@ -35,10 +41,8 @@
     request: &CallerRequest,
     class: &RequestClass,
     deadline: MonoTime,
+    leader: &LeaderAddress,
 ) -> ForwardStep {
-    let Some(leader) = node.tables.leader_of(&request.service, request.hash) else {
-        return ForwardStep::Retry;
-    };
     if leader.id == node.id {
         return step_of(leader_worker::run(node, request, class, deadline).await);
     }
--- a/crates/daemon/src/grant_worker.rs
+++ b/crates/daemon/src/grant_worker.rs
@@ -2,10 +2,14 @@
 
 use crate::prelude::*;
 
-/// One server of a led part.
+/// Interval at which grants are looked over.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// One server of a led part, with what to send to it.
 struct GrantTarget {
     part: PartId,
     server: ServerDeclaration,
+    order: Option<(u64, GrantOrder)>,
 }
 
 /// Renews all grants until the pool stops.
@@ -13,11 +17,10 @@
     loop {
         for target in targets(&node) {
             let node = node.clone();
-            node.pool
-                .clone()
-                .spawn(async move { renew(&node, &target).await });
+            let pool = node.pool.clone();
+            pool.spawn(async move { exchange(&node, &target).await });
         }
-        Timer::after(node.settings.timing.grant_renewal).await;
+        Timer::after(LOOK_INTERVAL).await;
     }
 }
 
@@ -26,60 +29,71 @@
     let Some(head) = gate.head() else {
         return Vec::new();
     };
-    let led = node.tables.led.lock().unwrap();
-    led.keys()
-        .flat_map(|part| {
-            let servers = head
-                .services
-                .get(&part.service)
-                .map(|service| &service.servers);
-            servers.into_iter().flatten().map(|server| GrantTarget {
-                part: part.clone(),
+    let now = node.clock.now();
+    let mut led = node.tables.led.lock().unwrap();
+    let mut targets = Vec::new();
+    for (id, part) in led.iter_mut() {
+        let servers = head.services.get(&id.service);
+        for server in servers.into_iter().flat_map(|service| &service.servers) {
+            let order = match part.grant_step(&server.name, now, &node.settings.timing) {
+                GrantStep::Wait => continue,
+                GrantStep::ReadClock => None,
+                GrantStep::Send {
+                    number,
+                    not_after,
+                    ranges,
+                } => Some((
+                    number,
+                    GrantOrder {
+                        part: id.clone(),
+                        fence: part.fence,
+                        ranges,
+                        not_after,
+                    },
+                )),
+            };
+            targets.push(GrantTarget {
+                part: id.clone(),
                 server: server.clone(),
-            })
-        })
-        .collect()
+                order,
+            });
+        }
+    }
+    targets
 }
 
-async fn renew(node: &Arc<Node>, target: &GrantTarget) {
+async fn exchange(node: &Arc<Node>, target: &GrantTarget) {
     let session = node.servers.session(node, &target.server);
-    let name = &target.server.name;
-    let sent = node.clock.now();
-    let Some((order, deadline)) = order(node, target, sent) else {
-        if let Ok(reply) = session.read_clock().await {
-            heard(node, target, &reply);
-        }
-        return;
+    let reply = match &target.order {
+        Some((_, order)) => session.grant(order).await,
+        None => session.read_clock().await,
     };
-    let Ok(reply) = session.grant(&order).await else {
+    let now = node.clock.now();
+    let name = &target.server.name;
+    let mut led = node.tables.led.lock().unwrap();
+    let Some(part) = led.get_mut(&target.part) else {
         return;
     };
-    heard(node, target, &reply);
-    if reply.accepted {
-        let mut led = node.tables.led.lock().unwrap();
-        if let Some(part) = led.get_mut(&target.part) {
-            part.grants
-                .acknowledged(name, deadline, order.fence.edition);
+    let number = target.order.as_ref().map(|(number, _)| *number);
+    match reply {
+        Ok(reply) => {
+            let clock = ServerClock::new(MonoTime(reply.clock_us), now);
+            part.grants.heard(name, clock, now);
+            if let Some(watch) = part.servers.get_mut(name) {
+                watch.answered(reply.busy, reply.leaving, now);
+            }
+            if let Some(number) = number {
+                part.grants.answered(name, number, reply.accepted, now);
+            }
         }
-    }
-}
-
-fn order(node: &Node, target: &GrantTarget, now: MonoTime) -> Option<(GrantOrder, MonoTime)> {
-    let timing = node.settings.timing;
-    let mut led = node.tables.led.lock().unwrap();
-    let part = led.get_mut(&target.part)?;
-    let deadline = now.after(timing.grant).min(part.lease_until);
-    let order = part
-        .grants
-        .order(&part.record, &target.server.name, deadline, &timing)?;
-    Some((order, deadline))
-}
-
-fn heard(node: &Node, target: &GrantTarget, reply: &GrantReplyWire) {
-    let now = node.clock.now();
-    let mut led = node.tables.led.lock().unwrap();
-    if let Some(part) = led.get_mut(&target.part) {
-        let clock = ServerClock::new(MonoTime(reply.clock_us), now);
-        part.grants.heard(&target.server.name, clock, now);
+        Err(ExchangeError::NotSent(_)) => {
+            if let Some(watch) = part.servers.get_mut(name) {
+                watch.refused();
+            }
+            if let Some(number) = number {
+                part.grants.unsent(name, number);
+            }
+        }
+        Err(ExchangeError::Unclear(_)) => {}
     }
 }
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -89,7 +89,7 @@
             clock: SteadyClock,
             dialer: dialer.clone(),
             store: StoreClient::new(pool.clone(), dialer.clone(), settings.store_address),
-            tables: NodeTables::default(),
+            tables: NodeTables::new(&record.id, settings.timing, SteadyClock.now()),
             peers: PeerClient::new(pool.clone(), dialer, &settings),
             servers: ServerBook::default(),
             slots: Arc::default(),
@@ -117,6 +117,7 @@
         pool.spawn(store_watcher::run(node.clone()));
         pool.spawn(leadership_worker::run(node.clone()));
         pool.spawn(grant_worker::run(node.clone()));
+        pool.spawn(server_keeper::run(node.clone()));
         Ok(Self {
             node,
             caller_address,
--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -117,12 +117,17 @@
             return CallerAnswer::Refusal(notice);
         }
     };
+    let part = node.tables.part_of(&request.service, request.hash);
+    let running = part
+        .as_ref()
+        .map(|part| node.tables.begin(part, request.hash));
     let remaining = deadline.since(node.clock.now());
     let answer = target
         .session
         .run(request, target.fence, target.not_after, remaining)
         .await;
     drop(slot);
+    drop(running);
     match answer {
         Ok(answer) => answer,
         Err(ExchangeError::NotSent(_)) => {
--- a/crates/daemon/src/leadership_worker.rs
+++ b/crates/daemon/src/leadership_worker.rs
@@ -1,78 +1,209 @@
-//! Creation of parts and leadership of them.
+//! Creation of parts, and leadership of them by loans between instances.
 
 use crate::prelude::*;
 
-/// A part that has no record yet.
-struct MissingPart {
-    id: PartId,
-    record: PartRecord,
+/// Interval of steps while a part is sought.
+const SEEK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between two parts handed to the instances that should lead them.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Messages to one instance.
+#[derive(Default)]
+struct PeerMail {
+    asks: Vec<LoanAsk>,
+    returns: Vec<LoanReturn>,
 }
 
 /// Leads the parts that fall to this instance until the pool stops.
 pub(crate) async fn run(node: Arc<Node>) {
+    let mut last_heartbeat = MonoTime::default();
+    let mut last_hand_over = node.clock.now();
     loop {
-        for missing in missing_parts(&node) {
-            create(&node, &missing).await;
+        let now = node.clock.now();
+        let heartbeat = now.since(last_heartbeat) >= node.settings.timing.heartbeat;
+        if heartbeat {
+            last_heartbeat = now;
+            part_creator::create_missing(&node);
+            probe(&node, now);
+        }
+        let may_hand_over = now.since(last_hand_over) >= HAND_OVER_INTERVAL;
+        if tick(&node, now, heartbeat, may_hand_over) {
+            last_hand_over = now;
         }
-        renew_leases(&node);
-        Timer::after(node.settings.timing.heartbeat).await;
+        Timer::after(SEEK_INTERVAL).await;
     }
 }
 
-fn missing_parts(node: &Node) -> Vec<MissingPart> {
-    let gate = node.tables.gate.lock().unwrap();
-    let Some(head) = gate.head() else {
-        return Vec::new();
-    };
+fn probe(node: &Arc<Node>, now: MonoTime) {
+    let instances = node.tables.instances.lock().unwrap();
+    let mut peers = node.tables.peers.lock().unwrap();
+    if let Some(address) = peers.next_probe(&node.id, &instances, now) {
+        send(node, address, PeerMail::default());
+    }
+}
+
+/// View of the fleet for decisions.
+pub(crate) fn fleet_view(node: &Node, now: MonoTime) -> FleetView {
     let instances = node.tables.instances.lock().unwrap();
-    let parts = node.tables.parts.lock().unwrap();
-    let mut missing = Vec::new();
-    for (service, declaration) in &head.services {
-        for index in 0..declaration.parts {
-            let id = PartId::new(service.clone(), index);
-            let subject = id.to_string();
-            let ranked =
-                RendezvousRank::order(&subject, instances.values(), |record| &record.id.name);
-            if parts.contains_key(&id) || ranked.first().is_none_or(|first| first.id != node.id) {
-                continue;
+    let peers = node.tables.peers.lock().unwrap();
+    let leaving = node.is_draining();
+    peers.view(&node.id, leaving, &instances, now, &node.settings.timing)
+}
+
+/// Lets each part move on; true when one began to be handed over.
+fn tick(node: &Arc<Node>, now: MonoTime, heartbeat: bool, may_hand_over: bool) -> bool {
+    let mut fleet = fleet_view(node, now);
+    fleet.may_hand_over = may_hand_over;
+    let mut handed = false;
+    let mut steps = Vec::new();
+    {
+        let mut holders = node.tables.holders.lock().unwrap();
+        for holder in holders.values_mut() {
+            if node.is_draining() {
+                holder.leave();
+            }
+            if heartbeat || holder.is_due(now) {
+                holder.tick(now, &fleet);
+            }
+            let taken = holder.take_steps();
+            let gives = |step: &LeaseStep| matches!(step, LeaseStep::Write(record) if record.leader != node.id);
+            if taken.iter().any(gives) && !node.is_draining() {
+                handed = true;
+                fleet.may_hand_over = false;
+            }
+            steps.extend(taken);
+        }
+        sync_led(node, &holders, now);
+    }
+    carry_out(node, steps);
+    handed
+}
+
+/// Brings the led parts in line with the authority held.
+fn sync_led(node: &Node, holders: &IndexMap<PartId, LeaseHolder>, now: MonoTime) {
+    let timing = node.settings.timing;
+    let mut led = node.tables.led.lock().unwrap();
+    for (id, holder) in holders {
+        match (holder.lead(now), led.get_mut(id)) {
+            (Some(lead), Some(part)) => part.renew(lead, now, &timing),
+            (Some(lead), None) => {
+                node.decisions
+                    .note(id, "lead", format!("at {}", lead.fence()));
+                led.insert(id.clone(), LedPart::new(lead, now, &timing));
+                takeover_hook(node, id);
+            }
+            (None, Some(_)) => {
+                node.decisions.note(id, "step down", "authority ended");
+                led.swap_remove(id);
+            }
+            (None, None) => {}
+        }
+    }
+}
+
+/// Called when this instance has begun to lead `part`, with `led` locked: the place where notes on
+/// requests are taken over from the lenders.
+fn takeover_hook(_node: &Node, _part: &PartId) {}
+
+/// Sends messages and starts writes.
+pub(crate) fn carry_out(node: &Arc<Node>, steps: Vec<LeaseStep>) {
+    let mut mail: IndexMap<InstanceId, PeerMail> = IndexMap::new();
+    for step in steps {
+        match step {
+            LeaseStep::Ask(ask) => mail.entry(ask.lender.clone()).or_default().asks.push(ask),
+            LeaseStep::Return { to, notice } => mail.entry(to).or_default().returns.push(notice),
+            LeaseStep::Write(record) => {
+                let node = node.clone();
+                let pool = node.pool.clone();
+                pool.spawn(async move { record_writer::write(&node, record).await });
             }
-            let record = PartLayout::first_record(
-                &id,
-                declaration.parts,
-                declaration.kind,
-                &head.active_servers(service),
-                &node.id,
-                ranked
-                    .iter()
-                    .skip(1)
-                    .take(2)
-                    .map(|record| record.id.clone())
-                    .collect(),
-                &Uuid::new_v4().to_string(),
-            );
-            missing.push(MissingPart { id, record });
         }
     }
-    missing
+    let instances = node.tables.instances.lock().unwrap();
+    for (to, mail) in mail {
+        if let Some(record) = instances.get(&to.name).filter(|record| record.id == to) {
+            send(node, record.peer_address, mail);
+        }
+    }
 }
 
-async fn create(node: &Node, missing: &MissingPart) {
-    let path = ObjectPath::part(&missing.id);
-    let wire = PartWire::from(&missing.record);
-    let condition = WriteCondition::Absent;
-    let outcome = node
-        .store
-        .write(&path, condition, &wire, &missing.record.write_id)
+fn send(node: &Arc<Node>, address: SocketAddr, mail: PeerMail) {
+    let node = node.clone();
+    let pool = node.pool.clone();
+    pool.spawn(async move { exchange(&node, address, mail).await });
+}
+
+async fn exchange(node: &Arc<Node>, address: SocketAddr, mail: PeerMail) {
+    let asked = node.clock.now();
+    let wire = LeaseWire {
+        asks: mail.asks.iter().map(LoanAskWire::from).collect(),
+        returns: mail.returns.iter().map(LoanReturnWire::from).collect(),
+    };
+    let timeout = node.settings.timing.lease;
+    let reply = node
+        .peers
+        .heartbeat(address, PeerBody::Lease(wire), timeout)
         .await;
-    if let Ok(WriteOutcome::Written(version)) = outcome {
-        node.tables
-            .learn_part(&node.id, version, missing.record.clone());
+    let Ok(PeerBody::LeaseReply(reply)) = reply else {
+        return;
+    };
+    let now = node.clock.now();
+    if let Ok(id) = reply.instance.parse() {
+        node.tables.peers.lock().unwrap().heard(id, now);
+    }
+    let fleet = fleet_view(node, now);
+    let mut steps = Vec::new();
+    for (ask, wire) in mail.asks.iter().zip(reply.replies) {
+        let Ok(reply) = LoanReply::try_from(wire) else {
+            continue;
+        };
+        if let Some(record) = reply.record.clone() {
+            node.tables.learn_part(record, now);
+        }
+        let mut holders = node.tables.holders.lock().unwrap();
+        if let Some(holder) = holders.get_mut(&ask.part) {
+            holder.replied(ask, reply, asked, now, &fleet);
+            steps.extend(holder.take_steps());
+        }
     }
+    sync_led(node, &node.tables.holders.lock().unwrap(), now);
+    carry_out(node, steps);
 }
 
-fn renew_leases(node: &Node) {
+/// Answers another instance's requests for loans.
+pub(crate) fn answer(node: &Arc<Node>, wire: LeaseWire) -> LeaseReplyWire {
     let now = node.clock.now();
-    for part in node.tables.led.lock().unwrap().values_mut() {
-        part.lease_until = now.after(node.settings.timing.lease);
+    for notice in wire.returns.into_iter().map(LoanReturn::try_from) {
+        let Ok(notice) = notice else {
+            continue;
+        };
+        node.tables.learn_part(notice.record.clone(), now);
+        let mut holders = node.tables.holders.lock().unwrap();
+        if let Some(holder) = holders.get_mut(&notice.part) {
+            holder.returned(notice, now);
+        }
+    }
+    let replies = wire.asks.into_iter().map(|wire| {
+        let ask = LoanAsk::try_from(wire).ok()?;
+        if let Some(record) = ask.record.clone() {
+            node.tables.learn_part(record, now);
+        }
+        let mut holders = node.tables.holders.lock().unwrap();
+        let holder = holders.get_mut(&ask.part)?;
+        Some(LoanReplyWire::from(&holder.answer(ask, now)))
+    });
+    let replies = replies.map(Option::unwrap_or_default).collect();
+    let steps = {
+        let mut holders = node.tables.holders.lock().unwrap();
+        sync_led(node, &holders, now);
+        holders
+            .values_mut()
+            .flat_map(LeaseHolder::take_steps)
+            .collect()
+    };
+    carry_out(node, steps);
+    LeaseReplyWire {
+        replies,
+        instance: node.id.to_string(),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,8 +18,10 @@
 mod grant_wire;
 mod grant_worker;
 mod instance_node;
+mod leader_hint;
 mod leader_worker;
 mod leadership_worker;
+mod lease_wire;
 mod metric_recorder;
 mod metric_table;
 mod metric_worker;
@@ -28,12 +30,16 @@
 mod operator_error;
 mod operator_listener;
 mod operator_query;
+mod part_creator;
+mod peer_book;
 mod peer_client;
 mod peer_error;
 mod peer_frame;
 mod peer_listener;
 mod peer_proof;
+mod record_writer;
 mod server_book;
+mod server_keeper;
 mod server_session;
 mod setting_fault;
 mod setting_reader;
@@ -60,8 +66,11 @@
             decision_log::DecisionLog,
             forward_wire::{ForwardReplyWire, ForwardWire},
             instance_node::Node,
+            leader_hint::LeaderHint,
+            lease_wire::{LeaseReplyWire, LeaseWire, LoanAskWire, LoanReplyWire, LoanReturnWire},
             node_connections::NodeConnections,
-            node_tables::NodeTables,
+            node_tables::{LeaderAddress, NodeTables},
+            peer_book::PeerBook,
             peer_client::PeerClient,
             peer_error::PeerError,
             peer_frame::{PeerBody, PeerFrame},
--- a/crates/daemon/src/metric_worker.rs
+++ b/crates/daemon/src/metric_worker.rs
@@ -47,15 +47,15 @@
     let now = node.clock.now();
     let led = node.tables.led.lock().unwrap();
     let unavailable = led.values().map(|part| {
-        let stands = |owner: &ServerName| {
-            part.grants
-                .stands_until(owner, part.record.edition)
-                .is_some_and(|until| until > now)
+        let stands = |entry: &SliceEntry| {
+            entry.owner.as_ref().is_none_or(|owner| {
+                part.grants
+                    .stands_until(owner, KeyHash(entry.start))
+                    .is_some_and(|until| until > now)
+            })
         };
         let slices = part.record.slices.iter();
-        slices
-            .filter(|entry| entry.owner.as_ref().is_some_and(|owner| !stands(owner)))
-            .count()
+        slices.filter(|entry| !stands(entry)).count()
     });
     (led.len(), unavailable.sum())
 }
--- a/crates/daemon/src/node_tables.rs
+++ b/crates/daemon/src/node_tables.rs
@@ -1,32 +1,56 @@
 //! Tables that the workers of an instance share.
 //!
-//! Lock order: `gate`, `instances`, `parts`, `led`, then the slots and sessions of servers. A worker
-//! that holds one of them takes only later ones, and none across an await.
+//! Lock order: `gate`, `instances`, `parts`, `holders`, `peers`, `led`, `hints`, `changes`, then the
+//! slots and sessions of servers. A worker that holds one of them takes only later ones, and none
+//! across an await.
 
 use crate::prelude::*;
 
 /// Shared tables of an instance.
-#[derive(Default)]
 pub(crate) struct NodeTables {
+    me: InstanceId,
+    timing: TimingPlan,
+    started: MonoTime,
     /// Configuration in force.
     pub(crate) gate: Mutex<RevisionGate>,
     /// Registered instances by name.
     pub(crate) instances: Mutex<IndexMap<String, InstanceRecord>>,
     /// Latest known record of each part.
     pub(crate) parts: Mutex<IndexMap<PartId, KnownPart>>,
+    /// Leadership of each known part.
+    pub(crate) holders: Mutex<IndexMap<PartId, LeaseHolder>>,
+    /// Signs of life of other instances.
+    pub(crate) peers: Mutex<PeerBook>,
     /// Parts that this instance leads.
     pub(crate) led: Mutex<IndexMap<PartId, LedPart>>,
+    /// Guesses of leaders that differ from the record.
+    pub(crate) hints: Mutex<IndexMap<PartId, LeaderHint>>,
+    /// Wanted changes of slices that are not written yet.
+    pub(crate) changes: Mutex<IndexMap<PartId, Vec<SliceChange>>>,
 }
 
-/// A part's record at its version.
+/// A part's latest known record.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownPart {
-    /// Version of the object.
-    pub(crate) version: ObjectVersion,
     /// Record.
     pub(crate) record: PartRecord,
 }
 
+/// Counts a request for a key of a led part until it is dropped.
+pub(crate) struct SliceGuard<'a> {
+    tables: &'a NodeTables,
+    part: PartId,
+    hash: KeyHash,
+}
+
+impl Drop for SliceGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(part) = self.tables.led.lock().unwrap().get_mut(&self.part) {
+            part.finish(self.hash);
+        }
+    }
+}
+
 /// Where the leader of a part is reached.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderAddress {
@@ -39,23 +63,68 @@
 }
 
 impl NodeTables {
-    /// Leader of the part that holds `hash`.
-    pub(crate) fn leader_of(&self, service: &ServiceName, hash: KeyHash) -> Option<LeaderAddress> {
+    /// Empty tables of the run `me` that begins at `started`.
+    pub(crate) fn new(me: &InstanceId, timing: TimingPlan, started: MonoTime) -> Self {
+        Self {
+            me: me.clone(),
+            timing,
+            started,
+            gate: Mutex::default(),
+            instances: Mutex::default(),
+            parts: Mutex::default(),
+            holders: Mutex::default(),
+            peers: Mutex::default(),
+            led: Mutex::default(),
+            hints: Mutex::default(),
+            changes: Mutex::default(),
+        }
+    }
+
+    /// Part that holds `hash`.
+    pub(crate) fn part_of(&self, service: &ServiceName, hash: KeyHash) -> Option<PartId> {
         let gate = self.gate.lock().unwrap();
         let parts = gate.head()?.services.get(service)?.parts;
+        Some(PartId::new(service.clone(), hash.part_index(parts)))
+    }
+
+    /// Leader of the part that holds `hash`.
+    pub(crate) fn leader_of(&self, service: &ServiceName, hash: KeyHash) -> Option<LeaderAddress> {
+        let id = self.part_of(service, hash)?;
         let instances = self.instances.lock().unwrap();
         let known = self.parts.lock().unwrap();
-        let record = &known
-            .get(&PartId::new(service.clone(), hash.part_index(parts)))?
-            .record;
-        let leader = instances.get(&record.leader.name)?;
-        (leader.id == record.leader).then(|| LeaderAddress {
-            id: leader.id.clone(),
-            address: leader.peer_address,
+        let record = &known.get(&id)?.record;
+        let hints = self.hints.lock().unwrap();
+        let leader = LeaderHint::leader(hints.get(&id), record);
+        let registered = instances.get(&leader.name);
+        let Some(registered) = registered.filter(|registered| registered.id == leader) else {
+            drop(hints);
+            self.hint_after(record, &leader);
+            return None;
+        };
+        Some(LeaderAddress {
+            id: leader,
+            address: registered.peer_address,
             term: record.term,
         })
     }
 
+    /// Notes that `missed` did not lead the part that holds `hash`: the next member of the trio is
+    /// asked next.
+    pub(crate) fn leader_missed(&self, service: &ServiceName, hash: KeyHash, missed: &InstanceId) {
+        let Some(id) = self.part_of(service, hash) else {
+            return;
+        };
+        let known = self.parts.lock().unwrap();
+        if let Some(known) = known.get(&id) {
+            self.hint_after(&known.record, missed);
+        }
+    }
+
+    fn hint_after(&self, record: &PartRecord, missed: &InstanceId) {
+        let hint = LeaderHint::after(record, missed);
+        self.hints.lock().unwrap().insert(record.id.clone(), hint);
+    }
+
     /// Class `name` of a service.
     pub(crate) fn class_of(&self, service: &ServiceName, name: &str) -> Option<RequestClass> {
         let gate = self.gate.lock().unwrap();
@@ -63,23 +132,40 @@
         classes.iter().find(|class| class.name == name).cloned()
     }
 
+    /// Counts a request for a key of the led `part` until the guard is dropped.
+    pub(crate) fn begin(&self, part: &PartId, hash: KeyHash) -> SliceGuard<'_> {
+        if let Some(part) = self.led.lock().unwrap().get_mut(part) {
+            part.begin(hash);
+        }
+        SliceGuard {
+            tables: self,
+            part: part.clone(),
+            hash,
+        }
+    }
+
+    /// Asks for changes of a led part's slices; where the planner of balance is plugged in.
+    #[allow(dead_code)]
+    pub(crate) fn request_changes(&self, part: &PartId, changes: Vec<SliceChange>) {
+        let mut waiting = self.changes.lock().unwrap();
+        waiting.entry(part.clone()).or_default().extend(changes);
+    }
+
     /// Takes in a part's record; an older one is dropped.
-    pub(crate) fn learn_part(&self, me: &InstanceId, version: ObjectVersion, record: PartRecord) {
+    pub(crate) fn learn_part(&self, record: PartRecord, now: MonoTime) {
         let mut parts = self.parts.lock().unwrap();
-        if parts
-            .get(&record.id)
-            .is_some_and(|known| known.version >= version)
-        {
-            return;
+        let mut holders = self.holders.lock().unwrap();
+        match holders.get_mut(&record.id) {
+            Some(holder) => holder.learn(record.clone(), now),
+            None => {
+                let holder =
+                    LeaseHolder::new(&self.me, record.clone(), self.started, now, self.timing);
+                holders.insert(record.id.clone(), holder);
+            }
         }
-        let mut led = self.led.lock().unwrap();
-        if record.leader != *me {
-            led.swap_remove(&record.id);
-        } else if let Some(part) = led.get_mut(&record.id) {
-            part.record = record.clone();
-        } else {
-            led.insert(record.id.clone(), LedPart::new(record.clone()));
+        let known = parts.get(&record.id);
+        if known.is_none_or(|known| known.record.edition < record.edition) {
+            parts.insert(record.id.clone(), KnownPart { record });
         }
-        parts.insert(record.id.clone(), KnownPart { version, record });
     }
 }
--- /dev/null
+++ b/crates/daemon/src/part_creator.rs
@@ -0,0 +1,54 @@
+//! First records of declared parts.
+
+use crate::prelude::*;
+
+/// Starts the writes of parts that have no record and fall to this instance.
+pub(crate) fn create_missing(node: &Arc<Node>) {
+    for record in missing(node) {
+        let node = node.clone();
+        let pool = node.pool.clone();
+        pool.spawn(async move { create(&node, record).await });
+    }
+}
+
+fn missing(node: &Node) -> Vec<PartRecord> {
+    let gate = node.tables.gate.lock().unwrap();
+    let Some(head) = gate.head() else {
+        return Vec::new();
+    };
+    let fleet = leadership_worker::fleet_view(node, node.clock.now());
+    let parts = node.tables.parts.lock().unwrap();
+    let mut missing = Vec::new();
+    for (service, declaration) in &head.services {
+        for index in 0..declaration.parts {
+            let id = PartId::new(service.clone(), index);
+            if parts.contains_key(&id) || fleet.preferred_leader(&id) != Some(&node.id) {
+                continue;
+            }
+            let mut trio = vec![node.id.clone()];
+            trio.extend(fleet.standbys(&id, &node.id, &[]));
+            let servers = head.active_servers(service);
+            missing.extend(
+                PartLayout::new(&id)
+                    .parts(declaration.parts)
+                    .kind(declaration.kind)
+                    .servers(servers.iter().map(|server| server.name.clone()))
+                    .trio(trio)
+                    .record(&Uuid::new_v4().to_string()),
+            );
+        }
+    }
+    missing
+}
+
+async fn create(node: &Node, record: PartRecord) {
+    let path = ObjectPath::part(&record.id);
+    let wire = PartWire::from(&record);
+    let outcome = node
+        .store
+        .write(&path, WriteCondition::Absent, &wire, &record.write_id)
+        .await;
+    if let Ok(WriteOutcome::Written(_)) = outcome {
+        node.tables.learn_part(record, node.clock.now());
+    }
+}
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -1,4 +1,5 @@
-//! Calls to other instances over one shared connection each.
+//! Calls to other instances over two shared connections each: one for requests, one for heartbeats,
+//! which no large request holds up.
 
 use crate::prelude::*;
 use futures_lite::StreamExt;
@@ -11,9 +12,19 @@
     dialer: Dialer,
     secret: String,
     max_frame_bytes: usize,
-    lines: async_lock::Mutex<IndexMap<SocketAddr, Arc<PeerLine>>>,
+    lines: Mutex<IndexMap<(SocketAddr, PeerLane), Arc<LineSlot>>>,
 }
 
+/// What a connection is for.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+enum PeerLane {
+    Requests,
+    Heartbeats,
+}
+
+/// Place of one connection, locked while it is opened.
+type LineSlot = async_lock::Mutex<Option<Arc<PeerLine>>>;
+
 /// One connection with its calls that wait for a reply.
 struct PeerLine {
     frames: async_channel::Sender<PeerFrame>,
@@ -40,7 +51,7 @@
             dialer,
             secret: settings.peer_secret.clone(),
             max_frame_bytes: settings.peer_limits.max_frame_bytes,
-            lines: async_lock::Mutex::default(),
+            lines: Mutex::default(),
         }
     }
 
@@ -51,7 +62,46 @@
         body: PeerBody,
         timeout: Duration,
     ) -> Result<PeerBody, PeerError> {
-        let line = self.line(address).await?;
+        let slot = self.slot(address, PeerLane::Requests);
+        let line = self.line(address, &mut *slot.lock().await).await?;
+        Self::call_on(&line, body, timeout).await
+    }
+
+    /// Exchanges heartbeats with the peer at `address`; a connection that went silent is replaced.
+    pub(crate) async fn heartbeat(
+        &self,
+        address: SocketAddr,
+        body: PeerBody,
+        timeout: Duration,
+    ) -> Result<PeerBody, PeerError> {
+        let slot = self.slot(address, PeerLane::Heartbeats);
+        let line = {
+            let connecting = || PeerError::NotSent("connecting".into());
+            let mut line = slot.try_lock().ok_or_else(connecting)?;
+            self.line(address, &mut line).await?
+        };
+        let result = Self::call_on(&line, body, timeout).await;
+        if result.is_err()
+            && let Some(mut current) = slot.try_lock()
+            && current
+                .as_ref()
+                .is_some_and(|current| Arc::ptr_eq(current, &line))
+        {
+            *current = None;
+        }
+        result
+    }
+
+    fn slot(&self, address: SocketAddr, lane: PeerLane) -> Arc<LineSlot> {
+        let mut lines = self.lines.lock().unwrap();
+        lines.entry((address, lane)).or_default().clone()
+    }
+
+    async fn call_on(
+        line: &PeerLine,
+        body: PeerBody,
+        timeout: Duration,
+    ) -> Result<PeerBody, PeerError> {
         let number = line.calls.next.fetch_add(1, Ordering::Relaxed);
         let (reply, replied) = async_channel::bounded(1);
         line.calls.waiting.lock().unwrap().insert(number, reply);
@@ -75,9 +125,12 @@
         result
     }
 
-    async fn line(&self, address: SocketAddr) -> Result<Arc<PeerLine>, PeerError> {
-        let mut lines = self.lines.lock().await;
-        if let Some(line) = lines.get(&address)
+    async fn line(
+        &self,
+        address: SocketAddr,
+        slot: &mut Option<Arc<PeerLine>>,
+    ) -> Result<Arc<PeerLine>, PeerError> {
+        if let Some(line) = slot
             && !line.calls.closed.load(Ordering::SeqCst)
         {
             return Ok(line.clone());
@@ -90,7 +143,7 @@
             .await
             .map_err(|error| PeerError::NotSent(format!("{address}: {error}")))?;
         let line = Arc::new(line);
-        lines.insert(address, line.clone());
+        *slot = Some(line.clone());
         Ok(line)
     }
 
--- a/crates/daemon/src/peer_frame.rs
+++ b/crates/daemon/src/peer_frame.rs
@@ -7,7 +7,7 @@
 pub(crate) struct PeerFrame {
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7")]
     pub(crate) body: Option<PeerBody>,
 }
 
@@ -26,6 +26,12 @@
     /// The leader's answer.
     #[prost(message, tag = "5")]
     ForwardReply(ForwardReplyWire),
+    /// Requests for loans.
+    #[prost(message, tag = "6")]
+    Lease(LeaseWire),
+    /// Answers to requests for loans.
+    #[prost(message, tag = "7")]
+    LeaseReply(LeaseReplyWire),
 }
 
 impl PeerFrame {
--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -98,7 +98,11 @@
 async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
     match body {
         PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
-        PeerBody::Challenge(_) | PeerBody::Proof(_) | PeerBody::ForwardReply(_) => None,
+        PeerBody::Lease(wire) => Some(PeerBody::LeaseReply(leadership_worker::answer(node, wire))),
+        PeerBody::Challenge(_)
+        | PeerBody::Proof(_)
+        | PeerBody::ForwardReply(_)
+        | PeerBody::LeaseReply(_) => None,
     }
 }
 
--- a/crates/daemon/src/store_watcher.rs
+++ b/crates/daemon/src/store_watcher.rs
@@ -28,7 +28,7 @@
 
 fn take_in(node: &Node, event: WatchEvent) {
     let Some(value) = event.value else {
-        return;
+        return removed(node, &event.path);
     };
     let path = event.path.as_str();
     let object = StoredObject {
@@ -42,7 +42,12 @@
         _ if path.starts_with(ObjectPath::INSTANCES) => {
             object.decode().map(|record: InstanceRecord| {
                 let mut instances = node.tables.instances.lock().unwrap();
-                instances.insert(record.id.name.clone(), record);
+                let id = record.id.clone();
+                let before = instances.insert(id.name.clone(), record);
+                if let Some(before) = before.filter(|before| before.id != id) {
+                    let now = node.clock.now();
+                    node.tables.peers.lock().unwrap().ended(before.id, now);
+                }
             })
         }
         _ if path.starts_with(ObjectPath::PARTS) => object
@@ -50,10 +55,22 @@
             .and_then(|wire| {
                 PartRecord::try_from(wire).map_err(|error| StoreError::Malformed(error.to_string()))
             })
-            .map(|record| node.tables.learn_part(&node.id, event.version, record)),
+            .map(|record| node.tables.learn_part(record, node.clock.now())),
         _ => Ok(()),
     };
     if let Err(error) = result {
         log::error!("object {path} dropped: {error}");
     }
 }
+
+/// Counts a run as ended when the platform's list no longer names it.
+fn removed(node: &Node, path: &ObjectPath) {
+    let Some(name) = path.as_str().strip_prefix(ObjectPath::INSTANCES) else {
+        return;
+    };
+    let mut instances = node.tables.instances.lock().unwrap();
+    if let Some(before) = instances.shift_remove(name) {
+        let now = node.clock.now();
+        node.tables.peers.lock().unwrap().ended(before.id, now);
+    }
+}
--- a/crates/ownership/src/grant_table.rs
+++ b/crates/ownership/src/grant_table.rs
@@ -12,9 +12,29 @@
     inherited_until: MonoTime,
 }
 
+/// What to send to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GrantStep {
+    /// Nothing yet.
+    Wait,
+    /// A question for its clock.
+    ReadClock,
+    /// A grant.
+    Send {
+        /// Number of the order.
+        number: u64,
+        /// Reading of the server's clock from which the grant no longer stands.
+        not_after: MonoTime,
+        /// Ranges.
+        ranges: Vec<SliceRange>,
+    },
+}
+
 #[derive(Clone, Debug, Default)]
 struct ServerGrants {
     clock: Option<ServerClock>,
+    heard: MonoTime,
+    asked: Option<MonoTime>,
     orders: Vec<SentOrder>,
     next: u64,
 }
@@ -26,7 +46,6 @@
     sent: MonoTime,
     deadline: MonoTime,
     answered: Option<MonoTime>,
-    accepted: bool,
 }
 
 impl SentOrder {
@@ -41,34 +60,58 @@
         self.inherited_until = self.inherited_until.max(until);
     }
 
-    /// Notes an order for `ranges` that is about to be sent and stands until `deadline`; gives its
-    /// number and the deadline on the server's clock, none while that clock is unknown.
-    pub fn send(
+    /// Next message to `server`, which may be granted `ranges` until `deadline`; a server that does
+    /// not answer is only asked for its clock, so that its grants lapse.
+    pub fn next(
         &mut self,
         server: &ServerName,
         ranges: Vec<SliceRange>,
         now: MonoTime,
         deadline: MonoTime,
         timing: &TimingPlan,
-    ) -> Option<(u64, MonoTime)> {
+    ) -> GrantStep {
         let grants = self.grants.entry(server.clone()).or_default();
-        let not_after = grants.clock?.no_later_than(deadline, timing);
         grants.orders.retain(|order| order.deadline > now);
+        let due = |since: Option<MonoTime>| {
+            since.is_none_or(|since| now.since(since) >= timing.grant_renewal)
+        };
+        let silent = grants.orders.iter().any(|order| {
+            order.answered.is_none()
+                && order.sent > grants.heard
+                && now.since(order.sent) > timing.grant_renewal
+        });
+        let clock = grants.clock.filter(|_| !silent && deadline > now);
+        let Some(clock) = clock else {
+            if !due(grants.asked) {
+                return GrantStep::Wait;
+            }
+            grants.asked = Some(now);
+            return GrantStep::ReadClock;
+        };
+        let last = grants.orders.last();
+        if last.is_some_and(|last| last.ranges == ranges && !due(Some(last.sent))) {
+            return GrantStep::Wait;
+        }
         grants.next += 1;
         grants.orders.push(SentOrder {
             number: grants.next,
-            ranges,
+            ranges: ranges.clone(),
             sent: now,
             deadline,
             answered: None,
-            accepted: false,
         });
-        Some((grants.next, not_after))
+        GrantStep::Send {
+            number: grants.next,
+            not_after: clock.no_later_than(deadline, timing),
+            ranges,
+        }
     }
 
     /// Notes a reading of the clock of `server`.
-    pub fn heard(&mut self, server: &ServerName, clock: ServerClock) {
-        self.grants.entry(server.clone()).or_default().clock = Some(clock);
+    pub fn heard(&mut self, server: &ServerName, clock: ServerClock, now: MonoTime) {
+        let grants = self.grants.entry(server.clone()).or_default();
+        grants.clock = Some(clock);
+        grants.heard = now;
     }
 
     /// Notes that `server` answered the order `number`.
@@ -89,7 +132,6 @@
         }
         let order = &mut grants.orders[index];
         order.answered = Some(now);
-        order.accepted = true;
         let sent = order.sent;
         grants
             .orders
@@ -103,16 +145,6 @@
         }
     }
 
-    /// Whether an order to `server` has waited for its answer for longer than `patience`.
-    pub fn is_silent(&self, server: &ServerName, now: MonoTime, patience: Duration) -> bool {
-        self.grants.get(server).is_some_and(|grants| {
-            grants
-                .orders
-                .iter()
-                .any(|order| order.answered.is_none() && now.since(order.sent) > patience)
-        })
-    }
-
     /// Our reading until which `server` surely may serve `hash`.
     pub fn stands_until(&self, server: &ServerName, hash: KeyHash) -> Option<MonoTime> {
         let point = SliceRange {
@@ -130,7 +162,7 @@
 
     fn last_accepted(&self, server: &ServerName) -> Option<&SentOrder> {
         let orders = &self.grants.get(server)?.orders;
-        orders.iter().rev().find(|order| order.accepted)
+        orders.iter().rev().find(|order| order.answered.is_some())
     }
 
     /// Whether `server` may still hold a part of `range` through an order of this holder.
--- a/crates/ownership/src/lease_holder.rs
+++ b/crates/ownership/src/lease_holder.rs
@@ -88,7 +88,16 @@
         self.table.holder(now)
     }
 
-    /// Whether the part is sought and steps should be taken sooner than each heartbeat.
+    /// Whether steps should be taken sooner than at the next heartbeat.
+    pub fn is_due(&self, now: MonoTime) -> bool {
+        match self.role {
+            HolderRole::Idle => self.may_seek(now),
+            HolderRole::Seeking { .. } => true,
+            HolderRole::Holding { .. } => false,
+        }
+    }
+
+    /// Whether the part is sought.
     pub fn is_seeking(&self) -> bool {
         matches!(self.role, HolderRole::Seeking { .. })
     }
--- a/crates/ownership/src/led_part.rs
+++ b/crates/ownership/src/led_part.rs
@@ -60,7 +60,7 @@
             let moved = self.record.is_moving(range);
             match owner == Some(server) {
                 true if moved && self.frozen => false,
-                true => self.grants.is_free_for(server, range, moved, now),
+                true => !moved || self.grants.is_free_for(server, range, moved, now),
                 false => {
                     moved
                         && !self.frozen
@@ -76,6 +76,32 @@
             .collect()
     }
 
+    /// Next message to `server`.
+    pub fn grant_step(
+        &mut self,
+        server: &ServerName,
+        now: MonoTime,
+        timing: &TimingPlan,
+    ) -> GrantStep {
+        self.servers
+            .entry(server.clone())
+            .or_insert_with(|| ServerWatch::new(now));
+        let deadline = match self.state_of(server, now, timing) {
+            ServerState::Suspected => now,
+            ServerState::Joining | ServerState::Serving | ServerState::Draining => {
+                now.after(timing.grant).min(self.lease_until)
+            }
+        };
+        let ranges = self.grantable(server, now);
+        self.grants.next(server, ranges, now, deadline, timing)
+    }
+
+    /// Requests running at `server` beyond `ours`, by its own count.
+    pub fn foreign_running(&self, server: &ServerName, ours: u32) -> u32 {
+        let watch = self.servers.get(server);
+        watch.map_or(0, |watch| watch.busy.saturating_sub(ours))
+    }
+
     /// Ranges on the move that only their new owner can still hold.
     pub fn moves_done(&self, now: MonoTime) -> Vec<SliceRange> {
         let done = |moving: &SliceRange| {
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -28,7 +28,7 @@
 pub use {
     fleet_view::{FleetView, LiveInstance},
     grant_order::GrantOrder,
-    grant_table::GrantTable,
+    grant_table::{GrantStep, GrantTable},
     held_loans::HeldLoans,
     lead_state::LeadState,
     lease_holder::LeaseHolder,
