--- a/crates/daemon/src/grant_worker.rs
+++ b/crates/daemon/src/grant_worker.rs
@@ -94,6 +94,8 @@
                 part.grants.unsent(name, number);
             }
         }
-        Err(ExchangeError::Unclear(_)) => {}
+        Err(
+            ExchangeError::Unclear(_) | ExchangeError::TimedOut | ExchangeError::AnswerTooLarge(_),
+        ) => {}
     }
 }
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -17,6 +17,7 @@
     pub(crate) tables: NodeTables,
     pub(crate) peers: PeerClient,
     pub(crate) servers: ServerBook,
+    pub(crate) notes: NotesBook,
     pub(crate) slots: Arc<SlotBroker>,
     pub(crate) decisions: DecisionLog,
     pub(crate) connections: NodeConnections,
@@ -92,6 +93,7 @@
             tables: NodeTables::new(&record.id, settings.timing, SteadyClock.now()),
             peers: PeerClient::new(pool.clone(), dialer, &settings),
             servers: ServerBook::default(),
+            notes: NotesBook::default(),
             slots: Arc::default(),
             decisions: DecisionLog::default(),
             connections: NodeConnections {
@@ -118,6 +120,7 @@
         pool.spawn(leadership_worker::run(node.clone()));
         pool.spawn(grant_worker::run(node.clone()));
         pool.spawn(server_keeper::run(node.clone()));
+        pool.spawn(notes_worker::run(node.clone()));
         Ok(Self {
             node,
             caller_address,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! leads the key's part, and there by `leader_worker` to the key's owner. The tables that workers
 //! share are in `node_tables`, with the order in which they are locked.
 
+mod attempt_fault;
 mod caller_answer;
 mod caller_gateway;
 mod caller_listener;
@@ -27,6 +28,11 @@
 mod metric_worker;
 mod node_connections;
 mod node_tables;
+mod notes_book;
+mod notes_guard;
+mod notes_wire;
+mod notes_worker;
+mod once_worker;
 mod operator_error;
 mod operator_listener;
 mod operator_query;
@@ -38,6 +44,7 @@
 mod peer_listener;
 mod peer_proof;
 mod record_writer;
+mod running_calls;
 mod server_book;
 mod server_keeper;
 mod server_session;
@@ -61,23 +68,30 @@
 mod prelude {
     pub(crate) use {
         crate::{
+            attempt_fault::AttemptFault,
             caller_answer::CallerAnswer,
             caller_request::{CallerRequest, HeaderField},
             decision_log::DecisionLog,
             forward_wire::{ForwardReplyWire, ForwardWire},
             instance_node::Node,
             leader_hint::LeaderHint,
+            leader_worker::SlotAdmission,
             lease_wire::{LeaseReplyWire, LeaseWire, LoanAskWire, LoanReplyWire, LoanReturnWire},
             node_connections::NodeConnections,
-            node_tables::{LeaderAddress, NodeTables},
+            node_tables::{FormerLead, LeaderAddress, NodeTables},
+            notes_book::{NotesBook, NotesMarks, NotesStep},
+            notes_guard::NotesGuard,
+            notes_wire::*,
+            notes_worker::NotesLead,
             peer_book::PeerBook,
             peer_client::PeerClient,
             peer_error::PeerError,
-            peer_frame::{PeerBody, PeerFrame},
+            peer_frame::{CancelWire, PeerBody, PeerFrame},
             peer_proof::PeerProof,
+            running_calls::RunningCalls,
             server_book::ServerBook,
-            server_session::ServerSession,
-            slot_broker::SlotBroker,
+            server_session::{ServerOrder, ServerSession},
+            slot_broker::{SlotBroker, SlotGuard},
             *,
         },
         async_io::Timer,
