--- a/crates/daemon/src/dump_builder.rs
+++ b/crates/daemon/src/dump_builder.rs
@@ -161,7 +161,6 @@
     let Some(head) = gate.head() else {
         return Vec::new();
     };
-    let preset = head.active_preset();
     head.services
         .iter()
         .flat_map(|(service, declaration)| {
@@ -175,7 +174,7 @@
             service: service.to_string(),
             server: server.name.to_string(),
             data_centre: server.data_centre.clone(),
-            state: match preset.drained_servers.contains(&server.name) {
+            state: match head.is_drained(&server.name) {
                 true => "drained",
                 false => "active",
             }
@@ -195,6 +194,9 @@
         .values()
         .filter(|record| record.id != node.id)
         .take(MAX_ROWS)
-        .map(PeerDump::from)
+        .map(|record| PeerDump {
+            revision: node.feed.revision_of(&record.id.name),
+            ..PeerDump::from(record)
+        })
         .collect()
 }
