--- a/crates/ownership/src/lease_settle.rs
+++ b/crates/ownership/src/lease_settle.rs
@@ -42,9 +42,15 @@
     }
 
     fn hold(&mut self, until: MonoTime, frozen: bool) {
-        let round = match self.claim.0 == self.record.term {
-            true => self.claim.1,
-            false => 0,
+        let round = match &self.role {
+            HolderRole::Holding { lead }
+                if lead.record.term == self.record.term
+                    && self.trio_until(&self.record, self.claim) < until =>
+            {
+                lead.round
+            }
+            _ if self.claim.0 == self.record.term => self.claim.1,
+            _ => 0,
         };
         let lead = LeadState {
             record: self.record.clone(),
@@ -93,8 +99,7 @@
     /// Lends this instance's own loan to itself where that keeps or gives authority.
     fn renew_own(&mut self, now: MonoTime, fleet: &FleetView) {
         let ask = self.ask(&self.me.clone());
-        let holding = matches!(self.role, HolderRole::Holding { .. });
-        if !holding {
+        if !self.holds() {
             let mut with_own = self.clone();
             with_own.note_own(&ask, now);
             let record = &self.record;
@@ -108,6 +113,10 @@
         self.note_own(&ask, now);
     }
 
+    fn holds(&self) -> bool {
+        matches!(self.role, HolderRole::Holding { .. })
+    }
+
     fn note_own(&mut self, ask: &LoanAsk, now: MonoTime) {
         let verdict = self.table.lend(ask, self.record.edition, now, &self.timing);
         if let LoanVerdict::Lent(span) = verdict {
@@ -175,10 +184,10 @@
     fn next_claim(&self) -> (u64, u32) {
         let term = self.record.term;
         let highest = self.table.highest().max(self.seen);
-        let holding = matches!(self.role, HolderRole::Holding { .. });
-        let mine = self.table.last_was(&self.me, highest) || (holding && self.claim.0 == term);
+        let mine = self.table.last_was(&self.me, highest) && self.claim >= self.seen;
         match highest.0 == term {
             true if mine => self.claim.max((term, 0)),
+            true if self.claim >= highest && self.holds() => self.claim,
             true if self.claim > highest => self.claim,
             true => (term, highest.1 + 1),
             false if self.record.leader == self.me => (term, 0),
