--- a/crates/ownership/tests/fault_history.rs
+++ b/crates/ownership/tests/fault_history.rs
@@ -22,7 +22,7 @@
 /// A message on its way.
 enum Message {
     Ask(LoanAsk, MonoTime),
-    Reply(LoanAsk, LoanReply, MonoTime),
+    Reply(Box<(LoanAsk, LoanReply)>, MonoTime),
     Return(LoanReturn),
     Grant {
         from: usize,
@@ -331,10 +331,11 @@
                 if let Some(to) = self.index_of(&ask.holder)
                     && self.connected(index, to)
                 {
-                    self.send(to, Message::Reply(ask, reply, asked));
+                    self.send(to, Message::Reply(Box::new((ask, reply)), asked));
                 }
             }
-            Message::Reply(ask, reply, asked) => {
+            Message::Reply(answer, asked) => {
+                let (ask, reply) = *answer;
                 let fleet = self.fleet(index);
                 let instance = &mut self.instances[index];
                 if ask.holder == instance.id
