Hand parts over before a planned stop, and leave a silent leader for its successor

A stopping instance ended while it still led; a leaving shared server went on getting requests; a caller's request to a paused leader waited out its whole deadline. A stop now announces itself in the list, writes its successors (or gives its loans back after 1 s without a store), and a forwarded request is given up once its leader is silent and a newer term has another.

--- a/crates/daemon/src/forward_worker.rs
+++ b/crates/daemon/src/forward_worker.rs
@@ -7,6 +7,8 @@
 
 /// Pause before the leader of a part is looked up again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Pause between two looks for a successor of a leader that does not answer.
+const SUCCESSOR_INTERVAL: Duration = Duration::from_millis(25);
 /// Time beyond the deadline for which a leader's own refusal is waited for.
 const REFUSAL_GRACE: Duration = Duration::from_millis(30);
 /// When a caller may come back after its part had no leader.
@@ -70,10 +72,14 @@
     }
     let remaining = deadline.since(node.clock.now());
     let body = PeerBody::Forward(ForwardWire::new(request, remaining, leader.term));
-    let reply = node
+    let call = node
         .peers
-        .call(leader.address, body, remaining + REFUSAL_GRACE)
-        .await;
+        .call(leader.address, body, remaining + REFUSAL_GRACE);
+    let reply = future::or(call, async {
+        succeeded(node, request, leader).await;
+        Err(PeerError::Unclear("the leader was succeeded".into()))
+    })
+    .await;
     match reply {
         Ok(PeerBody::ForwardReply(reply)) => match CallerAnswer::try_from(reply) {
             Ok(answer) => step_of(request, answer),
@@ -84,6 +90,20 @@
     }
 }
 
+/// Ends once a leader that is silent has a successor on record.
+async fn succeeded(node: &Node, request: &CallerRequest, leader: &LeaderAddress) {
+    loop {
+        Timer::after(SUCCESSOR_INTERVAL).await;
+        let now = node.clock.now();
+        let current = node.tables.leader_of(&request.service, request.hash);
+        if current.is_some_and(|current| current.term > leader.term)
+            && !node.tables.peers.lock().unwrap().is_live(&leader.id, now)
+        {
+            return;
+        }
+    }
+}
+
 /// A leader that no longer leads is asked no further, and a request that another attempt of ours
 /// still runs is waited for; all other answers go to the caller.
 fn step_of(request: &CallerRequest, answer: CallerAnswer) -> ForwardStep {
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -185,6 +185,8 @@
             false
         };
         let ended = async {
+            node.pool.spawn(announce_leaving(node.clone()));
+            leadership_worker::hand_over(node).await;
             while node.in_flight() > 0 {
                 Timer::after(DRAIN_INTERVAL).await;
             }
@@ -199,6 +201,14 @@
         whole
     }
 
+    /// Hands over every part that this instance leads and takes no new role; goes on serving what it
+    /// holds. Ends when another instance may lead each part.
+    pub async fn drain(&self) {
+        self.node.begin_drain("drain");
+        self.node.pool.spawn(announce_leaving(self.node.clone()));
+        leadership_worker::hand_over(&self.node).await;
+    }
+
     /// Ends the instance at once, as a crash would.
     pub fn kill(&self) {
         self.node.pool.stop();
@@ -215,6 +225,21 @@
     }
 }
 
+/// Marks the instance as leaving in the platform's list, so that it gets no new role.
+async fn announce_leaving(node: Arc<Node>) {
+    let own = {
+        let instances = node.tables.instances.lock().unwrap();
+        instances.get(&node.id.name).cloned()
+    };
+    if let Some(own) = own.filter(|own| own.id == node.id) {
+        let leaving = InstanceRecord {
+            leaving: true,
+            ..own
+        };
+        register(node, leaving).await;
+    }
+}
+
 /// Registers the instance in the store once, trying until it has succeeded.
 async fn register(node: Arc<Node>, record: InstanceRecord) {
     let path = ObjectPath::instance(&record.id.name);
--- a/crates/daemon/src/leadership_worker.rs
+++ b/crates/daemon/src/leadership_worker.rs
@@ -7,6 +7,9 @@
 /// Interval between two parts handed to the instances that should lead them.
 const HAND_OVER_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest wait of a draining instance for the records that name its successors.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Messages to one instance.
 #[derive(Default)]
 struct PeerMail {
@@ -105,6 +108,37 @@
 /// requests are taken over from the lenders.
 fn takeover_hook(_node: &Node, _part: &PartId) {}
 
+/// Waits until the draining instance leads no part; after a bound, as while the store is down, the
+/// standbys take over without a written record.
+pub(crate) async fn hand_over(node: &Arc<Node>) {
+    let bound = node.clock.now().after(HAND_OVER_TIMEOUT);
+    let leads = || !node.tables.led.lock().unwrap().is_empty();
+    let has_peers = {
+        let fleet = fleet_view(node, node.clock.now());
+        !fleet.live.is_empty()
+    };
+    while has_peers && leads() && node.clock.now() < bound {
+        Timer::after(SEEK_INTERVAL).await;
+    }
+    if !has_peers || !leads() {
+        return;
+    }
+    let steps = {
+        let mut holders = node.tables.holders.lock().unwrap();
+        for holder in holders.values_mut() {
+            holder.leave();
+            holder.release();
+        }
+        sync_led(node, &holders, node.clock.now());
+        holders
+            .values_mut()
+            .flat_map(LeaseHolder::take_steps)
+            .collect()
+    };
+    carry_out(node, steps);
+    Timer::after(node.settings.timing.heartbeat).await;
+}
+
 /// Sends messages and starts writes.
 pub(crate) fn carry_out(node: &Arc<Node>, steps: Vec<LeaseStep>) {
     let mut mail: IndexMap<InstanceId, PeerMail> = IndexMap::new();
--- a/crates/ownership/src/held_loans.rs
+++ b/crates/ownership/src/held_loans.rs
@@ -33,17 +33,6 @@
         self.loans.clear();
     }
 
-    /// Edition that `lender` is known to know.
-    pub fn edition_of(&self, lender: &InstanceId) -> u64 {
-        self.loans.get(lender).map_or(0, |loan| loan.edition)
-    }
-
-    /// Our reading until which `lender` lends.
-    pub fn until(&self, lender: &InstanceId) -> MonoTime {
-        let loan = self.loans.get(lender);
-        loan.map_or(MonoTime::default(), |loan| loan.until)
-    }
-
     /// Our reading until which a majority of `trio` lends, all knowing `edition` and asked at
     /// `claim` or later; members for which `gone` holds lend to nobody for ever.
     pub fn majority_until(
--- a/crates/ownership/src/lease_holder.rs
+++ b/crates/ownership/src/lease_holder.rs
@@ -112,6 +112,14 @@
         self.leaving = true;
     }
 
+    /// Gives the part up at once, so that a standby takes it over without a written record.
+    pub fn release(&mut self) {
+        if matches!(self.role, HolderRole::Holding { .. }) {
+            let trio = self.record.trio();
+            self.give_back(&trio);
+        }
+    }
+
     /// Takes in a record that the store holds or held.
     pub fn learn(&mut self, record: PartRecord, now: MonoTime) {
         if record.edition <= self.record.edition {
@@ -255,7 +263,7 @@
         match &self.role {
             HolderRole::Holding { lead } if lead.until > now && !lead.frozen => {
                 if lead.record.edition == record.edition {
-                    return self.next_trio(now, fleet);
+                    return self.next_trio(fleet);
                 }
                 let overtaken = record.leader != self.me && record.term == lead.record.term;
                 overtaken.then(|| {
@@ -292,13 +300,13 @@
             .record()
     }
 
-    fn next_trio(&self, now: MonoTime, fleet: &FleetView) -> Option<PartRecord> {
+    fn next_trio(&self, fleet: &FleetView) -> Option<PartRecord> {
         let record = &self.record;
         let plan = RecordPlan::after(record);
         let kept: Vec<InstanceId> = record
             .trio()
             .into_iter()
-            .filter(|member| fleet.is_live(member) || self.loans.until(member) > now)
+            .filter(|member| fleet.is_live(member))
             .collect();
         let preferred = fleet.preferred_leader(&record.id);
         let due = self.leaving || (fleet.may_hand_over && record.leader == self.me);
--- a/crates/ownership/src/led_part.rs
+++ b/crates/ownership/src/led_part.rs
@@ -169,6 +169,10 @@
         now: MonoTime,
     ) -> RouteDecision {
         let granted = |server: &&ServerName| {
+            let watch = self.servers.get(*server);
+            if watch.is_some_and(|watch| watch.leaving) {
+                return false;
+            }
             let until = self.grants.any_stands_until(server);
             until.is_some_and(|until| until > now)
         };
--- a/crates/ownership/src/server_watch.rs
+++ b/crates/ownership/src/server_watch.rs
@@ -21,7 +21,8 @@
     since: MonoTime,
     heard: Option<MonoTime>,
     refused: bool,
-    leaving: bool,
+    /// Whether the server said that it leaves.
+    pub leaving: bool,
     /// Requests that the server said to be running.
     pub busy: u32,
 }
