Leave room for modest callers; tell the refused to come back after one another

Ruled out: slots left idle (imbalance 1.06 and below at 150%).

Now one caller fills at most half a queue at any time, a caller's wait is estimated by its turn, and the time to come back counts the refused before it.

--- a/crates/requests/src/admission_table.rs
+++ b/crates/requests/src/admission_table.rs
@@ -69,13 +69,18 @@
     /// Time that requests ran lately, halved with each [`ServerLoad::HALF_LIFE`].
     recent_us: u64,
     recent_at: MonoTime,
+    /// Work of refused requests that will come back, in microseconds of one slot.
+    refused_us: u64,
+    refused_at: MonoTime,
 }
 
 impl AdmissionTable {
-    /// Share of a queue that one caller may fill while others wait: one part in this many.
+    /// Share of a queue that one caller may fill: one part in this many.
     pub const CALLER_SHARE: usize = 2;
     /// Shortest time after which a refused caller is told to come back.
     const MIN_RETRY: Duration = Duration::from_millis(20);
+    /// Longest such time.
+    const MAX_RETRY: Duration = Duration::from_secs(5);
 
     /// Asks for a slot for a request.
     pub fn admit(
@@ -91,25 +96,16 @@
             load.running += 1;
             return AdmissionStep::Start;
         }
-        let ahead = load.queue.ahead_of(request.priority);
-        let wait = load.expected_wait(ahead, slots);
-        let refuse = |reason| AdmissionStep::Refuse {
-            reason,
-            retry_after: wait.max(Self::MIN_RETRY),
+        let Some(reason) = load.fault_of(&request, limit, slots, now) else {
+            load.queue.push(request);
+            return AdmissionStep::Wait;
         };
-        if now.after(wait + load.mean()) > request.deadline {
-            return refuse(RefusalReason::DeadlineBeforeSend);
-        }
-        if ahead >= limit.queue || wait > limit.wait {
-            return refuse(RefusalReason::Overloaded);
-        }
-        let (own, callers) = load.queue.share_of(&request.caller, request.priority);
-        let others = callers > usize::from(own > 0);
-        if others && own >= (limit.queue / Self::CALLER_SHARE).max(1) {
-            return refuse(RefusalReason::CallerLimit);
+        let wait = load.expected_wait(load.queue.ahead_of(request.priority), slots);
+        let retry_after = wait + load.refused(slots, now);
+        AdmissionStep::Refuse {
+            reason,
+            retry_after: retry_after.clamp(Self::MIN_RETRY, Self::MAX_RETRY),
         }
-        load.queue.push(request);
-        AdmissionStep::Wait
     }
 
     /// Gives a slot back.
@@ -203,6 +199,36 @@
         (self.recent_us as f64 * (-halvings).exp2()) as u64
     }
 
+    /// Why a request may not wait; none when it may.
+    fn fault_of(
+        &self,
+        request: &WaitingRequest,
+        limit: SlotLimit,
+        slots: u32,
+        now: MonoTime,
+    ) -> Option<RefusalReason> {
+        let ahead = self.queue.ahead_of(request.priority);
+        let turn = self.queue.turn_of(&request.caller, request.priority);
+        let wait = self.expected_wait(turn, slots);
+        let own = self.queue.share_of(&request.caller, request.priority);
+        if now.after(wait + self.mean()) > request.deadline {
+            return Some(RefusalReason::DeadlineBeforeSend);
+        }
+        if own >= (limit.queue / AdmissionTable::CALLER_SHARE).max(1) {
+            return Some(RefusalReason::CallerLimit);
+        }
+        (ahead >= limit.queue || wait > limit.wait).then_some(RefusalReason::Overloaded)
+    }
+
+    /// Time that the slots need for the requests refused before, to which one is added.
+    fn refused(&mut self, slots: u32, now: MonoTime) -> Duration {
+        let slots = u64::from(slots.max(1));
+        let worked = now.since(self.refused_at).as_micros() as u64 * slots;
+        self.refused_us = self.refused_us.saturating_sub(worked) + self.mean_us;
+        self.refused_at = now;
+        Duration::from_micros(self.refused_us / slots)
+    }
+
     fn mean(&self) -> Duration {
         Duration::from_micros(self.mean_us)
     }
--- a/crates/requests/src/server_queue.rs
+++ b/crates/requests/src/server_queue.rs
@@ -54,11 +54,23 @@
         lanes.iter().map(|lane| lane.length).sum()
     }
 
-    /// Requests of `caller` that wait at `priority`, and the number of callers that wait there.
-    pub fn share_of(&self, caller: &str, priority: u8) -> (usize, usize) {
+    /// Requests of `caller` that wait at `priority`.
+    pub fn share_of(&self, caller: &str, priority: u8) -> usize {
         let lane = &self.lanes[usize::from(priority.min(LOWEST_PRIORITY))];
-        let own = lane.callers.get(caller).map_or(0, VecDeque::len);
-        (own, lane.callers.len())
+        lane.callers.get(caller).map_or(0, VecDeque::len)
+    }
+
+    /// Requests that start before the next one of `caller` at `priority`, as callers take turns.
+    pub fn turn_of(&self, caller: &str, priority: u8) -> usize {
+        let priority = priority.min(LOWEST_PRIORITY);
+        let lane = &self.lanes[usize::from(priority)];
+        let rounds = self.share_of(caller, priority) + 1;
+        let before: usize = lane
+            .callers
+            .values()
+            .map(|line| line.len().min(rounds))
+            .sum();
+        self.ahead_of(priority) - lane.length + before
     }
 
     /// Requests that wait.
