--- a/crates/cli/tests/instance_questions.rs
+++ b/crates/cli/tests/instance_questions.rs
@@ -216,6 +216,20 @@
     let wide = status.text.lines().find(|line| line.chars().count() > 80);
     assert_eq!(wide, None);
 
+    let folder = TestFolder::new("moves", &[("a.toml", WHOLE)]);
+    let mut pruning = ada.clone();
+    pruning.prune = true;
+    let plan = expect(ExitStatus::Done, &CliVerb::Plan(folder.path()), &pruning);
+    let owner = servers.iter().find(|row| row["owned_slices"] != 0).unwrap();
+    let moves = plan.json["moves"].as_array().unwrap();
+    let preview = moves
+        .iter()
+        .find(|preview| preview["service"] == owner["service"])
+        .unwrap();
+    let leaving = preview["leaving"].as_object().unwrap();
+    let moved: u64 = leaving.values().filter_map(Value::as_u64).sum();
+    assert_eq!(preview["slices"], moved, "{}", plan.text);
+
     let verb = CliVerb::Explain {
         service: server["service"].as_str().unwrap().into(),
         key: "weld 7".into(),
