--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,8 +30,10 @@
 mod instance_pruner;
 #[cfg(test)]
 mod instance_pruner_tests;
+mod leader_hint;
 mod leader_worker;
 mod leadership_worker;
+mod lease_wire;
 mod metric_recorder;
 mod metric_table;
 mod metric_worker;
@@ -45,13 +47,17 @@
 mod operator_error;
 mod operator_listener;
 mod operator_query;
+mod part_creator;
+mod peer_book;
 mod peer_client;
 mod peer_error;
 mod peer_frame;
 mod peer_listener;
 mod peer_proof;
+mod record_writer;
 mod running_calls;
 mod server_book;
+mod server_keeper;
 mod server_session;
 mod setting_fault;
 mod setting_reader;
@@ -82,13 +88,16 @@
             feed_wire::{FeedBatch, FeedPull},
             forward_wire::{ForwardReplyWire, ForwardWire},
             instance_node::Node,
+            leader_hint::LeaderHint,
             leader_worker::SlotAdmission,
+            lease_wire::{LeaseReplyWire, LeaseWire, LoanAskWire, LoanReplyWire, LoanReturnWire},
             node_connections::NodeConnections,
-            node_tables::{FormerLead, NodeTables},
+            node_tables::{FormerLead, LeaderAddress, NodeTables},
             notes_book::{NotesBook, NotesMarks, NotesStep},
             notes_guard::NotesGuard,
             notes_wire::*,
             notes_worker::NotesLead,
+            peer_book::PeerBook,
             peer_client::PeerClient,
             peer_error::PeerError,
             peer_frame::{CancelWire, PeerBody, PeerFrame},
--- a/crates/daemon/src/notes_worker.rs
+++ b/crates/daemon/src/notes_worker.rs
@@ -26,7 +26,7 @@
 impl NotesLead {
     /// Lead of `part`.
     pub(crate) fn of(node: &Node, part: &LedPart) -> Self {
-        let fence = part.record.fence();
+        let fence = part.fence;
         let record = &part.record;
         Self {
             part: record.id.clone(),
--- a/crates/daemon/src/peer_frame.rs
+++ b/crates/daemon/src/peer_frame.rs
@@ -7,7 +7,10 @@
 pub(crate) struct PeerFrame {
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 20, 21, 22, 23, 24, 30, 31")]
+    #[prost(
+        oneof = "PeerBody",
+        tags = "2, 3, 4, 5, 6, 7, 20, 21, 22, 23, 24, 30, 31"
+    )]
     pub(crate) body: Option<PeerBody>,
     /// Latest version of the store's objects that the sender knows.
     #[prost(uint64, tag = "15")]
@@ -29,6 +32,12 @@
     /// The leader's answer.
     #[prost(message, tag = "5")]
     ForwardReply(ForwardReplyWire),
+    /// Requests for loans.
+    #[prost(message, tag = "6")]
+    Lease(LeaseWire),
+    /// Answers to requests for loans.
+    #[prost(message, tag = "7")]
+    LeaseReply(LeaseReplyWire),
     /// A leader's notes for a standby.
     #[prost(message, tag = "20")]
     Notes(NotesWire),
--- a/crates/daemon/src/store_watcher.rs
+++ b/crates/daemon/src/store_watcher.rs
@@ -114,11 +114,16 @@
     } else if path.starts_with(ObjectPath::INSTANCES) {
         let record: InstanceRecord = object.decode()?;
         let mut instances = node.tables.instances.lock().unwrap();
-        instances.insert(record.id.name.clone(), record);
+        let id = record.id.clone();
+        let before = instances.insert(id.name.clone(), record);
+        if let Some(before) = before.filter(|before| before.id != id) {
+            let now = node.clock.now();
+            node.tables.peers.lock().unwrap().ended(before.id, now);
+        }
     } else if path.starts_with(ObjectPath::PARTS) {
         let record = PartRecord::try_from(object.decode::<PartWire>()?)
             .map_err(|error| StoreError::Malformed(error.to_string()))?;
-        node.tables.learn_part(&node.id, event.version, record);
+        node.tables.learn_part(record, node.clock.now());
     }
     Ok(())
 }
@@ -126,7 +131,11 @@
 /// Takes a removed object out of the tables; the head stays in force.
 fn remove(node: &Node, path: &str) {
     if let Some(name) = path.strip_prefix(ObjectPath::INSTANCES) {
-        node.tables.instances.lock().unwrap().swap_remove(name);
+        let mut instances = node.tables.instances.lock().unwrap();
+        if let Some(before) = instances.swap_remove(name) {
+            let now = node.clock.now();
+            node.tables.peers.lock().unwrap().ended(before.id, now);
+        }
     } else if let Some(Ok(part)) = path
         .strip_prefix(ObjectPath::PARTS)
         .map(str::parse::<PartId>)
