--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -24,6 +24,7 @@
     pub(crate) servers: ServerBook,
     pub(crate) notes: NotesBook,
     pub(crate) slots: Arc<SlotBroker>,
+    pub(crate) loads: LoadBook,
     pub(crate) decisions: DecisionLog,
     pub(crate) feed: FeedState,
     pub(crate) connections: NodeConnections,
@@ -52,6 +53,15 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Meters a request for a key of a led part that has held a slot since `started`.
+    pub(crate) fn meter(&self, part: &PartId, hash: KeyHash, started: MonoTime) {
+        let now = self.clock.now();
+        if let Some(start) = self.tables.slice_start(part, hash) {
+            self.loads
+                .record(part, start, hash, now.since(started), now);
+        }
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
@@ -111,6 +121,7 @@
             servers: ServerBook::default(),
             notes: NotesBook::default(),
             slots: Arc::default(),
+            loads: LoadBook::default(),
             decisions: DecisionLog::default(),
             feed,
             connections: NodeConnections {
@@ -138,6 +149,7 @@
         pool.spawn(leadership_worker::run(node.clone()));
         pool.spawn(grant_worker::run(node.clone()));
         pool.spawn(server_keeper::run(node.clone()));
+        pool.spawn(balance_worker::run(node.clone()));
         pool.spawn(notes_worker::run(node.clone()));
         Ok(Self {
             node,
--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -224,7 +224,8 @@
     let running = part
         .as_ref()
         .map(|part| node.tables.begin(part, request.hash));
-    let remaining = deadline.since(node.clock.now());
+    let started = node.clock.now();
+    let remaining = deadline.since(started);
     let order = ServerOrder {
         fence: target.fence,
         not_after: target.not_after,
@@ -234,5 +235,8 @@
     let answer = target.session.run(request, order).await;
     drop(slot);
     drop(running);
+    if let Some(part) = part {
+        node.meter(&part, request.hash, started);
+    }
     answer
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! share are in `node_tables`, with the order in which they are locked.
 
 mod attempt_fault;
+mod balance_worker;
 mod caller_answer;
 mod caller_gateway;
 mod caller_listener;
@@ -34,6 +35,7 @@
 mod leader_worker;
 mod leadership_worker;
 mod lease_wire;
+mod load_book;
 mod metric_recorder;
 mod metric_table;
 mod metric_worker;
@@ -91,6 +93,7 @@
             leader_hint::LeaderHint,
             leader_worker::SlotAdmission,
             lease_wire::{LeaseReplyWire, LeaseWire, LoanAskWire, LoanReplyWire, LoanReturnWire},
+            load_book::LoadBook,
             node_connections::NodeConnections,
             node_tables::{FormerLead, LeaderAddress, NodeTables},
             notes_book::{NotesBook, NotesMarks, NotesStep},
@@ -111,6 +114,7 @@
         async_io::Timer,
         bytes::Bytes,
         futures_lite::future,
+        geraniummast_balance::*,
         geraniummast_configuration::*,
         geraniummast_model::*,
         geraniummast_net::*,
--- /dev/null
+++ b/crates/daemon/src/load_book.rs
@@ -0,0 +1,64 @@
+//! Meters and planners of the exclusive parts that this instance leads.
+
+use crate::prelude::*;
+
+/// Load of each led part.
+#[derive(Default)]
+pub(crate) struct LoadBook {
+    parts: Mutex<IndexMap<PartId, PartBalance>>,
+}
+
+#[derive(Debug)]
+struct PartBalance {
+    meter: LoadMeter,
+    planner: BalancePlanner,
+}
+
+impl LoadBook {
+    /// Notes a request that held a slot for `busy` and ended at `now`.
+    pub(crate) fn record(
+        &self,
+        part: &PartId,
+        slice_start: u64,
+        hash: KeyHash,
+        busy: Duration,
+        now: MonoTime,
+    ) {
+        let mut parts = self.parts.lock().unwrap();
+        if let Some(balance) = parts.get_mut(part) {
+            return balance.meter.record(slice_start, hash, busy);
+        }
+        let mut balance = PartBalance::new(now);
+        balance.meter.record(slice_start, hash, busy);
+        parts.insert(part.clone(), balance);
+    }
+
+    /// Changes that would level a part now.
+    pub(crate) fn plan(
+        &self,
+        record: &PartRecord,
+        servers: &[ServerShare],
+        now: MonoTime,
+    ) -> Vec<SliceChange> {
+        let mut parts = self.parts.lock().unwrap();
+        let Some(balance) = parts.get_mut(&record.id) else {
+            return Vec::new();
+        };
+        let report = balance.meter.close_window(record, now);
+        balance.planner.plan(record, &report, servers, now)
+    }
+
+    /// Forgets the parts that this instance leads no longer.
+    pub(crate) fn retain(&self, led: impl Fn(&PartId) -> bool) {
+        self.parts.lock().unwrap().retain(|part, _| led(part));
+    }
+}
+
+impl PartBalance {
+    fn new(now: MonoTime) -> Self {
+        Self {
+            meter: LoadMeter::new(now),
+            planner: BalancePlanner::new(BalanceLimits::default()),
+        }
+    }
+}
--- a/crates/daemon/src/node_tables.rs
+++ b/crates/daemon/src/node_tables.rs
@@ -157,8 +157,14 @@
         }
     }
 
-    /// Asks for changes of a led part's slices; where the planner of balance is plugged in.
-    #[allow(dead_code)]
+    /// Start of the slice of a led part that holds `hash`.
+    pub(crate) fn slice_start(&self, part: &PartId, hash: KeyHash) -> Option<u64> {
+        let led = self.led.lock().unwrap();
+        let entry = led.get(part)?.record.slice_of(hash)?;
+        Some(entry.start)
+    }
+
+    /// Asks for changes of a led part's slices.
     pub(crate) fn request_changes(&self, part: &PartId, changes: Vec<SliceChange>) {
         let mut waiting = self.changes.lock().unwrap();
         waiting.entry(part.clone()).or_default().extend(changes);
