--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -6,6 +6,12 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Requests that may wait for one server, per slot.
 const QUEUE_PER_SLOT: usize = 16;
+/// Longest time that a request may be expected to wait for a slot.
+const QUEUE_WAIT: Duration = Duration::from_secs(1);
+/// Shortest silence that counts against a connection.
+const SILENCE_BASE: Duration = Duration::from_millis(100);
+/// Mean runs of the server that are added to it.
+const SILENCE_RUNS: u32 = 8;
 /// When a caller may come back after no server could be reached.
 pub(crate) const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
 /// When a caller may come back after a failure that a repeat may mend.
@@ -63,7 +69,7 @@
 ) -> CallerAnswer {
     let mut unclear = false;
     for retry in 0.. {
-        let refused = match admit(node, request, deadline).await {
+        let refused = match admit(node, request, class, deadline).await {
             Err(notice) => notice,
             Ok(admission) => match exchange(node, request, class, admission, deadline).await {
                 Ok(answer @ CallerAnswer::Whole { .. }) => {
@@ -112,6 +118,7 @@
 pub(crate) async fn admit(
     node: &Arc<Node>,
     request: &CallerRequest,
+    class: &RequestClass,
     deadline: MonoTime,
 ) -> Result<SlotAdmission, RefusalNotice> {
     loop {
@@ -128,12 +135,14 @@
             TargetStep::Send(target) => target,
         };
         let server = target.session.name().clone();
-        let patience = deadline.since(now);
-        let slot = node
-            .slots
-            .acquire(&server, target.limit, patience)
-            .await
-            .map_err(|reason| RefusalNotice::try_again(reason, FAULT_RETRY))?;
+        let ask = SlotAsk {
+            server: &server,
+            limit: target.limit,
+            priority: class.priority,
+            caller: &request.caller,
+            deadline,
+        };
+        let slot = node.slots.acquire(ask).await?;
         if let Some(target) = refreshed(node, request, target, now) {
             return Ok(SlotAdmission { target, slot });
         }
@@ -176,13 +185,15 @@
     };
     let route = match declaration.kind {
         ServiceKind::Exclusive => part.route(request.hash, now),
-        ServiceKind::Shared => part.route_any(
-            head.active_servers(&request.service)
-                .into_iter()
-                .map(|server| &server.name),
-            |server| node.slots.running(server),
-            now,
-        ),
+        ServiceKind::Shared => {
+            let servers = head.active_servers(&request.service);
+            let running = |server: &ServerName| node.slots.running(server);
+            part.route_any(
+                node.servers.eligible(&servers, running, now),
+                |server| node.slots.pressure(server, now),
+                now,
+            )
+        }
     };
     let (server, fence, not_after) = match route {
         RouteDecision::Send {
@@ -205,12 +216,29 @@
         fence,
         not_after,
         limit: SlotLimit {
-            slots: declared.slots,
+            slots: usable_slots(head, declared),
             queue: declared.slots as usize * QUEUE_PER_SLOT,
+            wait: QUEUE_WAIT,
         },
     })
 }
 
+/// Longest silence on a connection that was used before, after which a repeatable request goes on
+/// over a new one.
+fn silence_bound(mean_run: Duration, remaining: Duration) -> Duration {
+    match mean_run.is_zero() {
+        true => remaining / 2,
+        false => (SILENCE_BASE + mean_run * SILENCE_RUNS).min(remaining / 2),
+    }
+}
+
+/// Slots of a server under the preset in force, at least 1.
+fn usable_slots(head: &HeadRecord, declared: &ServerDeclaration) -> u32 {
+    let preset = head.presets.get(&head.preset);
+    let percent = preset.and_then(|preset| preset.slot_percent).unwrap_or(100);
+    (declared.slots * percent.min(100) / 100).max(1)
+}
+
 /// Sends the request to its server and reads the whole answer; the slot is given back at the end.
 pub(crate) async fn exchange(
     node: &Arc<Node>,
@@ -219,20 +247,42 @@
     admission: SlotAdmission,
     deadline: MonoTime,
 ) -> Result<CallerAnswer, AttemptFault> {
-    let SlotAdmission { target, slot } = admission;
+    let SlotAdmission { target, mut slot } = admission;
     let part = node.tables.part_of(&request.service, request.hash);
     let running = part
         .as_ref()
         .map(|part| node.tables.begin(part, request.hash));
     let started = node.clock.now();
     let remaining = deadline.since(started);
+    let name = target.session.name();
     let order = ServerOrder {
+        reused_patience: match class.repeatable {
+            true => silence_bound(node.slots.mean_run(name), remaining),
+            false => remaining,
+        },
         fence: target.fence,
         not_after: target.not_after,
         remaining,
         max_answer: class.max_answer_bytes as usize,
     };
+    slot.sent(&node.pool);
     let answer = target.session.run(request, order).await;
+    let answered = match &answer {
+        Ok(_) => Some(true),
+        Err(AttemptFault::Late) => None,
+        Err(_) => Some(false),
+    };
+    if let Some(answered) = answered {
+        node.servers.exchanged(name, answered, node.clock.now());
+    }
+    match &answer {
+        Ok(CallerAnswer::Whole { .. }) => slot.answered(),
+        Ok(CallerAnswer::Refusal(notice)) if notice.reason == RefusalReason::ServerRefused => {
+            slot.shed();
+        }
+        Err(AttemptFault::NotSent) => slot.unsent(),
+        Ok(CallerAnswer::Refusal(_)) | Err(_) => {}
+    }
     drop(slot);
     drop(running);
     if let Some(part) = part {
