--- a/crates/lab/examples/record_sizes.rs
+++ b/crates/lab/examples/record_sizes.rs
@@ -68,8 +68,6 @@
             InstanceId::new("dc2-rack07-i31", 1_796_333_874_043),
             InstanceId::new("dc3-rack07-i31", 1_796_333_874_043),
         ],
-        former: Vec::new(),
-        moving: Vec::new(),
         slices: (0..slices)
             .map(|index| SliceEntry {
                 start: width * index as u64,
