--- a/crates/cli/tests/instance_questions.rs
+++ b/crates/cli/tests/instance_questions.rs
@@ -137,7 +137,11 @@
         "{}",
         report.text
     );
+    let address = first.address;
     drop(first);
+    while std::net::TcpStream::connect(address).is_ok() {
+        std::thread::yield_now();
+    }
     let report = expect(ExitStatus::Unreachable, &CliVerb::Status, &ada);
     assert_eq!(report.json["services"][0]["unavailable"], Value::Null);
     assert!(report.text.contains("silent"), "{}", report.text);
--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -252,7 +252,8 @@
     let running = part
         .as_ref()
         .map(|part| node.tables.begin(part, request.hash));
-    let remaining = deadline.since(node.clock.now());
+    let started = node.clock.now();
+    let remaining = deadline.since(started);
     let name = target.session.name();
     let order = ServerOrder {
         reused_patience: match class.repeatable {
@@ -284,5 +285,8 @@
     }
     drop(slot);
     drop(running);
+    if let Some(part) = part {
+        node.meter(&part, request.hash, started);
+    }
     answer
 }
