Refuse every plan of times that breaks its order; hand parts over on an operator's drain

Cause: the daemon checked only that two calls fit into a span, a second and weaker rule beside TimingPlan::findings; POST /drain made the instance not ready but kept its parts. Change: one rule, with typed findings, for both; POST /drain takes the way of a graceful stop up to the end of the hand-over. The expected texts of the settings test are the new rule's, which refuses all that the old one did.

--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -52,9 +52,6 @@
     /// Room in a frame besides a request's head and body, in bytes.
     const FRAME_OVERHEAD_BYTES: usize = 4_096;
 
-    /// Calls that must fit into a span, so that the loss of one does no harm.
-    const LEAST_CALLS: u32 = 2;
-
     /// Builder with defaults for an instance `name`.
     pub fn builder(name: &str) -> SettingsBuilder {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
@@ -84,37 +81,11 @@
         }
     }
 
-    /// Spans that leave no room for the calls that must fit into them.
-    fn timing_conflicts(&self) -> Vec<SettingFault> {
-        let timing = &self.timing;
-        let fits = [
-            ("lease", timing.lease, "heartbeat", timing.heartbeat),
-            ("suspicion", timing.suspicion, "heartbeat", timing.heartbeat),
-            ("grant", timing.grant, "grant-renewal", timing.grant_renewal),
-            (
-                "server-suspicion",
-                timing.server_suspicion,
-                "grant-renewal",
-                timing.grant_renewal,
-            ),
-        ];
-        fits.into_iter()
-            .filter(|(_, span, _, interval)| *span < *interval * Self::LEAST_CALLS)
-            .map(|(name, span, interval, _)| SettingFault {
-                place: format!("--{name}-ms"),
-                value: Some(span.as_millis().to_string()),
-                expected: format!(
-                    "milliseconds, at least {} times {interval}-ms",
-                    Self::LEAST_CALLS
-                ),
-            })
-            .collect()
-    }
-
     /// Faults that only several settings together show.
     pub(crate) fn conflicts(&self) -> Vec<SettingFault> {
         let least = self.max_body_bytes + self.limits.max_head_bytes + Self::FRAME_OVERHEAD_BYTES;
-        let mut faults = self.timing_conflicts();
+        let timing = self.timing.findings().into_iter().map(SettingFault::from);
+        let mut faults: Vec<SettingFault> = timing.collect();
         if self.peer_limits.max_frame_bytes < least {
             faults.push(SettingFault {
                 place: "--max-frame-bytes".into(),
--- a/crates/daemon/src/instance_node.rs
+++ b/crates/daemon/src/instance_node.rs
@@ -191,14 +191,12 @@
     /// False when something was still in flight at the settings' bound.
     pub async fn stop(&self) -> bool {
         let node = &self.node;
-        node.begin_drain("graceful stop");
         let late = async {
             Timer::after(node.settings.stop_timeout).await;
             false
         };
         let ended = async {
-            node.pool.spawn(announce_leaving(node.clone()));
-            leadership_worker::hand_over(node).await;
+            drain(node, "graceful stop").await;
             while node.in_flight() > 0 {
                 Timer::after(DRAIN_INTERVAL).await;
             }
@@ -216,9 +214,7 @@
     /// Hands over every part that this instance leads and takes no new role; goes on serving what it
     /// holds. Ends when another instance may lead each part.
     pub async fn drain(&self) {
-        self.node.begin_drain("drain");
-        self.node.pool.spawn(announce_leaving(self.node.clone()));
-        leadership_worker::hand_over(&self.node).await;
+        drain(&self.node, "drain").await;
     }
 
     /// Ends the instance at once, as a crash would.
@@ -237,6 +233,13 @@
     }
 }
 
+/// Takes no new role and hands over every part that this instance leads.
+pub(crate) async fn drain(node: &Arc<Node>, reason: &str) {
+    node.begin_drain(reason);
+    node.pool.spawn(announce_leaving(node.clone()));
+    leadership_worker::hand_over(node).await;
+}
+
 /// Marks the instance as leaving in the platform's list, so that it gets no new role.
 async fn announce_leaving(node: Arc<Node>) {
     let own = {
--- a/crates/daemon/src/operator_listener.rs
+++ b/crates/daemon/src/operator_listener.rs
@@ -58,6 +58,9 @@
         "/explain" => explain(node, query)?,
         _ => {
             node.begin_drain("asked by an operator");
+            let draining = node.clone();
+            node.pool
+                .spawn(async move { instance_node::drain(&draining, "drain").await });
             json(
                 StatusCode::ACCEPTED,
                 &serde_json::json!({ "draining": true }),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -106,8 +106,12 @@
     assert_eq!(
         faults,
         [
-            "--suspicion-ms: value '250', expected milliseconds, at least 2 times heartbeat-ms",
-            "--grant-ms: value '100', expected milliseconds, at least 2 times grant-renewal-ms",
+            "--lease-ms: value '300', expected milliseconds, at least 3 times heartbeat-ms (150), \
+             and that more than 0",
+            "--suspicion-ms: value '250', expected milliseconds, at least 2 times heartbeat-ms \
+             (150), and that more than 0",
+            "--grant-ms: value '100', expected milliseconds, at least 3 times grant-renewal-ms \
+             (80), and that more than 0",
         ]
     );
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -23,6 +23,7 @@
 mod server_watch;
 mod slice_change;
 mod slice_deal;
+mod timing_fault;
 mod timing_plan;
 
 pub use {
@@ -45,6 +46,7 @@
     server_watch::{ServerState, ServerWatch},
     slice_change::SliceChange,
     slice_deal::SliceDeal,
+    timing_fault::TimingFault,
     timing_plan::TimingPlan,
 };
 
--- a/crates/ownership/src/timing_plan.rs
+++ b/crates/ownership/src/timing_plan.rs
@@ -49,71 +49,62 @@
         span - span * self.drift_ppm / 1_000_000
     }
 
-    /// Combinations that break the order of the times; empty when the plan can be used.
-    pub fn findings(&self) -> Vec<String> {
-        let ms = Duration::as_millis;
-        let mut findings = Vec::new();
-        let mut refuse = |broken: bool, text: String| {
-            if broken {
-                findings.push(text);
-            }
-        };
-        refuse(
-            self.heartbeat.is_zero() || self.grant_renewal.is_zero(),
-            "heartbeat-ms and grant-renewal-ms must be more than 0".into(),
-        );
-        refuse(
-            self.heartbeat * 3 > self.lease,
-            format!(
-                "lease-ms {} must be at least 3 times heartbeat-ms {}: two lost heartbeats must not \
-                 end a lease",
-                ms(&self.lease),
-                ms(&self.heartbeat)
+    /// Times that break the order of the plan; empty when the plan can be used.
+    pub fn findings(&self) -> Vec<TimingFault> {
+        let longest = [
+            ("grant-ms", self.grant, "lease-ms", self.lease),
+            ("suspicion-ms", self.suspicion, "lease-ms", self.lease),
+        ];
+        let too_long = longest
+            .into_iter()
+            .filter(|(_, span, _, bound)| span > bound)
+            .map(|(setting, span, other, bound)| TimingFault {
+                setting,
+                value: span.as_millis().to_string(),
+                expected: format!("milliseconds, at most {other} ({})", bound.as_millis()),
+            });
+        let fits = [
+            ("lease-ms", self.lease, 3, "heartbeat-ms", self.heartbeat),
+            (
+                "suspicion-ms",
+                self.suspicion,
+                2,
+                "heartbeat-ms",
+                self.heartbeat,
             ),
-        );
-        refuse(
-            self.grant > self.lease,
-            format!(
-                "grant-ms {} must not exceed lease-ms {}: a grant ends before its sender's authority",
-                ms(&self.grant),
-                ms(&self.lease)
+            (
+                "grant-ms",
+                self.grant,
+                3,
+                "grant-renewal-ms",
+                self.grant_renewal,
             ),
-        );
-        refuse(
-            self.grant_renewal * 3 > self.grant,
-            format!(
-                "grant-ms {} must be at least 3 times grant-renewal-ms {}: two lost renewals must \
-                 not end a grant",
-                ms(&self.grant),
-                ms(&self.grant_renewal)
+            (
+                "server-suspicion-ms",
+                self.server_suspicion,
+                2,
+                "grant-renewal-ms",
+                self.grant_renewal,
             ),
-        );
-        refuse(
-            self.suspicion > self.lease,
-            format!(
-                "suspicion-ms {} must not exceed lease-ms {}: a leader is suspected before its lease \
-                 ends",
-                ms(&self.suspicion),
-                ms(&self.lease)
-            ),
-        );
-        refuse(
-            self.server_suspicion < self.grant_renewal * 2,
-            format!(
-                "server-suspicion-ms {} must be at least 2 times grant-renewal-ms {}: one lost answer \
-                 must not move a server's slices",
-                ms(&self.server_suspicion),
-                ms(&self.grant_renewal)
-            ),
-        );
-        refuse(
-            self.drift_ppm > Self::MAX_DRIFT_PPM,
-            format!(
-                "drift-ppm {} must not exceed {}",
-                self.drift_ppm,
-                Self::MAX_DRIFT_PPM
-            ),
-        );
-        findings
+        ];
+        let too_short = fits
+            .into_iter()
+            .filter(|(_, span, calls, _, interval)| {
+                interval.is_zero() || *span < *interval * *calls
+            })
+            .map(|(setting, span, calls, other, interval)| TimingFault {
+                setting,
+                value: span.as_millis().to_string(),
+                expected: format!(
+                    "milliseconds, at least {calls} times {other} ({}), and that more than 0",
+                    interval.as_millis()
+                ),
+            });
+        let drift = (self.drift_ppm > Self::MAX_DRIFT_PPM).then(|| TimingFault {
+            setting: "drift-ppm",
+            value: self.drift_ppm.to_string(),
+            expected: format!("parts per million, at most {}", Self::MAX_DRIFT_PPM),
+        });
+        too_long.chain(too_short).chain(drift).collect()
     }
 }
