--- a/crates/daemon/src/notes_worker.rs
+++ b/crates/daemon/src/notes_worker.rs
@@ -238,3 +238,6 @@
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64)
 }
+
+#[cfg(test)]
+mod notes_worker_tests;
--- /dev/null
+++ b/crates/daemon/src/notes_worker/notes_worker_tests.rs
@@ -0,0 +1,170 @@
+//! What a successor knows of the requests of a lost leader.
+
+use super::*;
+
+const NOW_MS: u64 = 1_700_000_000_000;
+
+fn part() -> PartId {
+    PartId::new(ServiceName::new("filing"), 0)
+}
+
+fn authority(term: u64) -> FenceToken {
+    FenceToken {
+        term,
+        rank: 0,
+        edition: 0,
+    }
+}
+
+fn instance(name: &str) -> InstanceId {
+    InstanceId::new(name, 1)
+}
+
+fn query() -> RepeatQuery {
+    RepeatQuery {
+        id: Uuid::from_u128(u128::from(NOW_MS) << 80 | 0x7 << 76 | 0x8000_0000_0000_0000),
+        digest: 7,
+        fresh: false,
+    }
+}
+
+fn leader(term: u64) -> NotesBook {
+    let book = NotesBook::default();
+    book.take_over(&part(), authority(term), true, NOW_MS);
+    book
+}
+
+fn begin(book: &NotesBook, term: u64) -> Result<RepeatStep<CallerAnswer>, &'static str> {
+    match book.begin(&part(), authority(term), query(), NOW_MS) {
+        NotesStep::Decided(step) => Ok(step),
+        NotesStep::Collect => Err("collect"),
+        NotesStep::Deposed => Err("deposed"),
+    }
+}
+
+fn note(book: &NotesBook, term: u64) -> NotesWire {
+    let change = book.change_of(&part(), query().id).unwrap();
+    book.wire(&part(), authority(term), &[change])
+}
+
+fn pull(from: &NotesBook, to: &NotesBook, term: u64) {
+    to.fence(&part(), authority(term));
+    let page = from.pull(&NotesPullWire {
+        part: part().to_string(),
+        term,
+        rank: 0,
+        after: Vec::new(),
+    });
+    to.learn(&part(), page.unwrap()).unwrap();
+    to.take_over(&part(), authority(term), true, NOW_MS);
+}
+
+fn outcome(step: Result<RepeatStep<CallerAnswer>, &str>) -> Option<RunOutcome> {
+    match step {
+        Ok(RepeatStep::Refuse(notice)) => Some(notice.outcome),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_noted_request_never_runs_at_the_successor_and_one_not_noted_does() {
+    for noted in [true, false] {
+        let (lost, standby, successor) = (leader(1), NotesBook::default(), NotesBook::default());
+        assert!(matches!(begin(&lost, 1), Ok(RepeatStep::Run { .. })));
+        if noted {
+            assert!(standby.accept(note(&lost, 1)).unwrap());
+        }
+        assert_eq!(begin(&successor, 2), Err("collect"));
+        pull(&standby, &successor, 2);
+        match noted {
+            true => assert_eq!(outcome(begin(&successor, 2)), Some(RunOutcome::Unknown)),
+            false => assert!(matches!(begin(&successor, 2), Ok(RepeatStep::Run { .. }))),
+        }
+        assert!(
+            !standby.accept(note(&lost, 1)).unwrap(),
+            "a late note is refused"
+        );
+    }
+}
+
+#[test]
+fn an_end_that_a_former_leader_tells_late_reaches_the_repeat() {
+    let (former, successor) = (leader(1), NotesBook::default());
+    let Ok(RepeatStep::Run { attempt }) = begin(&former, 1) else {
+        panic!("a first request runs");
+    };
+    pull(&former, &successor, 2);
+    assert_eq!(begin(&former, 1), Err("deposed"));
+    assert_eq!(outcome(begin(&successor, 2)), Some(RunOutcome::Unknown));
+    let answer = CallerAnswer::Whole {
+        status: 200,
+        headers: Vec::new(),
+        body: Bytes::from_static(b"filed"),
+    };
+    let kept = KeptAnswer {
+        bytes: answer.bytes(),
+        answer: answer.clone(),
+    };
+    let ran = Some(RepeatStage::Ran(Some(kept)));
+    former.end(&part(), query().id, attempt, ran);
+    assert!(!successor.accept(note(&former, 1)).unwrap());
+    assert_eq!(begin(&successor, 2), Ok(RepeatStep::Answer(answer)));
+}
+
+#[test]
+fn an_incomplete_memory_runs_no_id_made_before() {
+    let successor = NotesBook::default();
+    successor.take_over(&part(), authority(2), false, NOW_MS);
+    assert_eq!(outcome(begin(&successor, 2)), Some(RunOutcome::Unknown));
+}
+
+#[test]
+fn a_memory_is_complete_by_the_former_leader_or_by_all_its_standbys() {
+    let record = PartLayout::first_record(
+        &part(),
+        1,
+        ServiceKind::Exclusive,
+        &[],
+        &instance("a"),
+        vec![instance("b"), instance("c")],
+        "write",
+    );
+    let member = |name: &str, marks| MemberMarks {
+        id: instance(name),
+        marks,
+    };
+    let whole = NotesMarks {
+        whole: Some(authority(1)),
+        noted: Some(authority(1)),
+        led: None,
+    };
+    let noted = NotesMarks {
+        whole: None,
+        ..whole
+    };
+    let led = NotesMarks {
+        led: Some(authority(1)),
+        ..NotesMarks::default()
+    };
+    let none = NotesMarks::default();
+    for (heard, complete) in [
+        (vec![member("b", whole), member("c", whole)], true),
+        (vec![member("b", none), member("a", led)], true),
+        (vec![member("b", whole)], false),
+        (vec![member("b", whole), member("c", noted)], false),
+        (vec![member("b", whole), member("d", whole)], false),
+        (vec![], false),
+    ] {
+        assert_eq!(is_complete(&record, &heard), complete);
+    }
+    let acted = FenceToken {
+        rank: 1,
+        ..authority(1)
+    };
+    let later = NotesMarks {
+        noted: Some(acted),
+        ..whole
+    };
+    let heard = [member("b", whole), member("c", later)];
+    assert!(!is_complete(&record, &heard), "a later holder noted more");
+}
