--- a/crates/daemon/src/peer_listener.rs
+++ b/crates/daemon/src/peer_listener.rs
@@ -119,6 +119,7 @@
 async fn answer(node: &Arc<Node>, body: PeerBody) -> Option<PeerBody> {
     match body {
         PeerBody::Forward(wire) => Some(PeerBody::ForwardReply(run_forwarded(node, wire).await)),
+        PeerBody::Lease(wire) => Some(PeerBody::LeaseReply(leadership_worker::answer(node, wire))),
         PeerBody::FeedPull(pull) => {
             Some(PeerBody::FeedBatch(feed_worker::answer(node, &pull).await))
         }
@@ -133,6 +134,7 @@
         PeerBody::Challenge(_)
         | PeerBody::Proof(_)
         | PeerBody::ForwardReply(_)
+        | PeerBody::LeaseReply(_)
         | PeerBody::FeedBatch(_)
         | PeerBody::NotesReply(_)
         | PeerBody::NotesPage(_)
