Refuse a filing that may be a repeat as unknown while its part has no leader

Cause: the entry answered `no-leader`, ran `no`, without any memory of the id, while an earlier request of the same id may have run at the lost leader.

--- a/crates/daemon/src/forward_worker.rs
+++ b/crates/daemon/src/forward_worker.rs
@@ -48,7 +48,12 @@
 }
 
 fn given_up(request: &CallerRequest, class: &RequestClass) -> RefusalNotice {
+    let may_be_repeat = request.id_from_caller && !class.repeatable;
     match request.repeated {
+        false if may_be_repeat => RefusalNotice {
+            retry_after: Some(NO_LEADER_RETRY),
+            ..RefusalNotice::unknown(RefusalReason::NoLeader)
+        },
         false => RefusalNotice::try_again(RefusalReason::NoLeader, NO_LEADER_RETRY),
         true => RefusalNotice {
             retry_after: (class.repeatable || request.id_from_caller).then_some(NO_LEADER_RETRY),
--- a/crates/daemon/src/notes_worker/notes_worker_tests.rs
+++ b/crates/daemon/src/notes_worker/notes_worker_tests.rs
@@ -120,15 +120,18 @@
 
 #[test]
 fn a_memory_is_complete_by_the_former_leader_or_by_all_its_standbys() {
-    let record = PartLayout::first_record(
-        &part(),
-        1,
-        ServiceKind::Exclusive,
-        &[],
-        &instance("a"),
-        vec![instance("b"), instance("c")],
-        "write",
-    );
+    let record = PartRecord {
+        id: part(),
+        term: 1,
+        edition: 1,
+        leader: instance("a"),
+        standbys: vec![instance("b"), instance("c")],
+        slices: Vec::new(),
+        former: Vec::new(),
+        moving: Vec::new(),
+        end: u64::MAX,
+        write_id: "write".into(),
+    };
     let member = |name: &str, marks| MemberMarks {
         id: instance(name),
         marks,
