--- a/crates/lab/src/figure_builder.rs
+++ b/crates/lab/src/figure_builder.rs
@@ -122,7 +122,7 @@
             };
             let ratios: Vec<f64> = windows.clone().filter_map(ratio).collect();
             let mean = ratios.iter().sum::<f64>() / ratios.len().max(1) as f64;
-            let mean = (mean * 1_000.0).round() / 1_000.0;
+            let mean = (mean * 1_000.0).round().abs() / 1_000.0;
             figures.insert(service.name.to_string(), mean);
         }
         figures
