--- a/crates/lab/src/straight_servers.rs
+++ b/crates/lab/src/straight_servers.rs
@@ -17,6 +17,7 @@
             for index in 0..service.servers {
                 let behaviour = ServerBehaviour {
                     needs_grant: false,
+                    exclusive: false,
                     ..service.behaviour.clone()
                 };
                 let name = service.server_name(index);
