--- a/crates/daemon/src/leader_worker.rs
+++ b/crates/daemon/src/leader_worker.rs
@@ -248,6 +248,10 @@
     deadline: MonoTime,
 ) -> Result<CallerAnswer, AttemptFault> {
     let SlotAdmission { target, mut slot } = admission;
+    let part = node.tables.part_of(&request.service, request.hash);
+    let running = part
+        .as_ref()
+        .map(|part| node.tables.begin(part, request.hash));
     let remaining = deadline.since(node.clock.now());
     let name = target.session.name();
     let order = ServerOrder {
@@ -279,5 +283,6 @@
         Ok(CallerAnswer::Refusal(_)) | Err(_) => {}
     }
     drop(slot);
+    drop(running);
     answer
 }
