Start to move slices late, cease early, and look twice a second

Cause: one threshold of 1.15 for starting and ceasing to move lies within the noise of half a second of requests, so a levelled part kept moving slices, while a part that starts unlevelled waited a second for each step. Change: moves start above 1.25 times the mean and go on to 1.1; load is looked at twice a second, smoothed longer, and acted on after two windows.

--- a/crates/balance/src/balance_limits.rs
+++ b/crates/balance/src/balance_limits.rs
@@ -5,8 +5,10 @@
 /// When slices are moved, split and joined, and how many at a time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BalanceLimits {
-    /// Utilisation of the busiest server over the mean from which slices move.
+    /// Utilisation of the busiest server over the mean from which slices start to move.
     pub trigger: f64,
+    /// Utilisation of the busiest server over the mean at which slices cease to move.
+    pub target: f64,
     /// Least reduction of the busiest server's utilisation that a move must bring, over the mean.
     pub least_gain: f64,
     /// Load of a key over a server's mean load from which the key is set apart.
@@ -28,7 +30,8 @@
 impl Default for BalanceLimits {
     fn default() -> Self {
         Self {
-            trigger: 1.15,
+            trigger: 1.25,
+            target: 1.1,
             least_gain: 0.05,
             hot_key_share: 0.15,
             cold_share: 0.05,
--- a/crates/balance/src/balance_planner.rs
+++ b/crates/balance/src/balance_planner.rs
@@ -7,6 +7,7 @@
 pub struct BalancePlanner {
     limits: BalanceLimits,
     moved: IndexMap<u64, MonoTime>,
+    levelling: bool,
 }
 
 impl BalancePlanner {
@@ -15,6 +16,7 @@
         Self {
             limits,
             moved: IndexMap::new(),
+            levelling: false,
         }
     }
 
@@ -105,15 +107,19 @@
         }
     }
 
+    /// Moves slices from the busiest servers once one is above the trigger, until all are at the
+    /// target.
     fn level(&mut self, view: &mut SpreadView, changes: &mut Vec<SliceChange>, now: MonoTime) {
         let mean = view.mean();
-        let mut moves = 0;
-        while moves < self.limits.max_moves {
+        for moves in 0..self.limits.max_moves {
             let Some(from) = view.busiest() else {
                 return;
             };
             let peak = view.utilisation(from, 0.0);
-            if mean <= 0.0 || peak <= mean * self.limits.trigger {
+            if moves == 0 {
+                self.levelling = mean > 0.0 && peak > mean * self.bound();
+            }
+            if !self.levelling || peak <= mean * self.limits.target {
                 return;
             }
             let option = view
@@ -130,7 +136,14 @@
             });
             view.shift(option.slice, option.to);
             self.moved.insert(start, now);
-            moves += 1;
+        }
+    }
+
+    /// Utilisation over the mean above which slices move now.
+    fn bound(&self) -> f64 {
+        match self.levelling {
+            true => self.limits.target,
+            false => self.limits.trigger,
         }
     }
 
--- a/crates/balance/src/load_meter.rs
+++ b/crates/balance/src/load_meter.rs
@@ -9,6 +9,7 @@
     smoothed: IndexMap<u64, f64>,
     sketch: KeySketch,
     opened: MonoTime,
+    windows: u32,
 }
 
 impl LoadMeter {
@@ -17,7 +18,9 @@
     /// Least share of a key that is reported.
     const LEAST_SHARE: f64 = 0.004;
     /// Weight of the latest window in the smoothed load.
-    const WEIGHT: f64 = 0.4;
+    const WEIGHT: f64 = 0.3;
+    /// Windows that must close before the load is acted on.
+    const LEAST_WINDOWS: u32 = 2;
 
     /// Meter whose first window opens at `now`.
     pub fn new(now: MonoTime) -> Self {
@@ -26,9 +29,15 @@
             smoothed: IndexMap::new(),
             sketch: KeySketch::new(Self::SKETCH_KEYS),
             opened: now,
+            windows: 0,
         }
     }
 
+    /// Whether enough windows have closed for the load to be told from noise.
+    pub fn is_settled(&self) -> bool {
+        self.windows >= Self::LEAST_WINDOWS
+    }
+
     /// Notes a request that held a slot for `busy`.
     pub fn record(&mut self, slice_start: u64, hash: KeyHash, busy: Duration) {
         *self.window.entry(slice_start).or_default() += busy;
@@ -42,6 +51,7 @@
     pub fn close_window(&mut self, record: &PartRecord, now: MonoTime) -> LoadReport {
         let span = now.since(self.opened).as_secs_f64().max(0.001);
         self.opened = now;
+        self.windows = self.windows.saturating_add(1);
         let mut latest: IndexMap<u64, f64> = IndexMap::new();
         for (start, busy) in self.window.drain(..) {
             if let Some(entry) = record.slice_of(KeyHash(start)) {
--- a/crates/daemon/src/balance_worker.rs
+++ b/crates/daemon/src/balance_worker.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// Interval at which load is looked over.
-const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A part with the servers that may own its slices.
 struct PartSpread {
--- a/crates/daemon/src/load_book.rs
+++ b/crates/daemon/src/load_book.rs
@@ -45,6 +45,9 @@
             return Vec::new();
         };
         let report = balance.meter.close_window(record, now);
+        if !balance.meter.is_settled() {
+            return Vec::new();
+        }
         balance.planner.plan(record, &report, servers, now)
     }
 
