--- a/crates/lab/src/figure_builder.rs
+++ b/crates/lab/src/figure_builder.rs
@@ -140,7 +140,7 @@
     }
 
     fn churn(&self) -> f64 {
-        let since = self.start.after(ScenarioPlan::SETTLE);
+        let since = self.start.after(self.plan.churn_start());
         let mut known: IndexMap<&PartId, &PartRecord> = IndexMap::new();
         let mut moved = 0;
         for (at, record) in &self.parts {
--- a/crates/lab/src/scenario_plan.rs
+++ b/crates/lab/src/scenario_plan.rs
@@ -100,6 +100,11 @@
         self.events.iter().any(|(_, event)| change(event))
     }
 
+    /// Time from which moves of slices count as churn: the first event, or the end of the settling.
+    pub(crate) fn churn_start(&self) -> Duration {
+        self.events.first().map_or(Self::SETTLE, |(at, _)| *at)
+    }
+
     /// Time span, from the start of the load, whose requests are compared with straight ones.
     pub(crate) fn compared_span(&self) -> (Duration, Duration) {
         let first = self.events.first().map_or(self.load.length, |(at, _)| *at);
