Hold moves back by the noise of the metered load; compare steady load once it is levelled

Cause: a part's new leader meters from nothing, and moved 2 to 8 slices after an instance's loss because few requests fall unevenly; and the added latency of scenarios without events was taken from the second to the fourth second, when the first assignment, dealt out by number, is still being levelled. Change: both thresholds rise by three standard errors of a server's metered load, unless a server is at 85% of its slots; the compared span of a scenario without events is its last two seconds. The queues of the first seconds at 70% load remain: a first assignment knows no load.

--- a/crates/balance/src/balance_limits.rs
+++ b/crates/balance/src/balance_limits.rs
@@ -9,6 +9,10 @@
     pub trigger: f64,
     /// Utilisation of the busiest server over the mean at which slices cease to move.
     pub target: f64,
+    /// Standard errors of a server's metered load by which both thresholds are raised.
+    pub noise_sigmas: f64,
+    /// Utilisation of a server's slots from which noise no longer holds moves back.
+    pub urgent: f64,
     /// Least reduction of the busiest server's utilisation that a move must bring, over the mean.
     pub least_gain: f64,
     /// Load of a key over a server's mean load from which the key is set apart.
@@ -30,8 +34,10 @@
 impl Default for BalanceLimits {
     fn default() -> Self {
         Self {
-            trigger: 1.25,
-            target: 1.1,
+            trigger: 1.15,
+            target: 1.08,
+            noise_sigmas: 3.0,
+            urgent: 0.85,
             least_gain: 0.05,
             hot_key_share: 0.15,
             cold_share: 0.05,
--- a/crates/balance/src/balance_planner.rs
+++ b/crates/balance/src/balance_planner.rs
@@ -34,7 +34,8 @@
         }
         let mut view = SpreadView::new(servers, self.slices(record, report, servers));
         let mut changes = self.set_hot_keys_apart(&mut view, report);
-        self.level(&mut view, &mut changes, now);
+        let noise = self.limits.noise_sigmas * report.relative_error(servers.len());
+        self.level(&mut view, noise, &mut changes, now);
         if changes.is_empty() {
             changes = self.join_cold(&view);
         }
@@ -108,18 +109,31 @@
     }
 
     /// Moves slices from the busiest servers once one is above the trigger, until all are at the
-    /// target.
-    fn level(&mut self, view: &mut SpreadView, changes: &mut Vec<SliceChange>, now: MonoTime) {
+    /// target; both are raised by the noise of the metered load.
+    fn level(
+        &mut self,
+        view: &mut SpreadView,
+        noise: f64,
+        changes: &mut Vec<SliceChange>,
+        now: MonoTime,
+    ) {
         let mean = view.mean();
+        let busiest = view
+            .busiest()
+            .map_or(0.0, |server| view.utilisation(server, 0.0));
+        let noise = match busiest >= self.limits.urgent {
+            true => 0.0,
+            false => noise,
+        };
         for moves in 0..self.limits.max_moves {
             let Some(from) = view.busiest() else {
                 return;
             };
             let peak = view.utilisation(from, 0.0);
             if moves == 0 {
-                self.levelling = mean > 0.0 && peak > mean * self.bound();
+                self.levelling = mean > 0.0 && peak > mean * (self.bound() + noise);
             }
-            if !self.levelling || peak <= mean * self.limits.target {
+            if !self.levelling || peak <= mean * (self.limits.target + noise / 2.0) {
                 return;
             }
             let option = view
--- a/crates/balance/src/load_meter.rs
+++ b/crates/balance/src/load_meter.rs
@@ -10,6 +10,8 @@
     sketch: KeySketch,
     opened: MonoTime,
     windows: u32,
+    requests: u64,
+    samples: f64,
 }
 
 impl LoadMeter {
@@ -19,6 +21,9 @@
     const LEAST_SHARE: f64 = 0.004;
     /// Weight of the latest window in the smoothed load.
     const WEIGHT: f64 = 0.3;
+    /// Share of the earlier samples that a closed window keeps, so that as many are counted as the
+    /// smoothing averages over.
+    const KEPT_SAMPLES: f64 = 1.0 - Self::WEIGHT / (2.0 - Self::WEIGHT);
     /// Windows that must close before the load is acted on.
     const LEAST_WINDOWS: u32 = 2;
 
@@ -30,6 +35,8 @@
             sketch: KeySketch::new(Self::SKETCH_KEYS),
             opened: now,
             windows: 0,
+            requests: 0,
+            samples: 0.0,
         }
     }
 
@@ -42,6 +49,7 @@
     pub fn record(&mut self, slice_start: u64, hash: KeyHash, busy: Duration) {
         *self.window.entry(slice_start).or_default() += busy;
         self.sketch.count(hash);
+        self.requests += 1;
     }
 
     /// Closes the window and reports the load of `record`'s slices.
@@ -52,6 +60,8 @@
         let span = now.since(self.opened).as_secs_f64().max(0.001);
         self.opened = now;
         self.windows = self.windows.saturating_add(1);
+        self.samples = self.samples * Self::KEPT_SAMPLES + self.requests as f64;
+        self.requests = 0;
         let mut latest: IndexMap<u64, f64> = IndexMap::new();
         for (start, busy) in self.window.drain(..) {
             if let Some(entry) = record.slice_of(KeyHash(start)) {
@@ -70,6 +80,7 @@
         let hot_keys = self.sketch.hot_keys(Self::LEAST_SHARE);
         self.sketch.decay();
         LoadReport {
+            samples: self.samples,
             slices: self.smoothed.clone(),
             hot_keys,
         }
--- a/crates/balance/src/load_report.rs
+++ b/crates/balance/src/load_report.rs
@@ -9,9 +9,16 @@
     pub slices: IndexMap<u64, f64>,
     /// Hottest keys first.
     pub hot_keys: Vec<HotKey>,
+    /// Requests on which the loads rest.
+    pub samples: f64,
 }
 
 impl LoadReport {
+    /// Standard error of one server's load over its mean, when `servers` share the requests.
+    pub fn relative_error(&self, servers: usize) -> f64 {
+        (servers as f64 / self.samples.max(f64::MIN_POSITIVE)).sqrt()
+    }
+
     /// Slots busy on average in the whole part.
     pub fn total(&self) -> f64 {
         self.slices.values().sum()
--- a/crates/lab/src/scenario_plan.rs
+++ b/crates/lab/src/scenario_plan.rs
@@ -16,6 +16,8 @@
 impl ScenarioPlan {
     /// Time from the start of the load from which on figures are taken.
     pub(crate) const SETTLE: Duration = Duration::from_secs(2);
+    /// Longest span of requests that are compared with straight ones.
+    pub(crate) const COMPARED: Duration = Duration::from_secs(2);
     /// Load, in percent of all slots, unless a scenario says otherwise.
     const PERCENT: f64 = 40.0;
 
@@ -106,11 +108,16 @@
     }
 
     /// Time span, from the start of the load, whose requests are compared with straight ones.
+    ///
+    /// It ends with the first event; without events it is the end of the load, when the first
+    /// assignment, which knows no load, has been levelled.
     pub(crate) fn compared_span(&self) -> (Duration, Duration) {
-        let first = self.events.first().map_or(self.load.length, |(at, _)| *at);
-        (
-            Self::SETTLE,
-            first.min(Self::SETTLE + Duration::from_secs(2)),
-        )
+        match self.events.first() {
+            Some((at, _)) => (Self::SETTLE, (*at).min(Self::SETTLE + Self::COMPARED)),
+            None => (
+                self.load.length.saturating_sub(Self::COMPARED),
+                self.load.length,
+            ),
+        }
     }
 }
