--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -50,6 +50,7 @@
 mod operator_listener;
 mod operator_query;
 mod part_creator;
+mod part_notes;
 mod peer_book;
 mod peer_client;
 mod peer_error;
@@ -100,6 +101,7 @@
             notes_guard::NotesGuard,
             notes_wire::*,
             notes_worker::NotesLead,
+            part_notes::PartNotes,
             peer_book::PeerBook,
             peer_client::PeerClient,
             peer_error::PeerError,
--- a/crates/daemon/src/notes_book.rs
+++ b/crates/daemon/src/notes_book.rs
@@ -13,14 +13,6 @@
     parts: Mutex<IndexMap<PartId, PartNotes>>,
 }
 
-struct PartNotes {
-    memory: RepeatMemory<CallerAnswer>,
-    marks: NotesMarks,
-    fence: FenceToken,
-    /// Members of the part's trio that hold our whole memory.
-    told: Vec<InstanceId>,
-}
-
 /// Authorities under which a copy of the notes was made.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct NotesMarks {
@@ -39,17 +31,6 @@
     Decided(RepeatStep<CallerAnswer>),
 }
 
-impl Default for PartNotes {
-    fn default() -> Self {
-        Self {
-            memory: RepeatMemory::new(RepeatBounds::default()),
-            marks: NotesMarks::default(),
-            fence: FenceToken::default(),
-            told: Vec::new(),
-        }
-    }
-}
-
 impl NotesBook {
     /// Remembered requests that one frame carries.
     const PAGE_ENTRIES: usize = 256;
@@ -277,26 +258,3 @@
         }
     }
 }
-
-impl PartNotes {
-    /// Takes in how known requests of an earlier leader ended, which can't make any run again.
-    fn learn_ends(&mut self, changes: Vec<NotedChange>) {
-        for change in changes {
-            if let NotedChange::Learn(id, entry) = change
-                && matches!(entry.stage, RepeatStage::Ran(_))
-                && self.memory.get(id).is_some()
-            {
-                self.memory.learn(id, entry);
-            }
-        }
-    }
-
-    fn take_in(&mut self, changes: Vec<NotedChange>) {
-        for change in changes {
-            match change {
-                NotedChange::Learn(id, entry) => self.memory.learn(id, entry),
-                NotedChange::Withdraw(id, attempt) => self.memory.withdraw(id, attempt),
-            }
-        }
-    }
-}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! The stand-ins listen on real ports of the loopback interface; the instances are the daemon's own
 //! code. Truth comes from the servers' and callers' records, never from the router's counters.
 
+mod bench_plan;
 mod bench_service;
 mod caller_load;
 mod caller_record;
@@ -40,9 +41,10 @@
 mod unavailable_time;
 
 pub use {
+    bench_plan::BenchPlan,
     bench_service::BenchService,
     head_operator::HeadOperator,
-    instance_bench::{BenchPlan, InstanceBench},
+    instance_bench::InstanceBench,
     instance_directory::{DirectoryEntry, InstanceDirectory},
     link_forwarder::LinkForwarder,
     link_table::LinkTable,
--- /dev/null
+++ b/crates/ownership/src/lease_records.rs
@@ -0,0 +1,74 @@
+//! Which record a holder, a surviving standby or a bystander writes next.
+
+use crate::{lease_holder::HolderRole, prelude::*};
+
+impl LeaseHolder {
+    /// Record to write now, if any.
+    pub(crate) fn next_record(&self, now: MonoTime, fleet: &FleetView) -> Option<PartRecord> {
+        let record = &self.record;
+        match &self.role {
+            HolderRole::Holding { lead } if lead.until > now && !lead.frozen => {
+                if lead.record.edition == record.edition {
+                    return self.next_trio(fleet);
+                }
+                let overtaken = record.leader != self.me && record.term == lead.record.term;
+                overtaken.then(|| {
+                    RecordPlan::after_unsealed(record)
+                        .differing_from(&lead.record)
+                        .led_by(&self.me)
+                        .standbys(fleet.standbys(&record.id, &self.me, &record.trio()))
+                        .record()
+                })
+            }
+            HolderRole::Seeking { since }
+                if now.since(*since) > Self::SLOW_PATH + self.stagger() =>
+            {
+                Some(self.slow_record(fleet))
+            }
+            HolderRole::Idle
+                if !self.leaving
+                    && record.trio().iter().all(|member| fleet.is_gone(member))
+                    && fleet.preferred_leader(&record.id) == Some(&self.me) =>
+            {
+                Some(self.slow_record(fleet))
+            }
+            _ => None,
+        }
+    }
+
+    fn slow_record(&self, fleet: &FleetView) -> PartRecord {
+        let plan = match self.sealed >= self.record.edition {
+            true => RecordPlan::after(&self.record),
+            false => RecordPlan::after_unsealed(&self.record),
+        };
+        plan.led_by(&self.me)
+            .standbys(fleet.standbys(&self.record.id, &self.me, &self.record.trio()))
+            .record()
+    }
+
+    fn next_trio(&self, fleet: &FleetView) -> Option<PartRecord> {
+        let record = &self.record;
+        let plan = RecordPlan::after(record);
+        let kept: Vec<InstanceId> = record
+            .trio()
+            .into_iter()
+            .filter(|member| fleet.is_live(member))
+            .collect();
+        let preferred = fleet.preferred_leader(&record.id);
+        let due = self.leaving || (fleet.may_hand_over && record.leader == self.me);
+        if let Some(successor) = preferred.filter(|id| **id != self.me && due) {
+            let standbys = fleet.standbys(&record.id, successor, &kept);
+            return Some(plan.led_by(successor).standbys(standbys).record());
+        }
+        let standbys = fleet.standbys(&record.id, &self.me, &kept);
+        if record.leader != self.me {
+            return Some(plan.led_by(&self.me).standbys(standbys).record());
+        }
+        let lost = record
+            .standbys
+            .iter()
+            .any(|standby| !kept.contains(standby));
+        let better = standbys.len() >= record.standbys.len() && lost;
+        (better || standbys.len() > record.standbys.len()).then(|| plan.standbys(standbys).record())
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -9,6 +9,7 @@
 mod held_loans;
 mod lead_state;
 mod lease_holder;
+mod lease_records;
 mod lease_settle;
 mod lease_step;
 mod led_part;
--- /dev/null
+++ b/crates/ownership/tests/fault_history/instance_runs.rs
@@ -0,0 +1,237 @@
+//! What instances do in one step.
+
+use crate::prelude::*;
+
+impl World {
+    pub(crate) fn run_instance(&mut self, index: usize) {
+        if self.now < self.instances[index].paused_until {
+            return;
+        }
+        let now = self.clock(index);
+        let mut messages = std::mem::take(&mut self.instances[index].inbox);
+        if self.faults && self.rng.random_bool(0.1) {
+            messages.reverse();
+        }
+        for message in messages {
+            self.receive(index, message, now);
+        }
+        let fleet = self.fleet(index);
+        let heartbeat = self.now >= self.instances[index].next_tick;
+        if heartbeat {
+            self.instances[index].next_tick = self.now.after(self.timing.heartbeat);
+        }
+        let instance = &mut self.instances[index];
+        if let Some(holder) = &mut instance.holder
+            && (heartbeat || holder.is_due(now))
+        {
+            holder.tick(now, &fleet);
+        }
+        self.sync(index, now);
+        self.keep_servers(index, now);
+        self.carry_out(index, now);
+        self.write(index, now);
+        self.watch(index);
+    }
+
+    pub(crate) fn watch(&mut self, index: usize) {
+        if self.store_up && self.rng.random_bool(0.1) {
+            let record = self.store.clone();
+            self.learn(index, record);
+        }
+    }
+
+    pub(crate) fn receive(&mut self, index: usize, message: Message, now: MonoTime) {
+        match message {
+            Message::Record(record) => self.learn(index, record),
+            Message::Ask(ask, asked) => {
+                if ask.record.is_none() && self.instances[index].holder.is_none() {
+                    return;
+                }
+                if let Some(record) = ask.record.clone() {
+                    self.learn(index, record);
+                }
+                let holder = self.instances[index].holder.as_mut().unwrap();
+                let reply = holder.answer(ask.clone(), now);
+                if let Some(to) = self.index_of(&ask.holder)
+                    && self.connected(index, to)
+                {
+                    self.send(to, Message::Reply(Box::new((ask, reply)), asked));
+                }
+            }
+            Message::Reply(answer, asked) => {
+                let (ask, reply) = *answer;
+                let fleet = self.fleet(index);
+                let instance = &mut self.instances[index];
+                if ask.holder == instance.id
+                    && let Some(holder) = &mut instance.holder
+                {
+                    holder.replied(&ask, reply, asked, now, &fleet);
+                }
+            }
+            Message::Return(notice) => {
+                let record = notice.record.clone();
+                self.learn(index, record);
+                let holder = self.instances[index].holder.as_mut().unwrap();
+                holder.returned(notice, now);
+            }
+            Message::GrantReply {
+                server,
+                number,
+                accepted,
+                clock,
+            } => {
+                let name = self.servers[server].name.clone();
+                if let Some(led) = &mut self.instances[index].led {
+                    led.grants.heard(&name, ServerClock::new(clock, now), now);
+                    if let Some(watch) = led.servers.get_mut(&name) {
+                        watch.answered(0, false, now);
+                    }
+                    if number > 0 {
+                        led.grants.answered(&name, number, accepted, now);
+                    }
+                }
+            }
+            Message::Grant { .. } | Message::ReadClock { .. } => unreachable!("sent to servers"),
+        }
+    }
+
+    pub(crate) fn index_of(&self, id: &InstanceId) -> Option<usize> {
+        self.instances
+            .iter()
+            .position(|instance| instance.id == *id)
+    }
+
+    pub(crate) fn sync(&mut self, index: usize, now: MonoTime) {
+        let timing = self.timing;
+        let instance = &mut self.instances[index];
+        let lead = instance.holder.as_ref().and_then(|holder| holder.lead(now));
+        match (lead, &mut instance.led) {
+            (Some(lead), Some(led)) => led.renew(lead, now, &timing),
+            (Some(lead), None) => instance.led = Some(LedPart::new(lead, now, &timing)),
+            (None, _) => instance.led = None,
+        }
+    }
+
+    pub(crate) fn keep_servers(&mut self, index: usize, now: MonoTime) {
+        let names: Vec<ServerName> = self.servers.iter().map(|it| it.name.clone()).collect();
+        let timing = self.timing;
+        for (server, name) in names.iter().enumerate() {
+            let Some(led) = &mut self.instances[index].led else {
+                return;
+            };
+            let fence = led.fence;
+            let message = match led.grant_step(name, now, &timing) {
+                GrantStep::Wait => continue,
+                GrantStep::ReadClock => Message::ReadClock { from: index },
+                GrantStep::Send {
+                    number,
+                    not_after,
+                    ranges,
+                } => Message::Grant {
+                    from: index,
+                    number,
+                    fence,
+                    ranges,
+                    not_after,
+                },
+            };
+            self.send(INSTANCES + server, message);
+        }
+        let random_move = self.faults && self.rng.random_bool(0.01);
+        let target = names[self.rng.random_range(0..SERVERS)].clone();
+        let instance = &mut self.instances[index];
+        let (Some(led), Some(holder)) = (&mut instance.led, &mut instance.holder) else {
+            return;
+        };
+        if led.frozen {
+            return;
+        }
+        let state = |name: &ServerName| led.state_of(name, now, &timing);
+        let serving: Vec<ServerName> = names
+            .iter()
+            .filter(|name| state(name) == ServerState::Serving)
+            .cloned()
+            .collect();
+        let mut changes = SliceDeal::away_from_lost(&led.record, &serving, |owner| {
+            state(owner) != ServerState::Suspected
+        });
+        if changes.is_empty() && random_move && serving.contains(&target) {
+            let slice = &led.record.slices[3];
+            changes.push(SliceChange::Move {
+                start: slice.start,
+                to: target,
+            });
+        }
+        let done = led.moves_done(now);
+        if !changes.is_empty() || !done.is_empty() {
+            holder.change(now, |record| {
+                record.moving.retain(|range| !done.contains(range));
+                SliceDeal::apply(record, &changes);
+            });
+        }
+    }
+
+    pub(crate) fn carry_out(&mut self, index: usize, now: MonoTime) {
+        let Some(holder) = &mut self.instances[index].holder else {
+            return;
+        };
+        for step in holder.take_steps() {
+            match step {
+                LeaseStep::Ask(ask) => {
+                    if let Some(to) = self.index_of(&ask.lender)
+                        && self.connected(index, to)
+                    {
+                        self.send(to, Message::Ask(ask, now));
+                    }
+                }
+                LeaseStep::Return { to, notice } => {
+                    if let Some(to) = self.index_of(&to)
+                        && self.connected(index, to)
+                    {
+                        self.send(to, Message::Return(notice));
+                    }
+                }
+                LeaseStep::Write(mut record) => {
+                    self.next_write += 1;
+                    record.write_id = format!("w{}", self.next_write);
+                    self.instances[index].write = Some((record, self.now));
+                }
+            }
+        }
+    }
+
+    /// Carries a write on: lost before, lost after it took effect, or answered.
+    pub(crate) fn write(&mut self, index: usize, now: MonoTime) {
+        let due = matches!(&self.instances[index].write, Some((_, due)) if *due <= self.now);
+        if !due {
+            return;
+        }
+        let (record, _) = self.instances[index].write.take().unwrap();
+        let luck = self.rng.random_range(0..100);
+        let retry = self.now.after(Duration::from_millis(30));
+        let reached = self.store_up && (!self.faults || luck >= 10);
+        if reached && self.store.edition + 1 == record.edition {
+            self.check_write(&record);
+            self.store = record.clone();
+        }
+        let answered = self.store_up && (!self.faults || luck >= 20);
+        if !answered {
+            self.instances[index].write = Some((record, retry));
+            return;
+        }
+        let stored = self.store.clone();
+        if stored.write_id == record.write_id {
+            let holder = self.instances[index].holder.as_mut().unwrap();
+            holder.wrote(record, now);
+        } else if stored.edition >= record.edition {
+            self.instances[index]
+                .holder
+                .as_mut()
+                .unwrap()
+                .write_failed();
+            self.learn(index, stored);
+        } else {
+            self.instances[index].write = Some((record, retry));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ownership/tests/fault_history/message.rs
@@ -0,0 +1,34 @@
+//! Messages on their way between fakes.
+
+use crate::prelude::*;
+
+/// A message on its way.
+#[derive(Clone)]
+pub(crate) enum Message {
+    Ask(LoanAsk, MonoTime),
+    Reply(Box<(LoanAsk, LoanReply)>, MonoTime),
+    Return(LoanReturn),
+    Grant {
+        from: usize,
+        number: u64,
+        fence: FenceToken,
+        ranges: Vec<SliceRange>,
+        not_after: MonoTime,
+    },
+    GrantReply {
+        server: usize,
+        number: u64,
+        accepted: bool,
+        clock: MonoTime,
+    },
+    ReadClock {
+        from: usize,
+    },
+    Record(PartRecord),
+}
+
+pub(crate) struct Envelope {
+    pub(crate) due: MonoTime,
+    pub(crate) to: usize,
+    pub(crate) message: Message,
+}
