Remove an empty function at the start of a lead

The notes of requests are collected by notes_worker before the first non-repeatable request of a lead; the function that was left as their place did nothing.

--- a/crates/daemon/src/leadership_worker.rs
+++ b/crates/daemon/src/leadership_worker.rs
@@ -93,7 +93,6 @@
                 node.decisions
                     .note(id, "lead", format!("at {}", lead.fence()));
                 led.insert(id.clone(), LedPart::new(lead, now, &timing));
-                takeover_hook(node, id);
             }
             (None, Some(_)) => {
                 node.decisions.note(id, "step down", "authority ended");
@@ -104,10 +103,6 @@
     }
 }
 
-/// Called when this instance has begun to lead `part`, with `led` locked: the place where notes on
-/// requests are taken over from the lenders.
-fn takeover_hook(_node: &Node, _part: &PartId) {}
-
 /// Waits until the draining instance leads no part; after a bound, as while the store is down, the
 /// standbys take over without a written record.
 pub(crate) async fn hand_over(node: &Arc<Node>) {
