--- a/crates/daemon/src/daemon_process.rs
+++ b/crates/daemon/src/daemon_process.rs
@@ -16,8 +16,11 @@
 
 /// Runs the daemon with the process's settings until a signal ends it.
 pub fn run() -> ExitCode {
-    let arguments = std::env::args_os().skip(1);
-    match SettingRequest::read(arguments, |name| std::env::var_os(name)) {
+    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
+    if arguments.first().is_some_and(|first| first == "gateway") {
+        return geraniummast_gateway::run(arguments.into_iter().skip(1));
+    }
+    match read_settings(arguments, |name| std::env::var_os(name)) {
         SettingRequest::Print(text) => {
             print!("{text}");
             ExitCode::SUCCESS
--- a/crates/daemon/src/daemon_settings.rs
+++ b/crates/daemon/src/daemon_settings.rs
@@ -84,7 +84,7 @@
     /// Faults that only several settings together show.
     pub(crate) fn conflicts(&self) -> Vec<SettingFault> {
         let least = self.max_body_bytes + self.limits.max_head_bytes + Self::FRAME_OVERHEAD_BYTES;
-        let timing = self.timing.findings().into_iter().map(SettingFault::from);
+        let timing = self.timing.findings().into_iter().map(timing_fault);
         let mut faults: Vec<SettingFault> = timing.collect();
         if self.peer_limits.max_frame_bytes < least {
             faults.push(SettingFault {
@@ -208,3 +208,11 @@
         self.settings
     }
 }
+
+fn timing_fault(fault: TimingFault) -> SettingFault {
+    SettingFault {
+        place: format!("--{}", fault.setting),
+        value: Some(fault.value),
+        expected: fault.expected,
+    }
+}
--- a/crates/daemon/src/grant_worker.rs
+++ b/crates/daemon/src/grant_worker.rs
@@ -86,7 +86,7 @@
                 part.grants.answered(name, number, reply.accepted, now);
             }
         }
-        Err(ExchangeError::NotSent(_)) => {
+        Err(ExchangeError::Refused(_) | ExchangeError::NotSent(_)) => {
             if let Some(watch) = part.servers.get_mut(name) {
                 watch.refused();
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -62,9 +62,6 @@
 mod server_book;
 mod server_keeper;
 mod server_session;
-mod setting_fault;
-mod setting_reader;
-mod setting_spec;
 mod setting_table;
 mod slot_broker;
 mod store_watcher;
@@ -74,8 +71,7 @@
     daemon_settings::{DaemonSettings, PeerLimits, SettingsBuilder},
     grant_wire::{GrantReplyWire, GrantWire},
     instance_node::InstanceNode,
-    setting_fault::SettingFault,
-    setting_reader::SettingRequest,
+    setting_table::read_settings,
 };
 
 /// Imports used throughout the crate.
@@ -122,6 +118,7 @@
         geraniummast_net::*,
         geraniummast_ownership::*,
         geraniummast_requests::*,
+        geraniummast_settings::{SettingFault, SettingRequest, SettingSpec, SettingTable},
         geraniummast_store::*,
         http::{Request, Response, StatusCode},
         http_body_util::{BodyExt, Full},
--- a/crates/daemon/src/server_session.rs
+++ b/crates/daemon/src/server_session.rs
@@ -62,7 +62,7 @@
         let answer = self.http.exchange_bounded(message, bounds).await;
         match answer {
             Ok(response) => self.answer_of(request, response),
-            Err(ExchangeError::NotSent(cause)) => {
+            Err(ExchangeError::Refused(cause) | ExchangeError::NotSent(cause)) => {
                 log::debug!("{}: request not sent: {cause}", self.name);
                 Err(AttemptFault::NotSent)
             }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,6 +1,10 @@
 //! Reading of settings from flags and variables.
 
-use {geraniummast_daemon::SettingRequest, std::ffi::OsString};
+use {
+    geraniummast_daemon::{DaemonSettings, read_settings},
+    geraniummast_settings::SettingRequest,
+    std::ffi::OsString,
+};
 
 const WHOLE: [(&str, &str); 8] = [
     ("name", "a1"),
@@ -13,15 +17,15 @@
     ("operator-token", "fedcba9876543210"),
 ];
 
-fn read(flags: &[&str], variables: &[(&str, &str)]) -> SettingRequest {
+fn read(flags: &[&str], variables: &[(&str, &str)]) -> SettingRequest<DaemonSettings> {
     let flags = flags.iter().map(OsString::from);
-    SettingRequest::read(flags, |name| {
+    read_settings(flags, |name| {
         let found = variables.iter().find(|(known, _)| *known == name);
         found.map(|(_, value)| OsString::from(value))
     })
 }
 
-fn with_whole(changes: &[&str]) -> SettingRequest {
+fn with_whole(changes: &[&str]) -> SettingRequest<DaemonSettings> {
     let whole: Vec<String> = WHOLE
         .iter()
         .map(|(name, value)| format!("--{name}={value}"))
--- /dev/null
+++ b/crates/gateway/src/discovery_worker.rs
@@ -0,0 +1,84 @@
+//! Following the list of servers.
+
+use crate::{
+    object_watcher::{self, WatchNews},
+    prelude::*,
+};
+
+/// Follows the servers.
+pub(crate) async fn run(node: Arc<GatewayNode>) {
+    object_watcher::follow(node, ObjectKind::Servers, |node, news| {
+        let now = node.now();
+        let hold = node.lapse_hold();
+        let newest = match &news {
+            WatchNews::List(page) => page.objects.iter().map(|object| object.revision).max(),
+            WatchNews::Changes(changes) => changes
+                .events
+                .iter()
+                .map(|event| event.object.revision)
+                .max(),
+        };
+        let mut roster = node.roster.lock().unwrap();
+        match news {
+            WatchNews::List(page) => {
+                let entries = page.objects.iter().filter_map(|object| {
+                    let entry = read(object)?;
+                    Some((entry, object.revision))
+                });
+                roster.replace(entries.collect(), page.revision, now, hold);
+            }
+            WatchNews::Changes(changes) => {
+                for event in changes.events {
+                    let object = &event.object;
+                    let entry = if event.is_removed { None } else { read(object) };
+                    // What was removed may carry the revision of the last change before.
+                    let change = match entry {
+                        Some(entry) => RosterChange::Entry(Box::new(entry), object.revision),
+                        None => RosterChange::Gone(object.name.clone(), object.revision),
+                    };
+                    roster.apply(change, now, hold);
+                }
+            }
+        }
+        drop(roster);
+        if let Some(newest) = newest {
+            let mut peers = node.peers.lock().unwrap();
+            peers.saw_revision(ObjectKind::Servers, newest);
+        }
+        node.refresh_servers();
+    })
+    .await;
+}
+
+/// Drops lapsed entries in time.
+pub(crate) async fn expire(node: Arc<GatewayNode>) {
+    /// Time between two looks.
+    const INTERVAL: Duration = Duration::from_millis(200);
+    loop {
+        Timer::after(INTERVAL).await;
+        let now = node.now();
+        let expired = node.roster.lock().unwrap().expire(now);
+        if expired {
+            node.refresh_servers();
+        }
+        for server in node.all_servers() {
+            server.pool.close_idle(now);
+            server.orders.close_idle();
+        }
+    }
+}
+
+fn read(object: &PlatformObject) -> Option<ServerEntry> {
+    match ServerBody::read(object) {
+        Ok(entry) => Some(entry),
+        Err(fault) => {
+            log::warn!(
+                server = object.name.as_str(),
+                object_revision = object.revision,
+                cause = fault.to_string().as_str();
+                "entry of a server cannot be read and is left out"
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_node.rs
@@ -0,0 +1,319 @@
+//! Tables that all workers of an instance share.
+//!
+//! Lock order: routes, roster, servers, services, keys, peers, then the locks inside of a server or
+//! a service. No lock is held across an await.
+
+use crate::prelude::*;
+
+/// One instance.
+pub(crate) struct GatewayNode {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: SteadyClock,
+    pub(crate) workers: Arc<WorkerPool>,
+    pub(crate) store: ObjectClient,
+    pub(crate) log: EventLog,
+    pub(crate) me: LeaderMark,
+    pub(crate) choice: ServerChoice,
+    /// Bounds at the one server that owns a key, where no other can be chosen.
+    pub(crate) owner_choice: ServerChoice,
+    routes: Mutex<Option<Arc<RouteTable>>>,
+    pub(crate) roster: Mutex<ServerRoster>,
+    servers: Mutex<IndexMap<ServerMark, Arc<ServerRuntime>>>,
+    services: Mutex<IndexMap<String, Arc<ServiceState>>>,
+    cursors: Mutex<IndexMap<String, SplitCursor>>,
+    patience: Mutex<IndexMap<String, Duration>>,
+    pub(crate) keys: Mutex<IndexMap<String, KeyView>>,
+    pub(crate) peers: Mutex<PeerTable>,
+    /// Notified when a key record changed.
+    pub(crate) keys_changed: Event,
+    /// Notified when an order of this leader has ended.
+    pub(crate) lead_due: Event,
+    /// Notified when another instance knows newer objects.
+    pub(crate) behind: Event,
+    stopping: AtomicBool,
+}
+
+impl GatewayNode {
+    /// Spans of a leader's work.
+    const TIMING: LeadTiming = LeadTiming {
+        hold: Duration::from_millis(3_000),
+        renew_every: Duration::from_millis(900),
+        authority: Duration::from_secs(12),
+        release_again: Duration::from_millis(300),
+    };
+    /// Requests at a server, as a multiple of its slots.
+    const MAX_FILL: f64 = 2.0;
+    /// The same at the owner of a key.
+    const MAX_OWNER_FILL: f64 = 2.6;
+    /// Part of the drain time that is left for what is on its way.
+    const DRAIN_MARGIN: Duration = Duration::from_millis(400);
+    /// Time for which entries that lapsed around an outage stay in use.
+    const LAPSE_HOLD: Duration = Duration::from_millis(1_500);
+    /// Servers that have gone are remembered so long, since orders may still concern them.
+    const GONE_TIME: Duration = Duration::from_secs(60);
+
+    /// Instance under `settings`.
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        workers: Arc<WorkerPool>,
+        incarnation: u64,
+    ) -> Self {
+        let me = LeaderMark {
+            instance: settings.name.clone(),
+            incarnation,
+        };
+        let choice = ServerChoice {
+            max_fill: Self::MAX_FILL,
+            ..ServerChoice::default()
+        };
+        Self {
+            clock: SteadyClock,
+            store: ObjectClient::new(workers.clone(), settings.store_address),
+            log: EventLog::default(),
+            choice,
+            owner_choice: ServerChoice {
+                max_fill: Self::MAX_OWNER_FILL,
+                ..choice
+            },
+            me,
+            workers,
+            routes: Mutex::default(),
+            roster: Mutex::default(),
+            servers: Mutex::default(),
+            services: Mutex::default(),
+            cursors: Mutex::default(),
+            patience: Mutex::default(),
+            keys: Mutex::default(),
+            peers: Mutex::default(),
+            keys_changed: Event::new(),
+            lead_due: Event::new(),
+            behind: Event::new(),
+            stopping: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Current reading of the clock that counts suspension.
+    pub(crate) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    /// Configuration in force.
+    pub(crate) fn route_table(&self) -> Option<Arc<RouteTable>> {
+        self.routes.lock().unwrap().clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is; true when it was put in force.
+    pub(crate) fn put_routes(&self, table: RouteTable) -> bool {
+        let mut routes = self.routes.lock().unwrap();
+        if routes
+            .as_ref()
+            .is_some_and(|known| known.revision() >= table.revision())
+        {
+            return false;
+        }
+        let keyed: Vec<String> = table
+            .services()
+            .values()
+            .filter(|rule| rule.keyed)
+            .map(|rule| rule.name.clone())
+            .collect();
+        *routes = Some(Arc::new(table));
+        drop(routes);
+        for service in keyed {
+            self.with_keys(&service, |_| ());
+        }
+        self.keys_changed.notify(usize::MAX);
+        true
+    }
+
+    /// State of a service.
+    pub(crate) fn service(&self, name: &str) -> Arc<ServiceState> {
+        let mut services = self.services.lock().unwrap();
+        services
+            .entry(name.into())
+            .or_insert_with(|| Arc::new(ServiceState::new(&self.settings)))
+            .clone()
+    }
+
+    /// Service that takes the next request of a route.
+    pub(crate) fn draw_service(&self, route: &RouteRule) -> Option<String> {
+        if let [part] = route.parts.as_slice() {
+            return Some(part.service.clone());
+        }
+        let mut cursors = self.cursors.lock().unwrap();
+        cursors
+            .entry(route.name.clone())
+            .or_insert_with(|| SplitCursor::new(rand::random()))
+            .next(&route.parts)
+            .map(String::from)
+    }
+
+    /// Longest time that callers of a route said they would wait: that of a first attempt.
+    pub(crate) fn usual_patience(&self, route: &str, patience: Duration) -> Duration {
+        let mut known = self.patience.lock().unwrap();
+        let usual = known.entry(route.into()).or_insert(patience);
+        *usual = patience.max(*usual);
+        *usual
+    }
+
+    /// Takes the roster's servers into use, and those out of it that left.
+    pub(crate) fn refresh_servers(&self) {
+        let now = self.now();
+        let entries: Vec<ServerEntry> = {
+            let roster = self.roster.lock().unwrap();
+            roster.entries().cloned().collect()
+        };
+        let mut servers = self.servers.lock().unwrap();
+        for entry in &entries {
+            let known = servers.get(&entry.mark).filter(|server| {
+                server.entry.address == entry.address && server.entry.service == entry.service
+            });
+            match known {
+                Some(server) if entry.state == ServerState::Draining => server.leaves(now),
+                Some(server) => server.returns(),
+                None => {
+                    let pace = self.service(&entry.service).pace();
+                    let server = ServerRuntime::new(&self.workers, entry.clone(), pace, now);
+                    if entry.state == ServerState::Draining {
+                        server.leaves(now);
+                    }
+                    log::info!(
+                        server = entry.mark.to_string().as_str(),
+                        service = entry.service.as_str(),
+                        address = entry.address.to_string().as_str(),
+                        slots = entry.slots,
+                        draining = entry.state == ServerState::Draining;
+                        "server found"
+                    );
+                    servers.insert(entry.mark.clone(), Arc::new(server));
+                }
+            }
+        }
+        for (mark, server) in servers.iter() {
+            let is_listed = entries.iter().any(|entry| entry.mark == *mark);
+            if !is_listed && server.leaving_at().is_none() {
+                log::info!(server = mark.to_string().as_str(); "server gone");
+                server.leaves(now);
+            }
+        }
+        servers.retain(|_, server| {
+            server
+                .leaving_at()
+                .is_none_or(|at| now.since(at) < Self::GONE_TIME)
+        });
+    }
+
+    /// Time for which entries that lapse now stay in use.
+    pub(crate) fn lapse_hold(&self) -> Duration {
+        match self.store.health.is_unsettled(self.now()) {
+            true => Self::LAPSE_HOLD,
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Time after which a leaving server gets nothing new.
+    pub(crate) fn drain_time(&self) -> Duration {
+        self.settings.drain_time.saturating_sub(Self::DRAIN_MARGIN)
+    }
+
+    /// One life of one server, in use or gone.
+    pub(crate) fn server(&self, mark: &ServerMark) -> Option<Arc<ServerRuntime>> {
+        self.servers.lock().unwrap().get(mark).cloned()
+    }
+
+    /// Servers of a service that take new work.
+    pub(crate) fn usable_servers(&self, service: &str) -> Vec<Arc<ServerRuntime>> {
+        let servers = self.servers.lock().unwrap();
+        servers
+            .values()
+            .filter(|server| server.entry.service == service && server.leaving_at().is_none())
+            .cloned()
+            .collect()
+    }
+
+    /// All servers, in use or gone.
+    pub(crate) fn all_servers(&self) -> Vec<Arc<ServerRuntime>> {
+        self.servers.lock().unwrap().values().cloned().collect()
+    }
+
+    /// Works on a service's keys.
+    pub(crate) fn with_keys<T>(&self, service: &str, work: impl FnOnce(&mut KeyView) -> T) -> T {
+        let mut keys = self.keys.lock().unwrap();
+        let view = keys
+            .entry(service.into())
+            .or_insert_with(|| KeyView::new(self.me.clone(), self.timing()));
+        work(view)
+    }
+
+    fn timing(&self) -> LeadTiming {
+        LeadTiming {
+            hold: Self::TIMING.hold.min(self.settings.max_hold),
+            ..Self::TIMING
+        }
+    }
+
+    /// Time for which keys are granted.
+    pub(crate) fn hold(&self) -> Duration {
+        self.timing().hold
+    }
+
+    /// Services whose servers hold keys.
+    pub(crate) fn keyed_services(&self) -> Vec<String> {
+        self.keys.lock().unwrap().keys().cloned().collect()
+    }
+
+    /// Range of a key, and the revision of the record that says so.
+    pub(crate) fn key_range(&self, service: &str, key: u16) -> Option<(KeyRange, u64)> {
+        let keys = self.keys.lock().unwrap();
+        let (record, revision) = keys.get(service)?.lead.record()?;
+        Some((record.range_of(key)?.clone(), revision))
+    }
+
+    /// Revision of a service's key record.
+    pub(crate) fn key_revision(&self, service: &str) -> Option<u64> {
+        let keys = self.keys.lock().unwrap();
+        Some(keys.get(service)?.lead.record()?.1)
+    }
+
+    /// Counts a request for a key.
+    pub(crate) fn note_key(&self, service: &str, key: u16) {
+        let mut keys = self.keys.lock().unwrap();
+        if let Some(view) = keys.get_mut(service) {
+            view.note(key, rand::random());
+        }
+    }
+
+    /// Instances that share budgets.
+    pub(crate) fn instance_count(&self) -> usize {
+        self.peers.lock().unwrap().instance_count()
+    }
+
+    /// Waits until another instance knows newer objects of a kind.
+    pub(crate) async fn wait_behind(&self, kind: ObjectKind) {
+        loop {
+            let behind = self.behind.listen();
+            if self.peers.lock().unwrap().take_behind(kind, self.now()) {
+                return;
+            }
+            behind.await;
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.route_table().is_some()
+            && !self.servers.lock().unwrap().is_empty()
+    }
+
+    /// Begins to stop.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the instance stops.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_process.rs
@@ -0,0 +1,156 @@
+//! The process around an instance: settings, logs, signals and exit codes.
+
+use crate::{
+    caller_listeners, configuration_worker, discovery_worker, lead_worker, operator_page,
+    peer_worker, prelude::*, record_worker,
+};
+use async_net::UdpSocket;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use geraniummast_settings::SettingRequest;
+use logforth::{append, layout::LogfmtLayout};
+use std::{
+    process::ExitCode,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Exit code of an instance that could not run.
+const FAILED: u8 = 1;
+/// Exit code of faulty settings.
+const FAULTY_SETTINGS: u8 = 2;
+/// Part of the stop's time that is left for closing sockets.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+/// Least time for which a stopping instance takes what still comes: the balancer asks each second
+/// and needs two misses.
+const LEAST_STOP_TIME: Duration = Duration::from_millis(3_200);
+/// Time before the end of a stop at which idle connections are closed.
+const CLOSE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Runs an instance with `arguments` until a signal ends it.
+pub fn run(arguments: impl IntoIterator<Item = std::ffi::OsString>) -> ExitCode {
+    match GatewaySettings::read(arguments, |name| std::env::var_os(name)) {
+        SettingRequest::Print(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        SettingRequest::Refuse(faults) => {
+            for fault in &faults {
+                eprintln!("geraniummastd gateway: {fault}");
+            }
+            eprintln!(
+                "geraniummastd gateway: {} faulty settings, see --help",
+                faults.len()
+            );
+            ExitCode::from(FAULTY_SETTINGS)
+        }
+        SettingRequest::Run(settings) => {
+            start_logs(&settings);
+            match serve(*settings) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(error) => {
+                    log::error!(cause = error.to_string().as_str(); "instance ended");
+                    ExitCode::from(FAILED)
+                }
+            }
+        }
+    }
+}
+
+fn start_logs(settings: &GatewaySettings) {
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch.append(append::Stdout::default().with_layout(LogfmtLayout::default()))
+        })
+        .apply();
+    log::set_max_level(settings.log_level);
+}
+
+fn serve(settings: GatewaySettings) -> eyre::Result<()> {
+    let incarnation = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis() as u64);
+    // The calling thread is the one worker: instances have a part of one core.
+    let workers = WorkerPool::start("worker", 0)?;
+    let node = Arc::new(GatewayNode::new(settings, workers.clone(), incarnation));
+    workers.drive(live(node))
+}
+
+async fn live(node: Arc<GatewayNode>) -> eyre::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let metrics = operator_page::install_metrics()?;
+    node.peers
+        .lock()
+        .unwrap()
+        .begin(&node.settings.name, node.now());
+    let socket = UdpSocket::bind(node.settings.peer_address).await?;
+    let connections = caller_listeners::start(&node, metrics).await?;
+    let workers = &node.workers;
+    workers.spawn(configuration_worker::run(node.clone()));
+    workers.spawn(discovery_worker::run(node.clone()));
+    workers.spawn(discovery_worker::expire(node.clone()));
+    workers.spawn(record_worker::run(node.clone()));
+    workers.spawn(record_worker::announce(node.clone()));
+    workers.spawn(lead_worker::run(node.clone()));
+    workers.spawn(peer_worker::listen(node.clone(), socket.clone()));
+    workers.spawn(peer_worker::send(node.clone(), socket));
+    workers.spawn(report_logs(node.clone()));
+    log::info!(
+        name = node.settings.name.as_str(),
+        incarnation = node.me.incarnation,
+        callers = node.settings.caller_address.to_string().as_str(),
+        store = node.settings.store_address.to_string().as_str();
+        "started"
+    );
+    loop {
+        match signals.next().await {
+            Some(Ok(Signal::Hup)) => {
+                log::info!("settings reload asked for; flags are read at the start only");
+            }
+            Some(Err(error)) => return Err(error.into()),
+            _ => break,
+        }
+    }
+    stop(&node, &connections, &mut signals).await;
+    Ok(())
+}
+
+/// Tells from time to time what the logs leave out.
+async fn report_logs(node: Arc<GatewayNode>) {
+    /// Time between two reports.
+    const INTERVAL: Duration = Duration::from_secs(5);
+    loop {
+        Timer::after(INTERVAL).await;
+        node.log.report();
+    }
+}
+
+/// Takes what still comes, finishes what runs, and closes connections as they become idle.
+async fn stop(node: &Arc<GatewayNode>, connections: &OpenConnections, signals: &mut Signals) {
+    node.begin_stop();
+    connections.retire();
+    let began = node.now();
+    log::info!(connections = connections.count(); "stopping; a second signal ends at once");
+    let limit = node.settings.stop_timeout.saturating_sub(STOP_MARGIN);
+    let finished = async {
+        loop {
+            let spent = node.now().since(began);
+            if spent + CLOSE_TIME >= limit {
+                connections.close();
+            }
+            let is_idle = connections.count() == 0 && spent >= LEAST_STOP_TIME.min(limit);
+            if is_idle || spent >= limit {
+                return;
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    };
+    let again = async {
+        signals.next().await;
+    };
+    future::or(finished, again).await;
+    log::info!(
+        connections = connections.count(),
+        took_ms = node.now().since(began).as_millis() as u64;
+        "stopped"
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/instance_record.rs
@@ -0,0 +1,19 @@
+//! Where an instance is reached, kept in the platform's store.
+
+use crate::prelude::*;
+
+/// One instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct InstanceRecord {
+    /// Name of the instance.
+    pub(crate) name: String,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub(crate) incarnation: u64,
+    /// Where heartbeats reach it.
+    pub(crate) address: SocketAddr,
+}
+
+impl InstanceRecord {
+    /// Prefix of the records' names.
+    pub(crate) const PREFIX: &'static str = "instance.";
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,83 @@
+//! An entry instance on the users' platform: callers' requests go straight to the servers.
+//!
+//! A request enters at `request_handler`, is led through its attempts by `request_dispatch`, and
+//! reaches a server through `server_pool`. `configuration_worker`, `discovery_worker` and
+//! `record_worker` learn from the platform's store; `lead_worker` orders servers that hold keys;
+//! `peer_worker` exchanges heartbeats with the other instances. The decisions are in the `routing`
+//! crate, the platform's names in `platform`.
+
+mod attempt_result;
+mod body_reader;
+mod caller_call;
+mod caller_listeners;
+mod configuration_worker;
+mod discovery_worker;
+mod event_log;
+mod gateway_node;
+mod gateway_process;
+mod gateway_settings;
+mod hop_headers;
+mod instance_record;
+mod key_view;
+mod lead_orders;
+mod lead_worker;
+mod metric_names;
+mod object_client;
+mod object_watcher;
+mod operator_page;
+mod own_answer;
+mod peer_table;
+mod peer_wire;
+mod peer_worker;
+mod record_worker;
+mod request_dispatch;
+mod request_handler;
+mod server_finder;
+mod server_pool;
+mod server_runtime;
+mod service_state;
+mod store_health;
+
+pub use {gateway_process::run, gateway_settings::GatewaySettings};
+
+/// Imports used throughout the crate.
+mod prelude {
+    pub(crate) use {
+        crate::{
+            attempt_result::AttemptResult,
+            caller_call::{CallOutcome, CallerCall, FailureReason, RefusalReason},
+            event_log::EventLog,
+            gateway_node::GatewayNode,
+            instance_record::InstanceRecord,
+            key_view::KeyView,
+            metric_names::*,
+            object_client::{CallError, ObjectClient},
+            peer_table::PeerTable,
+            server_pool::ServerPool,
+            server_runtime::ServerRuntime,
+            service_state::ServiceState,
+            store_health::StoreHealth,
+            *,
+        },
+        async_io::Timer,
+        bytes::Bytes,
+        event_listener::Event,
+        futures_lite::future,
+        geraniummast_model::MonoTime,
+        geraniummast_net::*,
+        geraniummast_platform::*,
+        geraniummast_routing::*,
+        http::{Request, Response, StatusCode},
+        http_body_util::{BodyExt, Full},
+        indexmap::IndexMap,
+        serde::{Deserialize, Serialize},
+        std::{
+            net::SocketAddr,
+            sync::{
+                Arc, Mutex,
+                atomic::{AtomicBool, AtomicUsize, Ordering},
+            },
+            time::Duration,
+        },
+    };
+}
--- /dev/null
+++ b/crates/gateway/src/object_client.rs
@@ -0,0 +1,166 @@
+//! The one client of the platform's store.
+
+use crate::prelude::*;
+
+/// Client of the store at one address.
+pub(crate) struct ObjectClient {
+    http: HttpClient,
+    clock: SteadyClock,
+    pub(crate) health: StoreHealth,
+}
+
+/// Why a call gave no result.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// The store did nothing.
+    Unavailable(String),
+    /// The call may have taken effect, or may yet.
+    Unclear(String),
+    /// The history after the revision is gone.
+    Compacted,
+}
+
+impl ObjectClient {
+    /// Time after which a call without an answer is unclear.
+    const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+    /// Client of the store at `address`.
+    pub(crate) fn new(pool: Arc<WorkerPool>, address: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::new(pool, Dialer::direct(), address),
+            clock: SteadyClock,
+            health: StoreHealth::default(),
+        }
+    }
+
+    /// Lists all objects of a kind.
+    pub(crate) async fn list(&self, kind: ObjectKind) -> Result<ObjectPage, CallError> {
+        let mut whole: Option<ObjectPage> = None;
+        loop {
+            let after = whole
+                .as_ref()
+                .and_then(|page| page.objects.last())
+                .map(|object| object.name.as_str());
+            let request = StoreRequest::list(kind, after);
+            let page: ObjectPage = self.read_body("list", request, Duration::ZERO).await?;
+            let has_more = page.has_more && !page.objects.is_empty();
+            whole = Some(match whole {
+                None => page,
+                Some(mut whole) => {
+                    whole.objects.extend(page.objects);
+                    // Changes between the pages are in the history after the first one.
+                    whole.revision = whole.revision.min(page.revision);
+                    whole
+                }
+            });
+            if let (false, Some(whole)) = (has_more, whole.as_ref()) {
+                return Ok(whole.clone());
+            }
+        }
+    }
+
+    /// Waits up to `wait` for changes of a kind after a revision.
+    pub(crate) async fn watch(
+        &self,
+        kind: ObjectKind,
+        after: u64,
+        wait: Duration,
+    ) -> Result<ObjectChanges, CallError> {
+        let request = StoreRequest::watch(kind, after, wait);
+        self.read_body("watch", request, wait).await
+    }
+
+    /// Reads one object.
+    pub(crate) async fn read(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+    ) -> Result<Option<PlatformObject>, CallError> {
+        let response = self
+            .exchange("read", StoreRequest::read(kind, name), Duration::ZERO)
+            .await?;
+        match response.status() {
+            StatusCode::OK => parse(response.body()).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(CallError::Unavailable(format!("status {status}"))),
+        }
+    }
+
+    /// Makes one write.
+    pub(crate) async fn write(&self, request: Request<Bytes>) -> Result<WriteAnswer, CallError> {
+        let response = self.exchange("write", request, Duration::ZERO).await?;
+        Ok(WriteAnswer::from(&response))
+    }
+
+    async fn read_body<T>(
+        &self,
+        kind: &'static str,
+        request: Request<Bytes>,
+        wait: Duration,
+    ) -> Result<T, CallError>
+    where
+        T: for<'a> TryFrom<&'a [u8], Error = BodyFault>,
+    {
+        let response = self.exchange(kind, request, wait).await?;
+        match response.status() {
+            StatusCode::OK => parse(response.body()),
+            StatusCode::GONE => Err(CallError::Compacted),
+            status => Err(CallError::Unavailable(format!("status {status}"))),
+        }
+    }
+
+    /// Makes one call that the store may hold back for `wait`.
+    async fn exchange(
+        &self,
+        kind: &'static str,
+        request: Request<Bytes>,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, CallError> {
+        let result = self
+            .http
+            .exchange(request.map(Full::new), Self::TIMEOUT + wait)
+            .await;
+        let now = self.clock.now();
+        let outcome = match &result {
+            Ok(response) if response.status().is_server_error() => "refused",
+            Ok(response) if response.status() == StatusCode::TOO_MANY_REQUESTS => "refused",
+            Ok(_) => "answered",
+            Err(_) => "lost",
+        };
+        metrics::counter!(STORE_CALLS, "kind" => kind, "result" => outcome).increment(1);
+        match (&result, outcome) {
+            (_, "answered") => self.health.answered(now),
+            (Ok(response), _) => {
+                let cause = format!("{kind}: status {}", response.status());
+                self.health.failed(now, &cause);
+            }
+            (Err(error), _) => self.health.failed(now, &format!("{kind}: {error}")),
+        }
+        match result {
+            Ok(response) => Ok(response),
+            Err(error @ (ExchangeError::Refused(_) | ExchangeError::NotSent(_))) => {
+                Err(CallError::Unavailable(error.to_string()))
+            }
+            Err(error) => Err(CallError::Unclear(error.to_string())),
+        }
+    }
+}
+
+fn parse<T>(body: &[u8]) -> Result<T, CallError>
+where
+    T: for<'a> TryFrom<&'a [u8], Error = BodyFault>,
+{
+    T::try_from(body).map_err(|fault| CallError::Unavailable(format!("unreadable body: {fault}")))
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Self::Unavailable(cause) => write!(f, "store unavailable: {cause}"),
+            Self::Unclear(cause) => write!(f, "store gave no answer: {cause}"),
+            Self::Compacted => write!(f, "history is gone"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
--- /dev/null
+++ b/crates/gateway/src/operator_page.rs
@@ -0,0 +1,142 @@
+//! Readiness, metrics and the state dump.
+
+use crate::prelude::*;
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Path of the state dump.
+const DUMP_PATH: &str = "/dump";
+/// Upper bounds of the buckets of request durations, in seconds.
+const SECONDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
+
+/// State of an instance, for operators.
+#[derive(Serialize)]
+struct StateDump<'a> {
+    name: &'a str,
+    incarnation: u64,
+    is_ready: bool,
+    is_stopping: bool,
+    store_lost: bool,
+    configuration_revision: Option<u64>,
+    routes: usize,
+    instances: usize,
+    servers: Vec<ServerDump>,
+    keys: Vec<KeyDump>,
+}
+
+#[derive(Serialize)]
+struct ServerDump {
+    server: String,
+    service: String,
+    address: SocketAddr,
+    leaving: bool,
+    own_requests: u32,
+    estimated_requests: f64,
+    service_time_ms: f64,
+    resting: bool,
+    connections: usize,
+}
+
+#[derive(Serialize)]
+struct KeyDump {
+    service: String,
+    leads: bool,
+    confirmed_age_ms: u64,
+    revision: u64,
+    record: KeyRecord,
+}
+
+/// Installs the recorder of metrics.
+pub(crate) fn install_metrics() -> eyre::Result<PrometheusHandle> {
+    let recorder = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Full(REQUEST_SECONDS.into()), &SECONDS)?
+        .build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder)
+        .map_err(|_| eyre::eyre!("another recorder of metrics is installed"))?;
+    Ok(handle)
+}
+
+/// Answers the balancer.
+pub(crate) fn readiness(node: &GatewayNode, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match (request.uri().path() == READINESS_PATH, node.is_ready()) {
+        (false, _) => text(StatusCode::NOT_FOUND, "not found\n".into()),
+        (true, true) => text(StatusCode::OK, "ready\n".into()),
+        (true, false) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+    }
+}
+
+/// Answers an operator.
+pub(crate) fn answer(
+    node: &GatewayNode,
+    metrics: &PrometheusHandle,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        METRICS_PATH => {
+            metrics.run_upkeep();
+            text(StatusCode::OK, metrics.render())
+        }
+        DUMP_PATH => match serde_json::to_string_pretty(&dump(node)) {
+            Ok(body) => text(StatusCode::OK, body),
+            Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        },
+        READINESS_PATH => readiness(node, request),
+        _ => text(StatusCode::NOT_FOUND, "not found\n".into()),
+    }
+}
+
+fn dump(node: &GatewayNode) -> StateDump<'_> {
+    let now = node.now();
+    let table = node.route_table();
+    let servers = node.all_servers();
+    let servers = servers.iter().map(|server| {
+        let load = server.load.lock().unwrap();
+        ServerDump {
+            server: server.mark().to_string(),
+            service: server.entry.service.clone(),
+            address: server.entry.address,
+            leaving: server.leaving_at().is_some(),
+            own_requests: load.own(),
+            estimated_requests: load.estimate(now),
+            service_time_ms: load.service_time().0 * 1e3,
+            resting: load.is_resting(now),
+            connections: server.pool.open_count(),
+        }
+    });
+    let keys = node.keys.lock().unwrap();
+    let keys = keys.iter().filter_map(|(service, view)| {
+        let (record, revision) = view.lead.record()?;
+        Some(KeyDump {
+            service: service.clone(),
+            leads: view.lead.leads(),
+            confirmed_age_ms: view
+                .lead
+                .confirmed_age(now)
+                .as_millis()
+                .min(u128::from(u64::MAX)) as u64,
+            revision,
+            record: record.clone(),
+        })
+    });
+    StateDump {
+        name: &node.settings.name,
+        incarnation: node.me.incarnation,
+        is_ready: node.is_ready(),
+        is_stopping: node.is_stopping(),
+        store_lost: node.store.health.is_lost(),
+        configuration_revision: table.as_ref().map(|table| table.revision()),
+        routes: table.as_ref().map_or(0, |table| table.route_count()),
+        instances: node.instance_count(),
+        servers: servers.collect(),
+        keys: keys.collect(),
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/peer_table.rs
@@ -0,0 +1,247 @@
+//! The other instances, as their records and heartbeats tell.
+
+use crate::{
+    peer_wire::{LeadBeat, PeerBeat},
+    prelude::*,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Other instances by name, and how far this one is behind them.
+#[derive(Default)]
+pub(crate) struct PeerTable {
+    me: String,
+    began: MonoTime,
+    peers: IndexMap<String, PeerState>,
+    seen: [u64; 3],
+    told: [u64; 3],
+    behind_since: [Option<MonoTime>; 3],
+    /// Instances that a leader hears, and when it said so.
+    leader_count: Option<(u32, MonoTime)>,
+}
+
+struct PeerState {
+    record: InstanceRecord,
+    revision: u64,
+    heard_at: Option<MonoTime>,
+    beat: PeerBeat,
+}
+
+impl PeerTable {
+    /// Time after which an instance that is not heard counts as lost.
+    const LOST_TIME: Duration = Duration::from_millis(2_000);
+    /// Time in which heartbeats of all are expected once a leader is suspected.
+    const MUSTER_TIME: Duration = Duration::from_millis(600);
+    /// Time for which a watch may lag behind other instances.
+    const LAG_TIME: Duration = Duration::from_millis(450);
+
+    /// Starts the table of the instance `me`.
+    pub(crate) fn begin(&mut self, me: &str, now: MonoTime) {
+        self.me = me.into();
+        self.began = now;
+    }
+
+    /// Takes an instance's record in.
+    pub(crate) fn put(&mut self, record: InstanceRecord, revision: u64, now: MonoTime) {
+        if record.name == self.me {
+            return;
+        }
+        let known = self.peers.get(&record.name);
+        if known.is_some_and(|peer| peer.revision >= revision) {
+            return;
+        }
+        let is_same = known.is_some_and(|peer| peer.record == record);
+        if is_same {
+            return;
+        }
+        log::info!(
+            instance = record.name.as_str(),
+            incarnation = record.incarnation,
+            address = record.address.to_string().as_str();
+            "instance found"
+        );
+        let state = PeerState {
+            revision,
+            // A process that has just announced itself lives.
+            heard_at: Some(now),
+            beat: PeerBeat {
+                incarnation: record.incarnation,
+                ..PeerBeat::default()
+            },
+            record,
+        };
+        self.peers.insert(state.record.name.clone(), state);
+    }
+
+    /// Forgets an instance whose record was removed.
+    pub(crate) fn forget(&mut self, name: &str) {
+        self.peers.shift_remove(name);
+    }
+
+    /// Takes a heartbeat in; true when it shows newer objects than known here.
+    pub(crate) fn heard(&mut self, beat: PeerBeat, now: MonoTime) -> bool {
+        for (told, revision) in self.told.iter_mut().zip(beat.revisions) {
+            *told = revision.max(*told);
+        }
+        if beat.leads.iter().any(|lead| lead.leads) {
+            self.leader_count = Some((beat.heard, now));
+        }
+        let Some(peer) = self.peers.get_mut(&beat.instance) else {
+            return self.is_behind();
+        };
+        if beat.incarnation >= peer.beat.incarnation {
+            peer.heard_at = Some(now);
+            peer.beat = beat;
+        }
+        self.is_behind()
+    }
+
+    /// Notes the newest revision of a kind that this instance knows.
+    pub(crate) fn saw_revision(&mut self, kind: ObjectKind, revision: u64) {
+        let seen = &mut self.seen[position_of(kind)];
+        *seen = revision.max(*seen);
+    }
+
+    /// Newest revisions known here.
+    pub(crate) fn seen(&self) -> [u64; 3] {
+        self.seen
+    }
+
+    /// Whether this instance has lagged on a kind for a while; asks once each while.
+    pub(crate) fn take_behind(&mut self, kind: ObjectKind, now: MonoTime) -> bool {
+        let position = position_of(kind);
+        if self.seen[position] >= self.told[position] {
+            self.behind_since[position] = None;
+            return false;
+        }
+        let since = *self.behind_since[position].get_or_insert(now);
+        let is_due = now.since(since) >= Self::LAG_TIME;
+        if is_due {
+            self.behind_since[position] = Some(now);
+        }
+        is_due
+    }
+
+    fn is_behind(&self) -> bool {
+        self.seen
+            .iter()
+            .zip(self.told)
+            .any(|(seen, told)| *seen < told)
+    }
+
+    /// Instances that share budgets, this one included.
+    pub(crate) fn instance_count(&self) -> usize {
+        match self.leader_count {
+            Some((count, _)) => count.max(1) as usize,
+            None => self.peers.len() + 1,
+        }
+    }
+
+    /// Instances heard lately, this one included.
+    pub(crate) fn live_count(&self, now: MonoTime) -> u32 {
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(now, Self::LOST_TIME));
+        heard.count() as u32 + 1
+    }
+
+    /// Addresses of all other instances.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers
+            .values()
+            .map(|peer| peer.record.address)
+            .collect()
+    }
+
+    /// Address of one instance.
+    pub(crate) fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        self.peers.get(name).map(|peer| peer.record.address)
+    }
+
+    /// What is known of a service's leader.
+    pub(crate) fn leader_view(
+        &self,
+        service: &str,
+        leader: &LeaderMark,
+        me: &LeaderMark,
+        now: MonoTime,
+    ) -> LeaderView {
+        let peer = self.peers.get(&leader.instance);
+        let current = peer.filter(|peer| peer.beat.incarnation == leader.incarnation);
+        let lead = current.and_then(|peer| peer.lead_of(service));
+        let heard_at = current.and_then(|peer| peer.heard_at);
+        let silence = now.since(heard_at.unwrap_or(self.began).max(self.began));
+        LeaderView {
+            is_former_self: leader.instance == me.instance,
+            // A new life of the leader's process does not lead; the old one cannot.
+            silence: match peer.is_some_and(|peer| peer.beat.incarnation > leader.incarnation) {
+                true => LeaderView::SUSPICION + silence,
+                false => silence,
+            },
+            confirmed_age: lead
+                .filter(|lead| lead.leads)
+                .map_or(Duration::ZERO, |lead| lead.confirmed_age),
+            hears_peers: self.peers.is_empty() || self.live_count(now) > 1,
+            is_stopping: current.is_some_and(|peer| peer.beat.is_stopping),
+            rank: self.rank(service, leader, now),
+        }
+    }
+
+    /// Whether a former leader can order no more: its process is a later one, or it knows `term`.
+    pub(crate) fn has_stopped(&self, service: &str, mark: &LeaderMark, term: u64) -> bool {
+        self.peers.get(&mark.instance).is_some_and(|peer| {
+            peer.beat.incarnation > mark.incarnation
+                || (peer.beat.incarnation == mark.incarnation
+                    && peer.lead_of(service).is_some_and(|lead| lead.term >= term))
+        })
+    }
+
+    /// Position of this instance among those that could lead a service.
+    fn rank(&self, service: &str, leader: &LeaderMark, now: MonoTime) -> usize {
+        let score = |name: &str| xxh3_64(format!("{service}/{name}").as_bytes());
+        let own = score(&self.me);
+        self.peers
+            .iter()
+            .filter(|(name, peer)| {
+                **name != leader.instance
+                    && !peer.beat.is_stopping
+                    && peer.is_heard(now, Self::MUSTER_TIME)
+                    && score(name) < own
+            })
+            .count()
+    }
+
+    /// Measured service time of a server over all instances, in seconds, and its samples.
+    pub(crate) fn pace_of(&self, server: &ServerMark) -> (f64, u32) {
+        let paces = self
+            .peers
+            .values()
+            .flat_map(|peer| &peer.beat.paces)
+            .filter(|pace| pace.server == *server);
+        let mut sum = 0.0;
+        let mut samples = 0;
+        for pace in paces {
+            sum += pace.service_time * f64::from(pace.samples);
+            samples += pace.samples;
+        }
+        (sum / f64::from(samples.max(1)), samples)
+    }
+}
+
+impl PeerState {
+    fn is_heard(&self, now: MonoTime, within: Duration) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < within)
+    }
+
+    fn lead_of(&self, service: &str) -> Option<&LeadBeat> {
+        self.beat.leads.iter().find(|lead| lead.service == service)
+    }
+}
+
+fn position_of(kind: ObjectKind) -> usize {
+    match kind {
+        ObjectKind::Servers => 0,
+        ObjectKind::Configuration => 1,
+        ObjectKind::Records => 2,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_worker.rs
@@ -0,0 +1,156 @@
+//! Sending and taking heartbeats.
+//!
+//! Leaders of keys tell all instances; the others tell the leaders, and all while a leader is not
+//! heard. So the messages grow with the instances and not with their square.
+
+use crate::{
+    peer_wire::{LeadBeat, PaceBeat, PeerBeat, SampleBeat},
+    prelude::*,
+};
+use async_net::UdpSocket;
+
+/// Time between heartbeats.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Largest datagram taken, in bytes.
+const MAX_DATAGRAM: usize = 8_192;
+/// Service times in one heartbeat, which has to fit one datagram.
+const MAX_PACES: usize = 24;
+/// Least samples of a service time that is told.
+const LEAST_SAMPLES: u32 = 3;
+
+/// Takes heartbeats in.
+pub(crate) async fn listen(node: Arc<GatewayNode>, socket: UdpSocket) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            Timer::after(INTERVAL).await;
+            continue;
+        };
+        match PeerBeat::decode(&buffer[..length]) {
+            Some(beat) => take(&node, beat),
+            None if node.log.admit("heartbeat", node.now()) => {
+                log::warn!(from = from.to_string().as_str(), length; "datagram is no heartbeat");
+            }
+            None => {}
+        }
+    }
+}
+
+fn take(node: &GatewayNode, mut beat: PeerBeat) {
+    let now = node.now();
+    for sample in std::mem::take(&mut beat.samples) {
+        node.with_keys(&sample.service, |view| {
+            view.window.add(&sample.keys, sample.total, now);
+        });
+    }
+    if node.peers.lock().unwrap().heard(beat, now) {
+        node.behind.notify(usize::MAX);
+    }
+}
+
+/// Sends heartbeats.
+pub(crate) async fn send(node: Arc<GatewayNode>, socket: UdpSocket) {
+    let mut turn = 0;
+    loop {
+        Timer::after(INTERVAL).await;
+        beat(&node, &socket, turn).await;
+        turn += 1;
+    }
+}
+
+/// Sends one heartbeat to all that need it.
+pub(crate) async fn beat(node: &GatewayNode, socket: &UdpSocket, turn: usize) {
+    let now = node.now();
+    let mut beat = PeerBeat {
+        instance: node.settings.name.clone(),
+        incarnation: node.me.incarnation,
+        is_stopping: node.is_stopping(),
+        ..PeerBeat::default()
+    };
+    let mut leaders = Vec::new();
+    for service in node.keyed_services() {
+        node.with_keys(&service, |view| {
+            let (keys, total) = view.take_recent();
+            let leads = view.lead.leads();
+            beat.leads.push(LeadBeat {
+                service: service.clone(),
+                term: view.lead.record().map_or(0, |(record, _)| record.term),
+                leads,
+                confirmed_age: view.lead.confirmed_age(now).min(Duration::from_secs(3_600)),
+            });
+            if leads {
+                view.window.add(&keys, total, now);
+                return;
+            }
+            leaders.push(view.lead.record().map(|(record, _)| record.leader.clone()));
+            if total > 0 {
+                beat.samples.push(SampleBeat {
+                    service: service.clone(),
+                    keys,
+                    total,
+                });
+            }
+        });
+    }
+    beat.paces = paces(node, turn);
+    let targets = {
+        let peers = node.peers.lock().unwrap();
+        beat.revisions = peers.seen();
+        beat.heard = peers.live_count(now);
+        targets(node, &peers, &beat, &leaders, now)
+    };
+    let datagram = beat.encode();
+    for target in targets {
+        // A heartbeat that cannot be sent is like one that is lost: the next one follows.
+        let _ = socket.send_to(&datagram, target).await;
+    }
+}
+
+fn targets(
+    node: &GatewayNode,
+    peers: &PeerTable,
+    beat: &PeerBeat,
+    leaders: &[Option<LeaderMark>],
+    now: MonoTime,
+) -> Vec<SocketAddr> {
+    let leads = beat.leads.iter().any(|lead| lead.leads);
+    let is_leader_heard = |(lead, leader): (&LeadBeat, &Option<LeaderMark>)| {
+        leader.as_ref().is_some_and(|leader| {
+            let view = peers.leader_view(&lead.service, leader, &node.me, now);
+            view.silence < LeaderView::SUSPICION
+        })
+    };
+    let others: Vec<&LeadBeat> = beat.leads.iter().filter(|lead| !lead.leads).collect();
+    let all_heard = others.into_iter().zip(leaders).all(is_leader_heard);
+    if leads || leaders.is_empty() || !all_heard {
+        return peers.addresses();
+    }
+    leaders
+        .iter()
+        .flatten()
+        .filter_map(|leader| peers.address_of(&leader.instance))
+        .collect()
+}
+
+/// Service times of servers that hold keys, some at each turn.
+fn paces(node: &GatewayNode, turn: usize) -> Vec<PaceBeat> {
+    let mut paces = Vec::new();
+    for service in node.keyed_services() {
+        for server in node.usable_servers(&service) {
+            let (service_time, samples) = server.load.lock().unwrap().service_time();
+            if samples >= LEAST_SAMPLES {
+                paces.push(PaceBeat {
+                    server: server.mark().clone(),
+                    service_time,
+                    samples,
+                });
+            }
+        }
+    }
+    if paces.len() > MAX_PACES {
+        let start = turn * MAX_PACES % paces.len();
+        paces.rotate_left(start);
+        paces.truncate(MAX_PACES);
+    }
+    paces
+}
--- /dev/null
+++ b/crates/gateway/src/request_dispatch.rs
@@ -0,0 +1,248 @@
+//! Leading one request through its attempts.
+
+use crate::{
+    hop_headers,
+    prelude::*,
+    server_finder::{self, FoundServer, TriedServers},
+};
+
+/// Connections that may fail for one request before it is refused.
+const MAX_DIALS: usize = 3;
+
+/// What to do after an attempt.
+enum NextStep {
+    End(CallOutcome),
+    Again,
+}
+
+/// Leads a call to its end.
+pub(crate) async fn run(node: &Arc<GatewayNode>, call: &CallerCall) -> CallOutcome {
+    let state = node.service(&call.service);
+    state.retries.lock().unwrap().note_request(call.arrived);
+    let mut tried = TriedServers::default();
+    let mut dials = 0;
+    let mut failed: Option<Response<Bytes>> = None;
+    loop {
+        let found = match server_finder::find(node, call, &state, &tried).await {
+            Ok(found) => found,
+            Err(reason) => return give_up(node, call, &state, reason, failed),
+        };
+        let result = attempt(node, call, &state, &found).await;
+        note_attempt(node, call, &found, &result);
+        if let AttemptResult::NotSent(_) | AttemptResult::Refused = result {
+            dials += 1;
+        }
+        tried.marks.push(found.server.mark().clone());
+        if let AttemptResult::Misdirected = result {
+            tried.wrong_revision = found.key_revision;
+        }
+        drop(found);
+        match next_step(node, call, &state, result, dials, &mut failed) {
+            NextStep::End(outcome) => return outcome,
+            NextStep::Again => {}
+        }
+    }
+}
+
+/// Outcome when no server is found: what an earlier attempt brought, or a refusal.
+fn give_up(
+    node: &GatewayNode,
+    call: &CallerCall,
+    state: &ServiceState,
+    reason: RefusalReason,
+    failed: Option<Response<Bytes>>,
+) -> CallOutcome {
+    if let Some(response) = failed {
+        return CallOutcome::Served(response);
+    }
+    if call.progress.may_have_run() {
+        return CallOutcome::Failed(FailureReason::NoAnswer);
+    }
+    CallOutcome::Refused(reason, pause_of(node, state, reason))
+}
+
+fn next_step(
+    node: &GatewayNode,
+    call: &CallerCall,
+    state: &ServiceState,
+    result: AttemptResult,
+    dials: usize,
+    failed: &mut Option<Response<Bytes>>,
+) -> NextStep {
+    let refuse = |reason| {
+        NextStep::End(match call.progress.may_have_run() {
+            true => CallOutcome::Failed(FailureReason::NoAnswer),
+            false => CallOutcome::Refused(reason, pause_of(node, state, reason)),
+        })
+    };
+    match result {
+        AttemptResult::Answered(response) => NextStep::End(CallOutcome::Served(response)),
+        AttemptResult::NotSent(_) | AttemptResult::Refused => match dials < MAX_DIALS {
+            true => NextStep::Again,
+            false => refuse(RefusalReason::NoServer),
+        },
+        AttemptResult::NotRun | AttemptResult::Misdirected => match may_repeat(node, call, state) {
+            true => NextStep::Again,
+            false => refuse(RefusalReason::NotRun),
+        },
+        AttemptResult::Failed(response) => {
+            if call.route.idempotent && may_repeat(node, call, state) {
+                *failed = Some(response);
+                return NextStep::Again;
+            }
+            NextStep::End(CallOutcome::Served(response))
+        }
+        AttemptResult::Unclear(_) => match call.route.idempotent && may_repeat(node, call, state) {
+            true => NextStep::Again,
+            false => NextStep::End(CallOutcome::Failed(FailureReason::NoAnswer)),
+        },
+    }
+}
+
+/// Whether another server may be sent the request; takes it out of the budget.
+fn may_repeat(node: &GatewayNode, call: &CallerCall, state: &ServiceState) -> bool {
+    let now = node.now();
+    let sends = call.progress.sends.load(Ordering::Relaxed);
+    sends < call.route.max_attempts as usize
+        && call.left(now).as_secs_f64() > state.pace() * 0.5
+        && state
+            .retries
+            .lock()
+            .unwrap()
+            .take(now, node.instance_count())
+}
+
+/// When a refused caller should come back.
+fn pause_of(node: &GatewayNode, state: &ServiceState, reason: RefusalReason) -> Duration {
+    /// Time in which a range on its way usually arrives.
+    const MOVE_PAUSE: Duration = Duration::from_millis(300);
+    match reason {
+        RefusalReason::NoOwner => MOVE_PAUSE,
+        _ => {
+            let waiting = state.waiting();
+            let mut drain = state.drain.lock().unwrap();
+            drain.pause(waiting, node.now(), rand::random())
+        }
+    }
+}
+
+/// Sends the call to a server and judges the answer.
+async fn attempt(
+    node: &Arc<GatewayNode>,
+    call: &CallerCall,
+    state: &ServiceState,
+    found: &FoundServer,
+) -> AttemptResult {
+    let server = &found.server;
+    let now = node.now();
+    let mut link = match server.pool.connect(now, call.left(now)).await {
+        Ok(link) => link,
+        Err(ExchangeError::Refused(_)) => {
+            server.load.lock().unwrap().refused(node.now());
+            return AttemptResult::Refused;
+        }
+        Err(error) => {
+            server.load.lock().unwrap().failed(node.now());
+            return AttemptResult::NotSent(error.to_string());
+        }
+    };
+    let sent_at = node.now();
+    call.progress.in_flight.store(true, Ordering::Relaxed);
+    call.progress.sends.fetch_add(1, Ordering::Relaxed);
+    let exchange = link
+        .exchange(outgoing(call, server, call.left(sent_at)))
+        .await;
+    call.progress.in_flight.store(false, Ordering::Relaxed);
+    let now = node.now();
+    let response = match exchange {
+        Ok(response) => response,
+        Err(ExchangeError::NotSent(cause)) => {
+            call.progress.sends.fetch_sub(1, Ordering::Relaxed);
+            server.pool.clear();
+            return AttemptResult::NotSent(cause);
+        }
+        Err(error) => {
+            call.progress.unclear.store(true, Ordering::Relaxed);
+            server.load.lock().unwrap().failed(now);
+            return AttemptResult::Unclear(error.to_string());
+        }
+    };
+    let headers = ServerHeaders::from(response.headers());
+    let mut load = server.load.lock().unwrap();
+    if let Some(report) = headers.load {
+        load.reported(report, now);
+    }
+    let facts = AnswerFacts {
+        status: response.status().as_u16(),
+        signed: headers.signed,
+        same_id: headers.request_id == call.facts.request_id,
+        not_executed: headers.not_executed,
+        encoded: headers.encoded,
+    };
+    let verdict = facts.verdict();
+    match verdict {
+        AnswerVerdict::Deliver => {
+            let took = now.since(sent_at);
+            load.served(took, found.was_full);
+            state.served(took);
+        }
+        AnswerVerdict::Failed | AnswerVerdict::Foreign => {
+            call.progress.unclear.store(true, Ordering::Relaxed);
+            load.failed(now);
+        }
+        AnswerVerdict::NotRun | AnswerVerdict::Misdirected => {}
+    }
+    drop(load);
+    if verdict != AnswerVerdict::Foreign && !headers.closes {
+        server.pool.keep(link, headers.idle_timeout, now);
+    }
+    match verdict {
+        AnswerVerdict::Deliver => AttemptResult::Answered(response),
+        AnswerVerdict::Failed => AttemptResult::Failed(response),
+        AnswerVerdict::NotRun => AttemptResult::NotRun,
+        AnswerVerdict::Misdirected => AttemptResult::Misdirected,
+        AnswerVerdict::Foreign => AttemptResult::Unclear(format!("foreign answer {facts:?}")),
+    }
+}
+
+fn outgoing(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.head.method.clone();
+    *request.uri_mut() = call.head.uri.clone();
+    let mut headers = call.head.headers.clone();
+    hop_headers::strip(&mut headers);
+    let added = ForwardHeaders {
+        patience: left,
+        server_id: &server.mark().id,
+    };
+    added.set(&mut headers);
+    *request.headers_mut() = headers;
+    request
+}
+
+fn note_attempt(
+    node: &GatewayNode,
+    call: &CallerCall,
+    found: &FoundServer,
+    result: &AttemptResult,
+) {
+    metrics::counter!(ATTEMPTS, "result" => result.label()).increment(1);
+    let cause = match result {
+        AttemptResult::Answered(_) => return,
+        AttemptResult::NotSent(cause) | AttemptResult::Unclear(cause) => cause.as_str(),
+        _ => "",
+    };
+    let now = node.now();
+    if node.log.admit("attempt", now) {
+        log::info!(
+            id = call.facts.id_text(),
+            server = found.server.mark().id.as_str(),
+            service = call.service.as_str(),
+            result = result.label(),
+            cause,
+            took_ms = now.since(found.started).as_millis() as u64,
+            key_revision = found.key_revision.unwrap_or_default();
+            "attempt failed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request_handler.rs
@@ -0,0 +1,199 @@
+//! From a caller's request to its answer.
+
+use crate::{
+    body_reader::{self, BodyRefusal},
+    hop_headers, own_answer,
+    prelude::*,
+    request_dispatch,
+};
+use http::header;
+use hyper::body::Incoming;
+
+/// Time for which a caller waits that names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Pause told to callers while no configuration is known.
+const START_PAUSE: Duration = Duration::from_millis(300);
+
+/// Answers one caller's request.
+pub(crate) async fn answer(
+    node: Arc<GatewayNode>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let arrived = node.now();
+    let (head, body) = request.into_parts();
+    let facts = RequestHeaders::from(&head.headers);
+    let Some(table) = node.route_table() else {
+        let reason = RefusalReason::NoConfiguration;
+        log_refusal(&node, &facts, "-", "-", reason, arrived);
+        return own_answer::refusal(&facts, reason, START_PAUSE);
+    };
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
+    let Some(route) = table.find(host, head.uri.path()) else {
+        log_unknown_route(&node, &facts, &table, host, head.uri.path());
+        return own_answer::reason(&facts, StatusCode::NOT_FOUND, "no-route");
+    };
+    if head.headers.contains_key(header::CONTENT_LENGTH)
+        && head.headers.contains_key(header::TRANSFER_ENCODING)
+    {
+        return own_answer::reason(&facts, StatusCode::BAD_REQUEST, "two-lengths");
+    }
+    let body = match body_reader::read(body, table.limits().max_body_bytes).await {
+        Ok(body) => body,
+        Err(BodyRefusal::TooLarge) => {
+            return own_answer::reason(&facts, StatusCode::PAYLOAD_TOO_LARGE, "body-too-large");
+        }
+        Err(BodyRefusal::Broken) => {
+            return own_answer::reason(&facts, StatusCode::BAD_REQUEST, "body-broken");
+        }
+    };
+    let call = make_call(&node, &table, route.clone(), head, body, facts, arrived);
+    let Some(call) = call else {
+        return own_answer::reason(
+            &RequestHeaders::default(),
+            StatusCode::SERVICE_UNAVAILABLE,
+            RefusalReason::NoServer.label(),
+        );
+    };
+    let outcome = serve(&node, &call).await;
+    finish(&node, &call, outcome)
+}
+
+fn make_call(
+    node: &Arc<GatewayNode>,
+    table: &RouteTable,
+    route: RouteRule,
+    head: http::request::Parts,
+    body: Bytes,
+    facts: RequestHeaders,
+    arrived: MonoTime,
+) -> Option<CallerCall> {
+    let service = node.draw_service(&route)?;
+    let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
+    let usual = node.usual_patience(&route.name, patience);
+    let spent = usual.saturating_sub(patience);
+    if let Some(key) = facts.key {
+        node.note_key(&service, key);
+    }
+    Some(CallerCall {
+        deadline: arrived.after(patience.min(route.timeout)),
+        target_at: arrived.after(route.target.saturating_sub(spent)),
+        head,
+        body,
+        facts,
+        route,
+        service,
+        revision: table.revision(),
+        arrived,
+        progress: Default::default(),
+    })
+}
+
+/// Runs the call until it ends or its time is up.
+async fn serve(node: &Arc<GatewayNode>, call: &CallerCall) -> CallOutcome {
+    let late = async {
+        Timer::after(call.left(node.now())).await;
+        match call.progress.may_have_run() {
+            true => CallOutcome::Failed(FailureReason::TimedOut),
+            false => CallOutcome::Refused(RefusalReason::NoRoom, START_PAUSE),
+        }
+    };
+    future::or(request_dispatch::run(node, call), late).await
+}
+
+fn finish(node: &GatewayNode, call: &CallerCall, outcome: CallOutcome) -> Response<Full<Bytes>> {
+    let now = node.now();
+    let took = now.since(call.arrived);
+    let (label, response) = match outcome {
+        CallOutcome::Served(response) => {
+            let label = if now <= call.target_at {
+                "served"
+            } else {
+                "late"
+            };
+            let mut response = response.map(Full::new);
+            hop_headers::strip(response.headers_mut());
+            (label, response)
+        }
+        CallOutcome::Refused(reason, pause) => {
+            metrics::counter!(REFUSALS, "reason" => reason.label()).increment(1);
+            log_refusal(
+                node,
+                &call.facts,
+                &call.service,
+                &call.route.name,
+                reason,
+                call.arrived,
+            );
+            ("refused", own_answer::refusal(&call.facts, reason, pause))
+        }
+        CallOutcome::Failed(reason) => {
+            log_failure(node, call, reason, took);
+            let response = own_answer::reason(&call.facts, reason.status(), reason.label());
+            ("failed", response)
+        }
+    };
+    metrics::counter!(REQUESTS, "outcome" => label).increment(1);
+    metrics::histogram!(REQUEST_SECONDS, "outcome" => label).record(took.as_secs_f64());
+    response
+}
+
+fn log_unknown_route(
+    node: &GatewayNode,
+    facts: &RequestHeaders,
+    table: &RouteTable,
+    host: &str,
+    path: &str,
+) {
+    if node.log.admit("no-route", node.now()) {
+        log::info!(
+            id = facts.id_text(),
+            host,
+            path,
+            revision = table.revision();
+            "no route for the request"
+        );
+    }
+}
+
+fn log_refusal(
+    node: &GatewayNode,
+    facts: &RequestHeaders,
+    service: &str,
+    route: &str,
+    reason: RefusalReason,
+    arrived: MonoTime,
+) {
+    let now = node.now();
+    if node.log.admit("refusal", now) {
+        log::info!(
+            id = facts.id_text(),
+            service,
+            route,
+            reason = reason.label(),
+            key = facts.key.map_or(-1, i64::from),
+            key_revision = node.key_revision(service).unwrap_or_default(),
+            revision = node.route_table().map_or(0, |table| table.revision()),
+            after_ms = now.since(arrived).as_millis() as u64;
+            "request refused"
+        );
+    }
+}
+
+fn log_failure(node: &GatewayNode, call: &CallerCall, reason: FailureReason, took: Duration) {
+    if node.log.admit("failure", node.now()) {
+        log::info!(
+            id = call.facts.id_text(),
+            service = call.service.as_str(),
+            route = call.route.name.as_str(),
+            reason = reason.label(),
+            sends = call.progress.sends.load(Ordering::Relaxed),
+            revision = call.revision,
+            after_ms = took.as_millis() as u64;
+            "request failed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server_pool.rs
@@ -0,0 +1,136 @@
+//! Connections to one server.
+//!
+//! A connection is used again only after a whole answer that was its request's own, and not close to
+//! the end of the time for which the server keeps idle connections.
+
+use crate::prelude::*;
+
+/// Connections of this instance to one server.
+pub(crate) struct ServerPool {
+    workers: Arc<WorkerPool>,
+    dialer: Dialer,
+    address: SocketAddr,
+    idle: Mutex<Vec<IdleLink>>,
+    open: Arc<AtomicUsize>,
+}
+
+/// A connection that is counted while it is open.
+pub(crate) struct ServerLink {
+    connection: HttpConnection,
+    open: Arc<AtomicUsize>,
+}
+
+struct IdleLink {
+    link: ServerLink,
+    until: MonoTime,
+}
+
+impl Drop for ServerLink {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl ServerPool {
+    /// Time for which an idle connection is kept whose server tells no time.
+    const IDLE_TIME: Duration = Duration::from_millis(600);
+    /// Longest time for which an idle connection is kept.
+    const MOST_IDLE_TIME: Duration = Duration::from_secs(6);
+    /// Part of the server's time that is left unused, so that its close and a request do not cross.
+    const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
+    /// Idle connections kept.
+    const MAX_IDLE: usize = 4;
+    /// Longest time that a new connection may take: a lost packet is sent again after that.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+    /// Largest body of an answer, in bytes.
+    const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+    /// Connections to `address`.
+    pub(crate) fn new(workers: Arc<WorkerPool>, address: SocketAddr) -> Self {
+        Self {
+            workers,
+            dialer: Dialer::direct(),
+            address,
+            idle: Mutex::default(),
+            open: Arc::default(),
+        }
+    }
+
+    /// A connection, reused or new.
+    pub(crate) async fn connect(
+        &self,
+        now: MonoTime,
+        left: Duration,
+    ) -> Result<ServerLink, ExchangeError> {
+        if let Some(link) = self.take_idle(now) {
+            return Ok(link);
+        }
+        let timeout = left.min(Self::CONNECT_TIMEOUT);
+        let connection =
+            HttpConnection::open(&self.workers, &self.dialer, self.address, timeout).await?;
+        metrics::counter!(SERVER_CONNECTIONS).increment(1);
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Ok(ServerLink {
+            connection,
+            open: self.open.clone(),
+        })
+    }
+
+    /// Keeps a connection for the next request.
+    pub(crate) fn keep(&self, link: ServerLink, idle_timeout: Option<Duration>, now: MonoTime) {
+        let time = match idle_timeout {
+            Some(timeout) => timeout
+                .saturating_sub(Self::IDLE_MARGIN)
+                .min(Self::MOST_IDLE_TIME),
+            None => Self::IDLE_TIME,
+        };
+        let mut idle = self.idle.lock().unwrap();
+        if link.connection.is_open() && idle.len() < Self::MAX_IDLE && !time.is_zero() {
+            idle.push(IdleLink {
+                link,
+                until: now.after(time),
+            });
+        }
+    }
+
+    /// Closes connections that were idle too long.
+    pub(crate) fn close_idle(&self, now: MonoTime) {
+        let mut idle = self.idle.lock().unwrap();
+        idle.retain(|link| link.is_usable(now));
+    }
+
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        self.idle.lock().unwrap().clear();
+    }
+
+    /// Connections open now.
+    pub(crate) fn open_count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    fn take_idle(&self, now: MonoTime) -> Option<ServerLink> {
+        let mut idle = self.idle.lock().unwrap();
+        std::iter::from_fn(|| idle.pop())
+            .find(|link| link.is_usable(now))
+            .map(|link| link.link)
+    }
+}
+
+impl IdleLink {
+    fn is_usable(&self, now: MonoTime) -> bool {
+        self.link.connection.is_open() && now < self.until
+    }
+}
+
+impl ServerLink {
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        self.connection
+            .exchange(request, ServerPool::MAX_ANSWER_BYTES)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server_runtime.rs
@@ -0,0 +1,122 @@
+//! One life of one server: what is known of it and the ways to it.
+
+use crate::prelude::*;
+
+/// A server that is used, or was.
+pub(crate) struct ServerRuntime {
+    /// Entry in discovery when it was first seen.
+    pub(crate) entry: ServerEntry,
+    /// Load and health.
+    pub(crate) load: Mutex<LoadTracker>,
+    /// Connections for callers' requests.
+    pub(crate) pool: ServerPool,
+    /// Connection for orders.
+    pub(crate) orders: HttpClient,
+    /// Until when it stays slow after its start.
+    pub(crate) cold_until: MonoTime,
+    state: Mutex<RuntimeState>,
+}
+
+#[derive(Debug, Default)]
+struct RuntimeState {
+    leaving_at: Option<MonoTime>,
+    order_failures: u32,
+    order_failing_since: MonoTime,
+    order_refusals: u32,
+    order_busy: bool,
+}
+
+impl ServerRuntime {
+    /// Orders in a row without an answer after which a server counts as lost.
+    const MAX_ORDER_FAILURES: u32 = 2;
+    /// Least time over which they must fail.
+    const FAILING_TIME: Duration = Duration::from_millis(600);
+    /// Refused connections in a row after which nothing can run there.
+    const MAX_REFUSALS: u32 = 3;
+
+    /// Server as discovery tells it, with a guess of its service time in seconds.
+    pub(crate) fn new(
+        workers: &Arc<WorkerPool>,
+        entry: ServerEntry,
+        service_time: f64,
+        now: MonoTime,
+    ) -> Self {
+        Self {
+            load: Mutex::new(LoadTracker::new(entry.slots, service_time)),
+            pool: ServerPool::new(workers.clone(), entry.address),
+            orders: HttpClient::new(workers.clone(), Dialer::direct(), entry.address),
+            cold_until: now.after(entry.warmup_left),
+            state: Mutex::default(),
+            entry,
+        }
+    }
+
+    /// Which life of which server.
+    pub(crate) fn mark(&self) -> &ServerMark {
+        &self.entry.mark
+    }
+
+    /// Notes that the server leaves or is gone.
+    pub(crate) fn leaves(&self, now: MonoTime) {
+        self.state.lock().unwrap().leaving_at.get_or_insert(now);
+    }
+
+    /// Notes that the server is in use again.
+    pub(crate) fn returns(&self) {
+        self.state.lock().unwrap().leaving_at = None;
+    }
+
+    /// Since when it leaves.
+    pub(crate) fn leaving_at(&self) -> Option<MonoTime> {
+        self.state.lock().unwrap().leaving_at
+    }
+
+    /// Whether callers' requests may still go there, `drain_time` after it began to leave.
+    pub(crate) fn takes_requests(&self, now: MonoTime, drain_time: Duration) -> bool {
+        self.leaving_at()
+            .is_none_or(|at| now.since(at) < drain_time)
+    }
+
+    /// Takes the right to send orders; one task at a time.
+    pub(crate) fn take_order_turn(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        !std::mem::replace(&mut state.order_busy, true)
+    }
+
+    /// Gives the right back.
+    pub(crate) fn end_order_turn(&self) {
+        self.state.lock().unwrap().order_busy = false;
+    }
+
+    /// Notes an order that was answered.
+    pub(crate) fn order_answered(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.order_failures = 0;
+        state.order_refusals = 0;
+    }
+
+    /// Notes an order without an answer.
+    pub(crate) fn order_failed(&self, refused: bool, now: MonoTime) {
+        let mut state = self.state.lock().unwrap();
+        if state.order_failures == 0 {
+            state.order_failing_since = now;
+        }
+        state.order_failures += 1;
+        state.order_refusals = match refused {
+            true => state.order_refusals + 1,
+            false => 0,
+        };
+    }
+
+    /// Whether it leaves orders unanswered.
+    pub(crate) fn is_silent(&self, now: MonoTime) -> bool {
+        let state = self.state.lock().unwrap();
+        state.order_failures >= Self::MAX_ORDER_FAILURES
+            && now.since(state.order_failing_since) >= Self::FAILING_TIME
+    }
+
+    /// Whether nothing listens at its address any more.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.state.lock().unwrap().order_refusals >= Self::MAX_REFUSALS
+    }
+}
--- a/crates/net/src/exchange_error.rs
+++ b/crates/net/src/exchange_error.rs
@@ -5,6 +5,8 @@
 /// Failure of an exchange, by what the other side may have seen.
 #[derive(Debug)]
 pub enum ExchangeError {
+    /// Nothing listens at the address.
+    Refused(String),
     /// No byte of the request left.
     NotSent(String),
     /// The request may have arrived; its answer did not, or not whole.
@@ -18,6 +20,7 @@
 impl Display for ExchangeError {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         match self {
+            Self::Refused(cause) => write!(f, "nothing listens: {cause}"),
             Self::NotSent(cause) => write!(f, "request not sent: {cause}"),
             Self::Unclear(cause) => write!(f, "no whole answer: {cause}"),
             Self::TimedOut => write!(f, "no whole answer in time"),
--- a/crates/net/src/http_connection.rs
+++ b/crates/net/src/http_connection.rs
@@ -18,14 +18,17 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Self, ExchangeError> {
-        let refused = |error: &dyn Display| ExchangeError::NotSent(format!("{address}: {error}"));
-        let stream = dialer
-            .connect(address, timeout)
-            .await
-            .map_err(|error| refused(&error))?;
+        let not_sent = |error: &dyn Display| ExchangeError::NotSent(format!("{address}: {error}"));
+        let stream = match dialer.connect(address, timeout).await {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ExchangeError::Refused(address.to_string()));
+            }
+            Err(error) => return Err(not_sent(&error)),
+        };
         let (sender, connection) = http1::handshake(FuturesIo::new(stream))
             .await
-            .map_err(|error| refused(&error))?;
+            .map_err(|error| not_sent(&error))?;
         let driver = pool.task(async move {
             let _ = connection.await;
         });
--- a/crates/net/src/open_connections.rs
+++ b/crates/net/src/open_connections.rs
@@ -10,6 +10,7 @@
     open: AtomicUsize,
     refused: AtomicU64,
     closing: AtomicBool,
+    ending: AtomicBool,
     changed: Event,
 }
 
@@ -43,17 +44,23 @@
         self.closing.load(Ordering::SeqCst)
     }
 
+    /// Ends each connection after its next exchange; idle ones stay open for it.
+    pub fn retire(&self) {
+        self.closing.store(true, Ordering::SeqCst);
+    }
+
     /// Ends each connection after its current exchange, idle ones at once.
     pub fn close(&self) {
-        self.closing.store(true, Ordering::SeqCst);
+        self.retire();
+        self.ending.store(true, Ordering::SeqCst);
         self.changed.notify(usize::MAX);
     }
 
-    /// Ends when connections are to end.
+    /// Ends when idle connections are to end too.
     pub async fn wait_closing(&self) {
         loop {
             let changed = self.changed.listen();
-            if self.is_closing() {
+            if self.ending.load(Ordering::SeqCst) {
                 return;
             }
             changed.await;
--- a/crates/net/src/worker_pool.rs
+++ b/crates/net/src/worker_pool.rs
@@ -39,6 +39,12 @@
         Ok(pool)
     }
 
+    /// Runs all tasks on the calling thread, which also waits for sockets and timers, until `main`
+    /// ends.
+    pub fn drive<T>(&self, main: impl Future<Output = T>) -> T {
+        async_io::block_on(self.executor.run(main))
+    }
+
     /// Runs a task to its end or until the pool stops.
     pub fn spawn(self: &Arc<Self>, work: impl Future<Output = ()> + Send + 'static) {
         let pool = self.clone();
--- /dev/null
+++ b/crates/routing/src/key_planner.rs
@@ -0,0 +1,295 @@
+//! Which ranges of keys move to which server.
+//!
+//! Keys of servers that leave are spread over the others. Beyond that, the server with most load
+//! for its speed hands its densest stretch of keys to the one with least, so that a hot stretch is
+//! split while few keys change hands.
+
+use crate::prelude::*;
+
+/// Plans moves within one record.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyPlanner {
+    /// Load over the mean at which a server hands keys over.
+    pub tolerance: f64,
+    /// Load under the mean at which a server is given keys though no other is over the tolerance.
+    pub idle: f64,
+    /// Excess over the mean below which it is noise, in requests of the window.
+    pub least_excess: f64,
+    /// Most moves planned at once.
+    pub max_moves: usize,
+    /// Most ranges of a record; beyond, only keys of servers that leave move.
+    pub max_ranges: usize,
+}
+
+/// A server that may own keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedServer {
+    /// Which life of which server.
+    pub mark: ServerMark,
+    /// Requests a second that it can serve.
+    pub capacity: f64,
+}
+
+impl Default for KeyPlanner {
+    fn default() -> Self {
+        Self {
+            tolerance: 1.2,
+            idle: 0.5,
+            least_excess: 6.0,
+            max_moves: 6,
+            max_ranges: 400,
+        }
+    }
+}
+
+impl KeyPlanner {
+    /// Record after the moves that are due, none when nothing is.
+    ///
+    /// `servers` may own keys; `is_free` tells whether a server can hold nothing any more under a
+    /// fence; `weights` are the requests of the window by key.
+    pub fn plan(
+        &self,
+        record: &KeyRecord,
+        servers: &[PlannedServer],
+        weights: &[(u16, f64)],
+        is_free: impl Fn(&ServerMark, u64) -> bool,
+    ) -> Option<KeyRecord> {
+        if servers.is_empty() {
+            return None;
+        }
+        let mut planned = record.clone();
+        if planned.ranges.is_empty() {
+            let shares: Vec<(ServerMark, f64)> = servers
+                .iter()
+                .map(|server| (server.mark.clone(), server.capacity))
+                .collect();
+            planned.deal(&shares);
+            return Some(planned);
+        }
+        let mut loads = LoadSums::new(&planned, servers, weights);
+        self.evacuate(&mut planned, servers, &mut loads, weights, is_free);
+        if planned.ranges.len() < self.max_ranges {
+            self.level(&mut planned, servers, &mut loads, weights);
+        }
+        (planned != *record).then_some(planned)
+    }
+
+    /// Moves each range whose owner may not own keys any more.
+    fn evacuate(
+        &self,
+        record: &mut KeyRecord,
+        servers: &[PlannedServer],
+        loads: &mut LoadSums,
+        weights: &[(u16, f64)],
+        is_free: impl Fn(&ServerMark, u64) -> bool,
+    ) {
+        let leaving: Vec<KeyRange> = record
+            .ranges
+            .iter()
+            .filter(|range| !servers.iter().any(|server| server.mark == range.owner))
+            .cloned()
+            .collect();
+        for range in leaving {
+            let owner_is_free = is_free(&range.owner, range.fence);
+            // A range on its way whose new owner vanished has two servers that may hold it; it
+            // waits until the new one can hold nothing.
+            if !range.is_settled() && !owner_is_free {
+                continue;
+            }
+            let released = owner_is_free && range.is_settled();
+            for (first, last) in loads.pieces(&range, servers, weights) {
+                let position = loads.least(servers);
+                let weight = weight_of(weights, first, last);
+                loads.add(position, weight, u32::from(last) - u32::from(first) + 1);
+                record.assign(first, last, &servers[position].mark, released);
+            }
+        }
+    }
+
+    /// Moves stretches from the servers with most load for their capacity.
+    fn level(
+        &self,
+        record: &mut KeyRecord,
+        servers: &[PlannedServer],
+        loads: &mut LoadSums,
+        weights: &[(u16, f64)],
+    ) {
+        for _ in 0..self.max_moves {
+            let (Some(most), least) = (loads.most(servers), loads.least(servers)) else {
+                return;
+            };
+            let mean = loads.mean(servers);
+            let excess = loads.weight[most] - mean * servers[most].capacity;
+            let lack = mean * servers[least].capacity - loads.weight[least];
+            let is_over = loads.weight[most] > self.tolerance * mean * servers[most].capacity;
+            let is_idle = loads.weight[least] < self.idle * mean * servers[least].capacity;
+            if !(is_over || is_idle) || most == least {
+                return;
+            }
+            if excess.max(lack) < self.least_excess || excess <= 0.0 {
+                return;
+            }
+            let owner = &servers[most].mark;
+            let Some(piece) = densest(record, owner, weights, excess.min(lack)) else {
+                return;
+            };
+            let after = (loads.weight[least] + piece.weight) / servers[least].capacity;
+            if after >= loads.weight[most] / servers[most].capacity {
+                return;
+            }
+            record.assign(piece.first, piece.last, &servers[least].mark, false);
+            loads.weight[most] -= piece.weight;
+            loads.weight[least] += piece.weight;
+        }
+    }
+}
+
+/// A stretch of keys within one settled range.
+struct KeyPiece {
+    first: u16,
+    last: u16,
+    weight: f64,
+}
+
+/// Shortest stretch of an owner's settled ranges that carries about `wanted`.
+fn densest(
+    record: &KeyRecord,
+    owner: &ServerMark,
+    weights: &[(u16, f64)],
+    wanted: f64,
+) -> Option<KeyPiece> {
+    let mut best: Option<KeyPiece> = None;
+    let owned = record
+        .ranges
+        .iter()
+        .filter(|range| range.owner == *owner && range.is_settled());
+    for range in owned {
+        let keys = slice_of(weights, range.first, range.last);
+        let mut start = 0;
+        let mut sum = 0.0;
+        for end in 0..keys.len() {
+            sum += keys[end].1;
+            while start < end && sum - keys[start].1 >= wanted * 0.8 {
+                sum -= keys[start].1;
+                start += 1;
+            }
+            if sum < wanted * 0.8 || sum > wanted * 1.3 {
+                continue;
+            }
+            let span = keys[end].0 - keys[start].0;
+            if best
+                .as_ref()
+                .is_none_or(|piece| span < piece.last - piece.first)
+            {
+                best = Some(KeyPiece {
+                    first: keys[start].0,
+                    last: keys[end].0,
+                    weight: sum,
+                });
+            }
+        }
+    }
+    best
+}
+
+fn slice_of(weights: &[(u16, f64)], first: u16, last: u16) -> &[(u16, f64)] {
+    let from = weights.partition_point(|(key, _)| *key < first);
+    let to = weights.partition_point(|(key, _)| *key <= last);
+    &weights[from..to]
+}
+
+fn weight_of(weights: &[(u16, f64)], first: u16, last: u16) -> f64 {
+    slice_of(weights, first, last)
+        .iter()
+        .map(|(_, weight)| weight)
+        .sum()
+}
+
+/// Load and keys by server, in the servers' order.
+struct LoadSums {
+    weight: Vec<f64>,
+    keys: Vec<u32>,
+}
+
+impl LoadSums {
+    /// Share of the mean load that a server's share of keys counts for where no request was seen.
+    const KEY_SHARE: f64 = 0.02;
+
+    fn new(record: &KeyRecord, servers: &[PlannedServer], weights: &[(u16, f64)]) -> Self {
+        let mut sums = Self {
+            weight: vec![0.0; servers.len()],
+            keys: vec![0; servers.len()],
+        };
+        for range in &record.ranges {
+            let owner = servers.iter().position(|server| server.mark == range.owner);
+            if let Some(position) = owner {
+                sums.weight[position] += weight_of(weights, range.first, range.last);
+                sums.keys[position] += range.len();
+            }
+        }
+        sums
+    }
+
+    fn add(&mut self, position: usize, weight: f64, keys: u32) {
+        self.weight[position] += weight;
+        self.keys[position] += keys;
+    }
+
+    /// Load for each unit of capacity.
+    fn mean(&self, servers: &[PlannedServer]) -> f64 {
+        let capacity: f64 = servers.iter().map(|server| server.capacity).sum();
+        self.weight.iter().sum::<f64>() / capacity
+    }
+
+    fn relative(&self, position: usize, servers: &[PlannedServer]) -> f64 {
+        let total: f64 = self.weight.iter().sum::<f64>().max(1.0);
+        let by_keys = f64::from(self.keys[position]) / 65_536.0 * total * Self::KEY_SHARE;
+        (self.weight[position] + by_keys) / servers[position].capacity
+    }
+
+    fn most(&self, servers: &[PlannedServer]) -> Option<usize> {
+        (0..servers.len()).max_by(|&a, &b| {
+            self.relative(a, servers)
+                .total_cmp(&self.relative(b, servers))
+        })
+    }
+
+    fn least(&self, servers: &[PlannedServer]) -> usize {
+        (0..servers.len())
+            .min_by(|&a, &b| {
+                self.relative(a, servers)
+                    .total_cmp(&self.relative(b, servers))
+            })
+            .unwrap_or_default()
+    }
+
+    /// Cuts a range into pieces that fit the room of the servers that take them.
+    fn pieces(
+        &self,
+        range: &KeyRange,
+        servers: &[PlannedServer],
+        weights: &[(u16, f64)],
+    ) -> Vec<(u16, u16)> {
+        let whole = weight_of(weights, range.first, range.last);
+        let mean: f64 = self.weight.iter().sum::<f64>() / servers.len().max(1) as f64;
+        let count = match whole > 0.0 && mean > 0.0 {
+            true => (whole / (mean * 0.5)).ceil().clamp(1.0, 4.0) as u32,
+            false => (range.len() * 2 * servers.len() as u32 / 65_536).clamp(1, 4),
+        };
+        let step = (range.len() / count).max(1);
+        let mut pieces = Vec::new();
+        let mut first = u32::from(range.first);
+        let end = u32::from(range.last);
+        while first <= end {
+            let is_last = pieces.len() as u32 + 1 >= count;
+            let last = if is_last {
+                end
+            } else {
+                (first + step - 1).min(end)
+            };
+            pieces.push((first as u16, last as u16));
+            first = last + 1;
+        }
+        pieces
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,61 @@
+//! Decisions of the request path: which route, which server, when to wait, retry or refuse, and
+//! which server holds which keys.
+//!
+//! Nothing here reads a clock, a socket or a random source; state, event and `now` come in, what to
+//! do next comes out.
+
+mod answer_verdict;
+mod drain_meter;
+mod key_lead;
+mod key_planner;
+mod key_range;
+mod key_record;
+mod key_takeover;
+mod load_tracker;
+mod order_book;
+mod retry_window;
+mod route_rule;
+mod route_table;
+mod sample_window;
+mod server_choice;
+mod server_entry;
+mod server_roster;
+mod service_rule;
+mod split_cursor;
+
+pub use {
+    answer_verdict::{AnswerFacts, AnswerVerdict},
+    drain_meter::DrainMeter,
+    key_lead::{KeyLead, LeadTiming, MoveStep},
+    key_planner::{KeyPlanner, PlannedServer},
+    key_range::{KeyRange, RangeState},
+    key_record::{KeyRecord, LeaderMark, ServerMark},
+    key_takeover::{LeaderView, TakeoverStep},
+    load_tracker::{LoadTracker, ReportedLoad},
+    order_book::OrderBook,
+    retry_window::RetryWindow,
+    route_rule::{RouteRule, SplitPart},
+    route_table::{RequestLimits, RouteTable},
+    sample_window::SampleWindow,
+    server_choice::{ChoiceInput, ChoiceStep, ServerChoice},
+    server_entry::{ServerEntry, ServerState},
+    server_roster::{RosterChange, ServerRoster},
+    service_rule::ServiceRule,
+    split_cursor::SplitCursor,
+};
+
+/// Imports used throughout the crate.
+mod prelude {
+    pub(crate) use {
+        crate::*,
+        geraniummast_model::MonoTime,
+        indexmap::IndexMap,
+        serde::{Deserialize, Serialize},
+        std::{
+            collections::VecDeque,
+            fmt::{self, Display, Formatter},
+            net::SocketAddr,
+            time::Duration,
+        },
+    };
+}
--- /dev/null
+++ b/crates/routing/src/load_tracker.rs
@@ -0,0 +1,139 @@
+//! What one instance knows of a server's load.
+//!
+//! The server's own report counts the requests of all instances but ages; this instance's requests
+//! are counted exactly. The estimate adds the requests of others, as of the last report, to its own.
+
+use crate::prelude::*;
+
+/// Load of one server.
+#[derive(Clone, Debug)]
+pub struct LoadTracker {
+    slots: u32,
+    own: u32,
+    foreign: f64,
+    reported_at: MonoTime,
+    /// Time that a request runs there, in seconds.
+    service_time: f64,
+    samples: u32,
+    failures: u32,
+    /// When a server that failed may be tried again.
+    rest_until: MonoTime,
+    probing: bool,
+}
+
+/// A server's own report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at once.
+    pub slots: u32,
+}
+
+impl LoadTracker {
+    /// Weight of a new sample of the service time.
+    const SAMPLE_WEIGHT: f64 = 0.15;
+    /// Time in which a report loses half of its weight.
+    const REPORT_HALF_LIFE: f64 = 0.5;
+    /// Failures in a row after which a server rests.
+    const MAX_FAILURES: u32 = 3;
+    /// Rest after failures; doubled by each further one.
+    const REST: Duration = Duration::from_millis(400);
+    /// Longest rest.
+    const MAX_REST: Duration = Duration::from_secs(3);
+
+    /// Tracker of a server with `slots` whose service time is guessed, in seconds.
+    pub fn new(slots: u32, service_time: f64) -> Self {
+        Self {
+            slots: slots.max(1),
+            own: 0,
+            foreign: 0.0,
+            reported_at: MonoTime::default(),
+            service_time,
+            samples: 0,
+            failures: 0,
+            rest_until: MonoTime::default(),
+            probing: false,
+        }
+    }
+
+    /// Counts a request in.
+    pub fn started(&mut self, now: MonoTime) {
+        self.own += 1;
+        self.probing = self.failures >= Self::MAX_FAILURES && now >= self.rest_until;
+    }
+
+    /// Counts a request out.
+    pub fn ended(&mut self) {
+        self.own = self.own.saturating_sub(1);
+        self.probing = false;
+    }
+
+    /// Takes the server's report in, made when a request of this instance ended there.
+    pub fn reported(&mut self, load: ReportedLoad, now: MonoTime) {
+        self.slots = load.slots.max(1);
+        self.foreign = f64::from((load.running + load.waiting).saturating_sub(self.own));
+        self.reported_at = now;
+    }
+
+    /// Takes in how long a request took that found a free slot.
+    pub fn served(&mut self, took: Duration, waited_there: bool) {
+        self.failures = 0;
+        if waited_there {
+            return;
+        }
+        let took = took.as_secs_f64();
+        self.samples += 1;
+        let weight = Self::SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples + 1));
+        self.service_time += (took - self.service_time) * weight;
+    }
+
+    /// Counts a failure that the server caused.
+    pub fn failed(&mut self, now: MonoTime) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= Self::MAX_FAILURES {
+            let doubled = 1_u32 << (self.failures - Self::MAX_FAILURES).min(4);
+            self.rest_until = now.after((Self::REST * doubled).min(Self::MAX_REST));
+        }
+    }
+
+    /// Rests a server that refuses connections.
+    pub fn refused(&mut self, now: MonoTime) {
+        self.failures = self.failures.max(Self::MAX_FAILURES - 1);
+        self.failed(now);
+    }
+
+    /// Whether it rests after failures, or is being tried again by one request.
+    pub fn is_resting(&self, now: MonoTime) -> bool {
+        self.failures >= Self::MAX_FAILURES && (now < self.rest_until || self.probing)
+    }
+
+    /// Requests there, of all instances.
+    pub fn estimate(&self, now: MonoTime) -> f64 {
+        let age = now.since(self.reported_at).as_secs_f64();
+        f64::from(self.own) + self.foreign * 0.5_f64.powf(age / Self::REPORT_HALF_LIFE)
+    }
+
+    /// Time until another request would be done there, in seconds.
+    pub fn expected(&self, now: MonoTime) -> f64 {
+        let excess = (self.estimate(now) + 1.0 - f64::from(self.slots)).max(0.0);
+        self.service_time * (1.0 + excess / f64::from(self.slots))
+    }
+
+    /// Requests in flight of this instance.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Requests that run at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Time that a request runs, in seconds, and how many samples it stands on.
+    pub fn service_time(&self) -> (f64, u32) {
+        (self.service_time, self.samples)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/order_book.rs
@@ -0,0 +1,68 @@
+//! How long grants that were sent may still hold.
+//!
+//! A server counts a grant's time from its arrival, on a clock that may run slow. A grant without
+//! an answer may have arrived. Only after the time of the last one sent may another server be given
+//! the same keys without the holder's release.
+
+use crate::prelude::*;
+
+/// Grants sent, by fence.
+#[derive(Clone, Debug)]
+pub struct OrderBook {
+    hold: Duration,
+    sent: IndexMap<u64, MonoTime>,
+    /// Time until which grants of earlier leaders may hold.
+    inherited: MonoTime,
+}
+
+impl OrderBook {
+    /// Share by which a server's clock may run slow (page on keys: 2%).
+    const SLOW_CLOCK: f64 = 0.02;
+    /// Time that a grant may spend on its way.
+    const TRANSIT: Duration = Duration::from_millis(500);
+
+    /// Book of grants that each hold for `hold`.
+    pub fn new(hold: Duration) -> Self {
+        Self {
+            hold,
+            sent: IndexMap::new(),
+            inherited: MonoTime::default(),
+        }
+    }
+
+    /// Longest time that a grant holds after it was sent.
+    pub fn longest(&self) -> Duration {
+        self.hold.mul_f64(1.0 + Self::SLOW_CLOCK) + Self::TRANSIT
+    }
+
+    /// Notes that a grant under `fence` is about to be sent.
+    pub fn sent(&mut self, fence: u64, now: MonoTime) {
+        self.sent.insert(fence, now);
+    }
+
+    /// Notes that grants of earlier leaders may hold until `until`.
+    pub fn inherit(&mut self, until: MonoTime) {
+        self.inherited = until;
+    }
+
+    /// Time until which grants of earlier leaders may hold.
+    pub fn inherited(&self) -> MonoTime {
+        self.inherited
+    }
+
+    /// Time until which a grant under `fence` may hold.
+    pub fn until(&self, fence: u64) -> MonoTime {
+        let own = self
+            .sent
+            .get(&fence)
+            .map_or(MonoTime::default(), |at| at.after(self.longest()));
+        own.max(self.inherited)
+    }
+
+    /// Forgets fences that no record names any more.
+    pub fn retain(&mut self, mut is_named: impl FnMut(u64) -> bool, now: MonoTime) {
+        let longest = self.longest();
+        self.sent
+            .retain(|fence, at| is_named(*fence) || now < at.after(longest));
+    }
+}
--- /dev/null
+++ b/crates/routing/src/server_choice.rs
@@ -0,0 +1,92 @@
+//! Choice of the server that a request goes to.
+//!
+//! The server with the least expected completion time, as long as its queue is short: servers of
+//! some services never answer what they cannot queue, and several instances fill the same queue
+//! without seeing each other.
+
+use crate::prelude::*;
+
+/// One candidate.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceInput<'a> {
+    /// Load of the server.
+    pub load: &'a LoadTracker,
+    /// Whether it stands in this instance's data centre.
+    pub near: bool,
+    /// Whether this request was sent there before.
+    pub tried: bool,
+    /// Whether it is slow since it has just started.
+    pub cold: bool,
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceStep {
+    /// Send it to the candidate at this position.
+    Send(usize),
+    /// Wait until a slot is free.
+    Wait,
+    /// No server can take it.
+    Refuse,
+}
+
+/// Rules of choice.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerChoice {
+    /// Requests at a server, as a multiple of its slots, beyond which nothing is sent.
+    pub max_fill: f64,
+    /// Extra time of a server in another data centre, in seconds.
+    pub far_cost: f64,
+}
+
+impl Default for ServerChoice {
+    fn default() -> Self {
+        Self {
+            max_fill: 1.7,
+            far_cost: 0.004,
+        }
+    }
+}
+
+impl ServerChoice {
+    /// Factor on the expected time at a server that has just started.
+    const COLD_FACTOR: f64 = 1.6;
+    /// Share of the expected time by which `draw` spreads instances over like servers.
+    const SPREAD: f64 = 0.1;
+
+    /// Decides on one request; `draw` gives numbers from 0 to 1.
+    pub fn choose(
+        &self,
+        inputs: &[ChoiceInput<'_>],
+        now: MonoTime,
+        mut draw: impl FnMut() -> f64,
+    ) -> ChoiceStep {
+        let mut best: Option<(f64, usize)> = None;
+        let mut busy = false;
+        for (position, input) in inputs.iter().enumerate() {
+            if input.tried || input.load.is_resting(now) {
+                continue;
+            }
+            if !self.has_room(input.load, now) {
+                busy = true;
+                continue;
+            }
+            let cold = if input.cold { Self::COLD_FACTOR } else { 1.0 };
+            let far = if input.near { 0.0 } else { self.far_cost };
+            let cost = input.load.expected(now) * cold * (1.0 + Self::SPREAD * draw()) + far;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, position));
+            }
+        }
+        match best {
+            Some((_, position)) => ChoiceStep::Send(position),
+            None if busy => ChoiceStep::Wait,
+            None => ChoiceStep::Refuse,
+        }
+    }
+
+    /// Whether a server may be sent another request.
+    pub fn has_room(&self, load: &LoadTracker, now: MonoTime) -> bool {
+        load.estimate(now) + 1.0 <= (f64::from(load.slots()) * self.max_fill).max(1.0)
+    }
+}
--- a/crates/daemon/src/setting_fault.rs
+++ b/crates/settings/src/setting_fault.rs
@@ -13,16 +13,6 @@
     pub expected: String,
 }
 
-impl From<TimingFault> for SettingFault {
-    fn from(fault: TimingFault) -> Self {
-        Self {
-            place: format!("--{}", fault.setting),
-            value: Some(fault.value),
-            expected: fault.expected,
-        }
-    }
-}
-
 impl Display for SettingFault {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         match &self.value {
--- a/crates/daemon/src/setting_reader.rs
+++ b/crates/settings/src/setting_reader.rs
@@ -3,14 +3,13 @@
 //! A flag goes before its variable. All faults are collected before anything is reported.
 
 use crate::prelude::*;
-use crate::{setting_spec::SettingSpec, setting_table::SETTINGS};
 use lexopt::{Arg, Parser, ValueExt};
 
 /// What the command line asks for.
 #[derive(Debug)]
-pub enum SettingRequest {
-    /// Start an instance.
-    Run(Box<DaemonSettings>),
+pub enum SettingRequest<T> {
+    /// Start with these settings.
+    Run(Box<T>),
     /// Print a text and end.
     Print(String),
     /// Report faults and end.
@@ -34,14 +33,15 @@
     faults: Vec<SettingFault>,
 }
 
-impl SettingRequest {
+impl<T> SettingRequest<T> {
     /// Reads `arguments` (without the program's name), with `variable` as the environment.
     pub fn read(
+        table: &SettingTable<T>,
         arguments: impl IntoIterator<Item = std::ffi::OsString>,
         variable: impl Fn(&str) -> Option<std::ffi::OsString>,
     ) -> Self {
         let mut given = GivenValues::default();
-        if let Err(error) = given.take_in(&mut Parser::from_args(arguments)) {
+        if let Err(error) = given.take_in(table, &mut Parser::from_args(arguments)) {
             given.faults.push(SettingFault {
                 place: "command line".into(),
                 value: Some(error.to_string()),
@@ -49,11 +49,11 @@
             });
         }
         if given.help {
-            return Self::Print(help_text());
+            return Self::Print(help_text(table));
         }
-        let mut settings = DaemonSettings::builder("").build();
+        let mut settings = (table.blank)();
         let mut printed = String::new();
-        for spec in SETTINGS {
+        for spec in table.specs {
             let (origin, value) = match given.value_of(spec, &variable) {
                 Ok(found) => found,
                 Err(fault) => {
@@ -72,7 +72,7 @@
             };
             printed += &format!("{:<22}{shown:<28}{origin}\n", spec.name);
         }
-        given.faults.extend(settings.conflicts());
+        given.faults.extend((table.conflicts)(&settings));
         match (given.faults.is_empty(), given.print) {
             (false, _) => Self::Refuse(given.faults),
             (true, true) => Self::Print(printed),
@@ -83,7 +83,11 @@
 
 impl GivenValues {
     /// Takes in all flags; goes on after a faulty one.
-    fn take_in(&mut self, parser: &mut Parser) -> Result<(), lexopt::Error> {
+    fn take_in<T>(
+        &mut self,
+        table: &SettingTable<T>,
+        parser: &mut Parser,
+    ) -> Result<(), lexopt::Error> {
         while let Some(argument) = parser.next()? {
             let Arg::Long(name) = argument else {
                 match argument {
@@ -95,7 +99,7 @@
             match name {
                 "help" => self.help = true,
                 "print-settings" => self.print = true,
-                name => match SETTINGS.iter().find(|spec| spec.name == name) {
+                name => match table.specs.iter().find(|spec| spec.name == name) {
                     Some(spec) => {
                         let value = parser.value()?.string()?;
                         if self.flags.insert(spec.name, value).is_some() {
@@ -121,9 +125,9 @@
         });
     }
 
-    fn value_of(
+    fn value_of<T>(
         &self,
-        spec: &SettingSpec,
+        spec: &SettingSpec<T>,
         variable: &impl Fn(&str) -> Option<std::ffi::OsString>,
     ) -> Result<(ValueOrigin, String), SettingFault> {
         if let Some(value) = self.flags.get(spec.name) {
@@ -143,7 +147,7 @@
     }
 }
 
-fn fault_of(spec: &SettingSpec, origin: &ValueOrigin, value: &str) -> SettingFault {
+fn fault_of<T>(spec: &SettingSpec<T>, origin: &ValueOrigin, value: &str) -> SettingFault {
     SettingFault {
         place: match origin {
             ValueOrigin::Variable => spec.variable(),
@@ -154,20 +158,19 @@
     }
 }
 
-fn help_text() -> String {
-    let mut text = "\
-geraniummastd: one entry instance of geraniummast
-
-usage: geraniummastd [--SETTING VALUE]... [--print-settings]
+fn help_text<T>(table: &SettingTable<T>) -> String {
+    let mut text = format!(
+        "{}
 
 Each setting is a flag or a variable; a flag goes before its variable.
 Exit codes: 0 after a graceful stop, 1 when the instance could not run,
 2 for faulty settings. SIGTERM and SIGINT stop gracefully; a second one
 ends at once.
 
-"
-    .to_string();
-    for spec in SETTINGS {
+",
+        table.usage
+    );
+    for spec in table.specs {
         text += &format!("  {} ({})\n", spec.flag(), spec.variable());
         let default = spec
             .default
--- /dev/null
+++ b/crates/settings/src/value_reader.rs
@@ -0,0 +1,72 @@
+//! Reading of values from text; each function tells whether the text was accepted.
+
+use crate::prelude::*;
+
+/// Reads a number within bounds into `target`.
+pub fn number<T>(target: &mut T, text: &str, bounds: std::ops::RangeInclusive<T>) -> bool
+where
+    T: std::str::FromStr + PartialOrd,
+{
+    match text.parse() {
+        Ok(value) if bounds.contains(&value) => {
+            *target = value;
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Reads a duration in milliseconds within bounds into `target`.
+pub fn millis(target: &mut Duration, text: &str, bounds: std::ops::RangeInclusive<u64>) -> bool {
+    let mut value = 0;
+    let accepted = number(&mut value, text, bounds);
+    if accepted {
+        *target = Duration::from_millis(value);
+    }
+    accepted
+}
+
+/// Reads an address into `target`; one that peers are told must not be a wildcard.
+pub fn address(target: &mut SocketAddr, text: &str) -> bool {
+    match text.parse::<SocketAddr>() {
+        Ok(value) if !value.ip().is_unspecified() => {
+            *target = value;
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Reads addresses parted by commas into `target`.
+pub fn addresses(target: &mut Vec<SocketAddr>, text: &str) -> bool {
+    let fields = text.split(',').filter(|field| !field.is_empty());
+    match fields.map(str::parse).collect() {
+        Ok(value) => {
+            *target = value;
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+/// Reads a name of ASCII letters, digits, `-`, `_` and `.` into `target`.
+pub fn name(target: &mut String, text: &str) -> bool {
+    let accepted = (1..=64).contains(&text.len())
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    if accepted {
+        *target = text.into();
+    }
+    accepted
+}
+
+/// Reads a secret of at least 16 visible ASCII characters into `target`.
+pub fn secret(target: &mut String, text: &str) -> bool {
+    let accepted =
+        (16..=256).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if accepted {
+        *target = text.into();
+    }
+    accepted
+}
--- a/crates/store/src/store_error.rs
+++ b/crates/store/src/store_error.rs
@@ -28,7 +28,9 @@
 impl From<ExchangeError> for StoreError {
     fn from(error: ExchangeError) -> Self {
         match error {
-            ExchangeError::NotSent(cause) => Self::Unavailable(cause),
+            ExchangeError::Refused(cause) | ExchangeError::NotSent(cause) => {
+                Self::Unavailable(cause)
+            }
             ExchangeError::Unclear(cause) => Self::Unclear(cause),
             error => Self::Unclear(error.to_string()),
         }
