Let a stopping instance take only what it can finish

Change: idle connections are closed half-way through the stop; after that a request is taken only if its caller's whole patience fits before the end, else it is refused at once as not run.

--- a/crates/gateway/src/caller_call.rs
+++ b/crates/gateway/src/caller_call.rs
@@ -60,6 +60,8 @@
 pub(crate) enum RefusalReason {
     /// No configuration is known yet.
     NoConfiguration,
+    /// The instance ends before the request could.
+    Stopping,
     /// The service has no server that could take it.
     NoServer,
     /// No server has room within the time that is left.
@@ -88,6 +90,7 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no-configuration",
+            Self::Stopping => "stopping",
             Self::NoServer => "no-server",
             Self::NoRoom => "no-room",
             Self::Hopeless => "hopeless",
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -30,7 +30,7 @@
     pub(crate) lead_due: Event,
     /// Notified when another instance knows newer objects.
     pub(crate) behind: Event,
-    stopping: AtomicBool,
+    stopping_since: Mutex<Option<MonoTime>>,
 }
 
 impl GatewayNode {
@@ -88,7 +88,7 @@
             keys_changed: Event::new(),
             lead_due: Event::new(),
             behind: Event::new(),
-            stopping: AtomicBool::new(false),
+            stopping_since: Mutex::default(),
             settings,
         }
     }
@@ -309,11 +309,20 @@
 
     /// Begins to stop.
     pub(crate) fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        *self.stopping_since.lock().unwrap() = Some(self.now());
     }
 
     /// Whether the instance stops.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.stopping_since.lock().unwrap().is_some()
+    }
+
+    /// Whether a request of a caller who will wait for `patience` can be finished before the
+    /// instance ends, or has a right to the rest of its time.
+    pub(crate) fn can_finish(&self, patience: Duration) -> bool {
+        self.stopping_since.lock().unwrap().is_none_or(|since| {
+            let spent = self.now().since(since);
+            spent < self.settings.close_time() || spent + patience < self.settings.stop_limit()
+        })
     }
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -18,14 +18,9 @@
 const FAILED: u8 = 1;
 /// Exit code of faulty settings.
 const FAULTY_SETTINGS: u8 = 2;
-/// Part of the stop's time that is left for closing sockets.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// Least time for which a stopping instance takes what still comes: the balancer asks each second
 /// and needs two misses.
 const LEAST_STOP_TIME: Duration = Duration::from_millis(3_200);
-/// Time before the end of a stop at which idle connections are closed.
-const CLOSE_TIME: Duration = Duration::from_millis(1_500);
-
 /// Runs an instance with `arguments` until a signal ends it.
 pub fn run(arguments: impl IntoIterator<Item = std::ffi::OsString>) -> ExitCode {
     match GatewaySettings::read(arguments, |name| std::env::var_os(name)) {
@@ -130,11 +125,12 @@
     connections.retire();
     let began = node.now();
     log::info!(connections = connections.count(); "stopping; a second signal ends at once");
-    let limit = node.settings.stop_timeout.saturating_sub(STOP_MARGIN);
+    let limit = node.settings.stop_limit();
+    let close_at = node.settings.close_time();
     let finished = async {
         loop {
             let spent = node.now().since(began);
-            if spent + CLOSE_TIME >= limit {
+            if spent >= close_at {
                 connections.close();
             }
             let is_idle = connections.count() == 0 && spent >= LEAST_STOP_TIME.min(limit);
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -158,6 +158,22 @@
 ];
 
 impl GatewaySettings {
+    /// Part of a stop's time that is left for closing sockets.
+    const STOP_MARGIN: Duration = Duration::from_millis(250);
+    /// Share of a stop's time in which all requests are taken (rule on shutdown: what is sent in
+    /// the first half may still be at work in the last sixth).
+    const CLOSE_SHARE: f64 = 0.48;
+
+    /// Time after which a stop ends what still runs.
+    pub(crate) fn stop_limit(&self) -> Duration {
+        self.stop_timeout.saturating_sub(Self::STOP_MARGIN)
+    }
+
+    /// Time after the begin of a stop at which idle connections are closed.
+    pub(crate) fn close_time(&self) -> Duration {
+        self.stop_timeout.mul_f64(Self::CLOSE_SHARE)
+    }
+
     /// Reads `arguments`, with `variable` as the environment.
     pub fn read(
         arguments: impl IntoIterator<Item = std::ffi::OsString>,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -14,6 +14,9 @@
 /// Pause told to callers while no configuration is known.
 const START_PAUSE: Duration = Duration::from_millis(300);
 
+/// Pause told to callers of an instance that is about to end: others can take them at once.
+const STOP_PAUSE: Duration = Duration::from_millis(20);
+
 /// Answers one caller's request.
 pub(crate) async fn answer(
     node: Arc<GatewayNode>,
@@ -36,6 +39,11 @@
         log_unknown_route(&node, &facts, &table, host, head.uri.path());
         return own_answer::reason(&facts, StatusCode::NOT_FOUND, "no-route");
     };
+    if !node.can_finish(facts.patience.unwrap_or(DEFAULT_PATIENCE)) {
+        let reason = RefusalReason::Stopping;
+        log_refusal(&node, &facts, "-", &route.name, reason, arrived);
+        return own_answer::refusal(&facts, reason, STOP_PAUSE);
+    }
     if head.headers.contains_key(header::CONTENT_LENGTH)
         && head.headers.contains_key(header::TRANSFER_ENCODING)
     {
