Name the server in each order, and test the routing decisions without a network

Ruled out: a move planned twice (the record gave the keys once). Change: grants and releases carry the server's identifier; a 421 marks the life as ended. After a broken connection nothing is renewed before the keys have moved under a new fence.

--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -39,6 +39,7 @@
         hold: Duration::from_millis(3_000),
         renew_every: Duration::from_millis(900),
         authority: Duration::from_secs(12),
+        inherited_authority: Duration::from_secs(12),
         release_again: Duration::from_millis(300),
     };
     /// Requests at a server, as a multiple of its slots.
--- a/crates/gateway/src/lead_orders.rs
+++ b/crates/gateway/src/lead_orders.rs
@@ -67,6 +67,7 @@
     handover: Option<&str>,
 ) -> Option<OrderAnswer> {
     let order = GrantOrder {
+        server_id: &server.mark().id,
         first: range.first,
         last: range.last,
         fence: range.fence,
@@ -89,6 +90,7 @@
     range: &KeyRange,
 ) -> Option<String> {
     let order = ReleaseOrder {
+        server_id: &server.mark().id,
         first: range.first,
         last: range.last,
         fence: range.fence,
@@ -100,7 +102,7 @@
     note(node, service, server, range, "release", &response);
     match OrderAnswer::from(&response.ok()?) {
         OrderAnswer::Taken(handover) => Some(handover.unwrap_or_default()),
-        OrderAnswer::Superseded | OrderAnswer::Rejected(_) => None,
+        OrderAnswer::Superseded | OrderAnswer::Misdirected | OrderAnswer::Rejected(_) => None,
     }
 }
 
@@ -120,11 +122,17 @@
             match OrderAnswer::from(response) {
                 OrderAnswer::Taken(_) => ("taken", String::new()),
                 OrderAnswer::Superseded => ("superseded", String::new()),
+                OrderAnswer::Misdirected => {
+                    server.address_taken();
+                    ("misdirected", String::new())
+                }
                 OrderAnswer::Rejected(status) => ("rejected", status.to_string()),
             }
         }
         Err(error) => {
-            server.order_failed(matches!(error, ExchangeError::Refused(_)), now);
+            let refused = matches!(error, ExchangeError::Refused(_));
+            let broken = refused || matches!(error, ExchangeError::Unclear(_));
+            server.order_failed(broken, refused, now);
             ("unanswered", error.to_string())
         }
     };
--- a/crates/gateway/src/lead_worker.rs
+++ b/crates/gateway/src/lead_worker.rs
@@ -237,6 +237,10 @@
         let Some(server) = node.server(&owner) else {
             continue;
         };
+        // While the store is away nothing else can be decided than to go on.
+        if server.is_unsure(now) && !node.store.health.is_lost() {
+            continue;
+        }
         if server.take_order_turn() {
             let work = lead_orders::renew(node.clone(), service.into(), server, ranges);
             node.workers.spawn(work);
@@ -297,7 +301,7 @@
     let peers = node.peers.lock().unwrap();
     servers
         .iter()
-        .filter(|server| !server.is_silent(now) && !server.has_ended())
+        .filter(|server| !server.is_silent(now) && !server.is_unsure(now) && !server.has_ended())
         .map(|server| {
             let (own, own_samples) = server.load.lock().unwrap().service_time();
             let (told, told_samples) = peers.pace_of(server.mark());
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -23,7 +23,9 @@
     order_failures: u32,
     order_failing_since: MonoTime,
     order_refusals: u32,
+    broken_at: Option<MonoTime>,
     order_busy: bool,
+    is_replaced: bool,
 }
 
 impl ServerRuntime {
@@ -31,6 +33,8 @@
     const MAX_ORDER_FAILURES: u32 = 2;
     /// Least time over which they must fail.
     const FAILING_TIME: Duration = Duration::from_millis(600);
+    /// Time in which keys are taken from a server whose connection broke.
+    const UNSURE_TIME: Duration = Duration::from_millis(1_000);
     /// Refused connections in a row after which nothing can run there.
     const MAX_REFUSALS: u32 = 3;
 
@@ -95,9 +99,12 @@
         state.order_refusals = 0;
     }
 
-    /// Notes an order without an answer.
-    pub(crate) fn order_failed(&self, refused: bool, now: MonoTime) {
+    /// Notes an order without an answer, and whether its connection broke or was refused.
+    pub(crate) fn order_failed(&self, broken: bool, refused: bool, now: MonoTime) {
         let mut state = self.state.lock().unwrap();
+        if broken {
+            state.broken_at = Some(now);
+        }
         if state.order_failures == 0 {
             state.order_failing_since = now;
         }
@@ -108,6 +115,20 @@
         };
     }
 
+    /// Notes that another server has its address.
+    pub(crate) fn address_taken(&self) {
+        self.state.lock().unwrap().is_replaced = true;
+    }
+
+    /// Whether a connection to it broke lately: another life of the server may have begun, which
+    /// must not be given keys under a fence of the life before.
+    pub(crate) fn is_unsure(&self, now: MonoTime) -> bool {
+        let state = self.state.lock().unwrap();
+        state
+            .broken_at
+            .is_some_and(|at| now.since(at) < Self::UNSURE_TIME)
+    }
+
     /// Whether it leaves orders unanswered.
     pub(crate) fn is_silent(&self, now: MonoTime) -> bool {
         let state = self.state.lock().unwrap();
@@ -115,8 +136,9 @@
             && now.since(state.order_failing_since) >= Self::FAILING_TIME
     }
 
-    /// Whether nothing listens at its address any more.
+    /// Whether its life has ended: nothing listens at its address, or another server does.
     pub(crate) fn has_ended(&self) -> bool {
-        self.state.lock().unwrap().order_refusals >= Self::MAX_REFUSALS
+        let state = self.state.lock().unwrap();
+        state.is_replaced || state.order_refusals >= Self::MAX_REFUSALS
     }
 }
--- a/crates/routing/src/key_lead.rs
+++ b/crates/routing/src/key_lead.rs
@@ -15,6 +15,9 @@
     pub renew_every: Duration,
     /// Longest time that a leader orders after the store confirmed it.
     pub authority: Duration,
+    /// Longest time that a former leader is taken to order after its last confirmation; at least
+    /// the authority of every leader.
+    pub inherited_authority: Duration,
     /// Time between tries of a release that was not answered.
     pub release_again: Duration,
 }
@@ -345,7 +348,9 @@
         let is_first = self.held.as_ref().is_some_and(|held| held.record.term == 1);
         let until = match is_first {
             true => MonoTime::default(),
-            false => now.after(self.timing.authority).after(self.book.longest()),
+            false => now
+                .after(self.timing.inherited_authority)
+                .after(self.book.longest()),
         };
         self.book.inherit(until);
         self.works.clear();
--- /dev/null
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -0,0 +1,505 @@
+//! Instances, servers, store and messages of one history.
+
+use crate::{
+    fake_server::{BLOCK, BLOCKS, FakeServer},
+    fake_store::FakeStore,
+};
+use geraniummast_model::MonoTime;
+use geraniummast_routing::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+/// Faults and spans of a history.
+#[derive(Clone)]
+pub(crate) struct HistoryPlan {
+    /// Hold that leaders reckon with.
+    pub(crate) booked_hold_ms: u64,
+    /// Time that leaders order without the store's word.
+    pub(crate) authority_ms: u64,
+    /// Time that they take former leaders to order.
+    pub(crate) assumed_authority_ms: u64,
+    /// Whether servers reject orders under a lower fence than they have seen.
+    pub(crate) servers_check_fences: bool,
+}
+
+impl Default for HistoryPlan {
+    fn default() -> Self {
+        Self {
+            booked_hold_ms: HOLD_MS,
+            authority_ms: 6_000,
+            assumed_authority_ms: 6_000,
+            servers_check_fences: true,
+        }
+    }
+}
+
+/// Hold that is granted.
+const HOLD_MS: u64 = 3_000;
+/// Step of simulated time.
+const STEP_MS: u64 = 20;
+/// Steps of one run.
+const STEPS: u64 = 1_500;
+
+struct FakeInstance {
+    lead: KeyLead,
+    /// Frozen or cut from the store until then.
+    frozen_until: u64,
+    cut_until: u64,
+    restart_at: Option<u64>,
+    planned_at: u64,
+    confirmed_at: u64,
+    started_at: u64,
+}
+
+/// An order on its way or being carried out late.
+struct FlyingOrder {
+    at: u64,
+    arrived: u64,
+    instance: usize,
+    incarnation: u64,
+    server: ServerMark,
+    kind: OrderKind,
+    range: KeyRange,
+    answer_lost: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum OrderKind {
+    Renew,
+    Grant,
+    Release,
+}
+
+/// One history.
+pub(crate) struct HistoryWorld {
+    rng: StdRng,
+    plan: HistoryPlan,
+    now: u64,
+    store: FakeStore,
+    late_writes: Vec<(u64, u64, KeyRecord)>,
+    instances: Vec<FakeInstance>,
+    servers: Vec<FakeServer>,
+    orders: Vec<FlyingOrder>,
+    is_calm: bool,
+    /// Highest fence under which a block was ever held, and by whom.
+    highest: Vec<(u64, Option<ServerMark>)>,
+    /// When a block was last held.
+    held_at: Vec<u64>,
+}
+
+impl HistoryWorld {
+    pub(crate) fn new(seed: u64, plan: HistoryPlan) -> Self {
+        let instance = |number: usize| FakeInstance {
+            lead: KeyLead::new(mark_of(number, 1), timing(&plan)),
+            frozen_until: 0,
+            cut_until: 0,
+            restart_at: None,
+            planned_at: 0,
+            confirmed_at: 0,
+            started_at: 0,
+        };
+        Self {
+            instances: (0..3).map(instance).collect(),
+            servers: ["s0", "s1", "s2", "s3"]
+                .iter()
+                .map(|id| FakeServer::new(id, plan.servers_check_fences))
+                .collect(),
+            rng: StdRng::seed_from_u64(seed),
+            plan,
+            now: 0,
+            store: FakeStore::default(),
+            late_writes: Vec::new(),
+            orders: Vec::new(),
+            is_calm: false,
+            highest: vec![(0, None); BLOCKS],
+            held_at: vec![0; BLOCKS],
+        }
+    }
+
+    /// Ends all faults.
+    pub(crate) fn calm_down(&mut self) {
+        self.is_calm = true;
+        for instance in &mut self.instances {
+            instance.frozen_until = 0;
+            instance.cut_until = 0;
+        }
+        for server in &mut self.servers {
+            if !server.is_up {
+                server.restart();
+            }
+        }
+    }
+
+    /// Plays on, until a rule breaks.
+    pub(crate) fn run(&mut self) -> Result<(), String> {
+        for _ in 0..STEPS {
+            self.now += STEP_MS;
+            if !self.is_calm {
+                self.cause_faults();
+            }
+            self.apply_late_writes();
+            self.deliver_orders();
+            for number in 0..self.instances.len() {
+                self.live(number);
+            }
+            self.check()?;
+        }
+        Ok(())
+    }
+
+    /// Keys that nobody has held for a second, which is longer than a move takes.
+    pub(crate) fn lost_keys(&self) -> Vec<u32> {
+        (0..BLOCKS)
+            .filter(|&block| self.held_at[block] + 1_000 < self.now)
+            .map(|block| block as u32 * BLOCK)
+            .collect()
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.rng.random_range(0..1_000) < per_mille
+    }
+
+    fn span(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..to)
+    }
+
+    fn cause_faults(&mut self) {
+        let number = self.rng.random_range(0..self.instances.len());
+        let until = self.now + self.span(500, 12_000);
+        match self.rng.random_range(0..1_000) {
+            0..4 => self.instances[number].frozen_until = until,
+            4..8 => self.instances[number].cut_until = until,
+            8..11 => {
+                let back = self.now + self.span(300, 4_000);
+                self.instances[number].restart_at = Some(back);
+            }
+            11..13 => {
+                let server = self.rng.random_range(0..self.servers.len());
+                self.servers[server].is_up = false;
+            }
+            13..16 => {
+                let server = self.rng.random_range(0..self.servers.len());
+                self.servers[server].restart();
+            }
+            _ => {}
+        }
+        for number in 0..self.instances.len() {
+            if self.instances[number]
+                .restart_at
+                .is_some_and(|at| at <= self.now)
+            {
+                let before = self.instances[number].lead.me().incarnation;
+                self.instances[number] = FakeInstance {
+                    lead: KeyLead::new(mark_of(number, before + 1), timing(&self.plan)),
+                    frozen_until: 0,
+                    cut_until: 0,
+                    restart_at: None,
+                    planned_at: 0,
+                    confirmed_at: 0,
+                    started_at: self.now,
+                };
+            }
+        }
+    }
+
+    fn is_alive(&self, number: usize) -> bool {
+        let instance = &self.instances[number];
+        instance.restart_at.is_none() && instance.frozen_until <= self.now
+    }
+
+    fn reaches_store(&self, number: usize) -> bool {
+        self.instances[number].cut_until <= self.now
+    }
+
+    /// One look of one instance.
+    fn live(&mut self, number: usize) {
+        if !self.is_alive(number) {
+            return;
+        }
+        self.read_store(number);
+        match self.instances[number].lead.leads() {
+            false => self.consider_takeover(number),
+            true => {
+                self.order(number);
+                self.write_changes(number);
+            }
+        }
+    }
+
+    fn read_store(&mut self, number: usize) {
+        if !self.reaches_store(number) || self.chance(300) {
+            return;
+        }
+        let now = MonoTime(self.now * 1_000);
+        if let Some(record) = self.store.record.clone() {
+            let leads = record.leader == *self.instances[number].lead.me();
+            let revision = self.store.revision;
+            let instance = &mut self.instances[number];
+            instance.lead.adopt(record, revision, now);
+            if leads && self.now >= instance.confirmed_at + 1_000 {
+                instance.confirmed_at = self.now;
+                instance.lead.confirm(now);
+            }
+        }
+    }
+
+    fn consider_takeover(&mut self, number: usize) {
+        if !self.reaches_store(number) || self.chance(900) {
+            return;
+        }
+        let me = self.instances[number].lead.me().clone();
+        let Some(record) = self.store.record.clone() else {
+            let record = KeyRecord::new("service", me);
+            self.write(number, 0, record);
+            return;
+        };
+        let leader = instance_of(&record.leader);
+        let is_lost = self.instances[leader].lead.me() != &record.leader
+            || !self.is_alive(leader)
+            || !self.reaches_store(leader);
+        if is_lost && self.now > self.instances[number].started_at + 500 {
+            let base = self.store.revision;
+            self.write(number, base, record.led_by(me));
+        }
+    }
+
+    fn order(&mut self, number: usize) {
+        let now = MonoTime(self.now * 1_000);
+        for server in 0..self.servers.len() {
+            let (id, born) = (self.servers[server].id.clone(), self.servers[server].born);
+            for life in 1..born {
+                let mark = ServerMark {
+                    id: id.clone(),
+                    born: life,
+                };
+                self.instances[number].lead.died(&mark, now);
+            }
+        }
+        let steps = self.instances[number].lead.move_steps(now);
+        for step in steps {
+            match step {
+                MoveStep::Release { range, holder } => {
+                    self.send(number, OrderKind::Release, holder, range);
+                }
+                MoveStep::Grant { range, .. } => {
+                    let owner = range.owner.clone();
+                    self.send(number, OrderKind::Grant, owner, range);
+                }
+            }
+        }
+        for range in self.instances[number].lead.due_renewals(now) {
+            if self.instances[number].lead.begin_renewal(&range, now) {
+                let owner = range.owner.clone();
+                self.send(number, OrderKind::Renew, owner, range);
+            }
+        }
+    }
+
+    fn send(&mut self, instance: usize, kind: OrderKind, server: ServerMark, range: KeyRange) {
+        let arrived = self.now + self.span(0, 40);
+        let is_late = !self.is_calm && self.chance(60);
+        let is_lost = !self.is_calm && self.chance(40);
+        let at = match (is_lost, is_late) {
+            (true, _) => u64::MAX,
+            (false, true) => arrived + self.span(2_000, 12_000),
+            (false, false) => arrived + self.span(0, 200),
+        };
+        let is_unheard = !self.is_calm && self.chance(30);
+        self.orders.push(FlyingOrder {
+            at,
+            arrived,
+            instance,
+            incarnation: self.instances[instance].lead.me().incarnation,
+            server,
+            kind,
+            range,
+            answer_lost: is_late || is_lost || is_unheard,
+        });
+    }
+
+    fn deliver_orders(&mut self) {
+        let now = self.now;
+        let due: Vec<FlyingOrder> = self
+            .orders
+            .extract_if(.., |order| order.at <= now)
+            .collect();
+        for order in due {
+            let server = self
+                .servers
+                .iter_mut()
+                .find(|server| server.mark() == order.server);
+            let answer = server.filter(|server| server.is_up).map(|server| {
+                let KeyRange {
+                    first, last, fence, ..
+                } = order.range;
+                match order.kind {
+                    OrderKind::Release => {
+                        server.release(first, last, fence);
+                        true
+                    }
+                    _ => server.grant(first, last, fence, order.arrived as f64, HOLD_MS as f64),
+                }
+            });
+            let answer = answer.filter(|_| !order.answer_lost);
+            self.tell(&order, answer);
+        }
+        // Orders that nobody answered are given up by their senders.
+        let given_up: Vec<FlyingOrder> = self
+            .orders
+            .extract_if(.., |order| {
+                order.at == u64::MAX && order.arrived + 600 <= now
+            })
+            .collect();
+        for order in given_up {
+            self.tell(&order, None);
+        }
+    }
+
+    fn tell(&mut self, order: &FlyingOrder, answer: Option<bool>) {
+        let now = MonoTime(self.now * 1_000);
+        let instance = &mut self.instances[order.instance];
+        if instance.lead.me().incarnation != order.incarnation {
+            return;
+        }
+        match order.kind {
+            OrderKind::Renew if answer != Some(true) => {
+                let soon = Duration::from_millis(250);
+                instance.lead.renewal_failed(&order.range, now, soon);
+            }
+            OrderKind::Renew => {}
+            OrderKind::Grant => instance
+                .lead
+                .granted(&order.range, answer == Some(true), now),
+            OrderKind::Release => {
+                let handover = answer.map(|_| String::new());
+                instance.lead.released(&order.range, handover, now);
+            }
+        }
+    }
+
+    fn write_changes(&mut self, number: usize) {
+        if !self.reaches_store(number) {
+            return;
+        }
+        let now = MonoTime(self.now * 1_000);
+        if let Some(record) = self.instances[number].lead.settled() {
+            let base = self.instances[number]
+                .lead
+                .record()
+                .map_or(0, |held| held.1);
+            self.write(number, base, record);
+        }
+        if self.now < self.instances[number].planned_at + 300 {
+            return;
+        }
+        self.instances[number].planned_at = self.now;
+        let servers: Vec<PlannedServer> = self
+            .servers
+            .iter()
+            .filter(|server| server.is_up)
+            .map(|server| PlannedServer {
+                mark: server.mark(),
+                capacity: 10.0,
+            })
+            .collect();
+        // Load that changes place makes the planner move keys.
+        let hot = self.rng.random_range(0..60_000_u16);
+        let weights: Vec<(u16, f64)> = (0..40).map(|step| (hot + step * 100, 3.0)).collect();
+        let lead = &self.instances[number].lead;
+        let Some((record, base)) = lead.record() else {
+            return;
+        };
+        let is_free = |mark: &ServerMark, fence| lead.is_free(mark, fence, now);
+        let planned = KeyPlanner::default().plan(record, &servers, &weights, is_free);
+        if let (Some(record), true) = (planned, lead.may_order(now)) {
+            self.write(number, base, record);
+        }
+    }
+
+    /// A write whose answer may be lost, and which may be done seconds later.
+    fn write(&mut self, number: usize, base: u64, record: KeyRecord) {
+        if !self.is_calm && self.chance(50) {
+            let at = self.now + self.span(0, 5_000);
+            self.late_writes.push((at, base, record));
+            return;
+        }
+        let Some(revision) = self.store.write(base, record.clone()) else {
+            return;
+        };
+        if !self.is_calm && self.chance(50) {
+            return;
+        }
+        let now = MonoTime(self.now * 1_000);
+        let instance = &mut self.instances[number];
+        let leads = record.leader == *instance.lead.me();
+        instance.lead.adopt(record, revision, now);
+        if leads {
+            instance.lead.confirm(now);
+        }
+    }
+
+    fn apply_late_writes(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .late_writes
+            .extract_if(.., |write| write.0 <= now)
+            .collect();
+        for (_, base, record) in due {
+            let _ = self.store.write(base, record);
+        }
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let now = self.now as f64;
+        for block in 0..BLOCKS {
+            let holders: Vec<(ServerMark, u64)> = self
+                .servers
+                .iter()
+                .filter_map(|server| Some((server.mark(), server.holds(block, now)?)))
+                .collect();
+            let key = block as u32 * BLOCK;
+            if let [(one, low), (two, high), ..] = holders.as_slice() {
+                return Err(format!(
+                    "at {} ms key {key} is held by {one} under {low} and by {two} under {high}",
+                    self.now
+                ));
+            }
+            let Some((holder, fence)) = holders.first() else {
+                continue;
+            };
+            self.held_at[block] = self.now;
+            let (highest, last) = &mut self.highest[block];
+            let is_other = last.as_ref().is_some_and(|last| last != holder);
+            if is_other && *fence <= *highest {
+                return Err(format!(
+                    "at {} ms key {key} moved to {holder} under {fence}, not above {highest}",
+                    self.now
+                ));
+            }
+            *highest = (*highest).max(*fence);
+            *last = Some(holder.clone());
+        }
+        Ok(())
+    }
+}
+
+fn mark_of(number: usize, incarnation: u64) -> LeaderMark {
+    LeaderMark {
+        instance: format!("i{number}"),
+        incarnation,
+    }
+}
+
+fn instance_of(mark: &LeaderMark) -> usize {
+    mark.instance[1..].parse().unwrap()
+}
+
+fn timing(plan: &HistoryPlan) -> LeadTiming {
+    LeadTiming {
+        hold: Duration::from_millis(plan.booked_hold_ms),
+        renew_every: Duration::from_millis(900),
+        authority: Duration::from_millis(plan.authority_ms),
+        inherited_authority: Duration::from_millis(plan.assumed_authority_ms),
+        release_again: Duration::from_millis(300),
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/key_history/main.rs
@@ -0,0 +1,79 @@
+//! Seeded histories of key ownership over the real decisions of leaders.
+//!
+//! Instances are killed, frozen and cut from the store; orders are lost or carried out late; servers
+//! restart under their identifier; answers of the store are lost. At every step at most one server
+//! may hold a key, and fences given out for a key only grow.
+
+mod fake_server;
+mod fake_store;
+mod history_world;
+
+use history_world::{HistoryPlan, HistoryWorld};
+
+/// Histories in one run of the tests.
+const SEEDS: u64 = 300;
+
+fn violations(plan: &HistoryPlan, seeds: u64) -> Vec<String> {
+    (0..seeds)
+        .filter_map(|seed| {
+            let mut world = HistoryWorld::new(seed, plan.clone());
+            world
+                .run()
+                .err()
+                .map(|fault| format!("seed {seed}: {fault}"))
+        })
+        .collect()
+}
+
+#[test]
+fn no_key_has_two_owners_and_fences_grow_through_all_faults() {
+    let found = violations(&HistoryPlan::default(), SEEDS);
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
+#[test]
+fn keys_are_served_again_after_the_faults_end() {
+    for seed in 0..40 {
+        let mut world = HistoryWorld::new(seed, HistoryPlan::default());
+        world
+            .run()
+            .unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+        world.calm_down();
+        world
+            .run()
+            .unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+        let lost = world.lost_keys();
+        assert!(
+            lost.is_empty(),
+            "seed {seed}: keys {lost:?} without an owner"
+        );
+    }
+}
+
+#[test]
+fn a_leader_that_does_not_wait_for_grants_to_lapse_makes_two_owners() {
+    let plan = HistoryPlan {
+        booked_hold_ms: 0,
+        ..HistoryPlan::default()
+    };
+    assert!(!violations(&plan, 60).is_empty());
+}
+
+#[test]
+fn a_leader_that_orders_without_the_stores_word_makes_two_owners() {
+    let plan = HistoryPlan {
+        authority_ms: 3_600_000,
+        assumed_authority_ms: 1_000,
+        ..HistoryPlan::default()
+    };
+    assert!(!violations(&plan, 120).is_empty());
+}
+
+#[test]
+fn servers_that_ignore_fences_show_late_orders_of_former_leaders() {
+    let plan = HistoryPlan {
+        servers_check_fences: false,
+        ..HistoryPlan::default()
+    };
+    assert!(!violations(&plan, 60).is_empty());
+}
--- /dev/null
+++ b/crates/routing/tests/key_takeover.rs
@@ -0,0 +1,79 @@
+//! When a leader is replaced, and when it is left alone.
+
+use geraniummast_model::MonoTime;
+use geraniummast_routing::{DrainMeter, LeaderView, TakeoverStep};
+use std::time::Duration;
+
+const CALM: LeaderView = LeaderView {
+    is_former_self: false,
+    silence: Duration::from_millis(300),
+    confirmed_age: Duration::from_millis(2_000),
+    hears_peers: true,
+    is_stopping: false,
+    rank: 0,
+};
+
+#[test]
+fn a_leader_that_is_heard_and_confirmed_is_left_alone() {
+    assert_eq!(CALM.step(), TakeoverStep::Follow);
+}
+
+#[test]
+fn a_later_life_of_the_leader_takes_over_at_once() {
+    let view = LeaderView {
+        is_former_self: true,
+        ..CALM
+    };
+    assert_eq!(view.step(), TakeoverStep::TakeOver);
+}
+
+#[test]
+fn a_silent_leader_is_replaced_by_the_first_rank_first() {
+    let silence = Duration::from_millis(1_300);
+    let first = LeaderView { silence, ..CALM };
+    assert_eq!(first.step(), TakeoverStep::TakeOver);
+    assert_eq!(LeaderView { rank: 3, ..first }.step(), TakeoverStep::Follow);
+}
+
+#[test]
+fn an_instance_that_hears_nobody_doubts_itself_first() {
+    let view = LeaderView {
+        silence: Duration::from_secs(3),
+        hears_peers: false,
+        ..CALM
+    };
+    assert_eq!(view.step(), TakeoverStep::Follow);
+}
+
+#[test]
+fn a_leader_that_the_store_refuses_is_replaced_well_before_it_must_stop() {
+    let view = LeaderView {
+        confirmed_age: Duration::from_secs(5),
+        ..CALM
+    };
+    assert_eq!(view.step(), TakeoverStep::TakeOver);
+}
+
+#[test]
+fn a_leader_that_stops_is_replaced_by_the_first_rank_only() {
+    let view = LeaderView {
+        is_stopping: true,
+        ..CALM
+    };
+    assert_eq!(view.step(), TakeoverStep::TakeOver);
+    assert_eq!(LeaderView { rank: 1, ..view }.step(), TakeoverStep::Follow);
+}
+
+#[test]
+fn callers_refused_together_are_told_to_come_back_apart_and_as_the_queue_drains() {
+    let mut meter = DrainMeter::default();
+    let now = MonoTime(5_000_000);
+    for end in 0..50 {
+        meter.ended(MonoTime(4_000_000 + end * 20_000));
+    }
+    assert!((meter.rate(now) - 50.0).abs() < 1.0);
+    let early = meter.pause(24, now, 0.0);
+    let late = meter.pause(24, now, 1.0);
+    assert!(early < late);
+    assert!(early > Duration::from_millis(350) && late < Duration::from_millis(650));
+}
--- /dev/null
+++ b/crates/routing/tests/route_table.rs
@@ -0,0 +1,68 @@
+//! Finding of routes and drawing of their parts.
+
+use geraniummast_routing::*;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+fn rule(name: &str, prefix: &str, parts: &[(&str, f64)]) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(400),
+        priority: 1,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| SplitPart {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        max_attempts: 2,
+    }
+}
+
+fn table(rules: Vec<RouteRule>) -> RouteTable {
+    let limits = RequestLimits {
+        max_head_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let hosts = IndexMap::from([("one.example".to_string(), rules)]);
+    RouteTable::new(3, hosts, IndexMap::new(), limits)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![
+        rule("short", "/a/", &[("s", 1.0)]),
+        rule("long", "/a/b/", &[("s", 1.0)]),
+    ]);
+    let found = |host, path| table.find(host, path).map(|rule| rule.name.as_str());
+    assert_eq!(found("one.example", "/a/b/c"), Some("long"));
+    assert_eq!(found("one.example:8080", "/a/c"), Some("short"));
+    assert_eq!(found("one.example", "/a"), None);
+    assert_eq!(found("two.example", "/a/b/c"), None);
+}
+
+#[test]
+fn parts_get_their_share_over_short_spans_whatever_the_start() {
+    let rule = rule("split", "/", &[("big", 90.0), ("small", 10.0)]);
+    for start in 0..20 {
+        let mut cursor = SplitCursor::new(f64::from(start) / 20.0);
+        let small = (0..100)
+            .filter(|_| cursor.next(&rule.parts) == Some("small"))
+            .count();
+        assert!((9..=11).contains(&small), "start {start}: {small} of 100");
+    }
+}
+
+#[test]
+fn a_part_without_weight_gets_nothing() {
+    let rule = rule("split", "/", &[("all", 1.0), ("none", 0.0)]);
+    let mut cursor = SplitCursor::new(0.3);
+    assert!((0..200).all(|_| cursor.next(&rule.parts) == Some("all")));
+    assert_eq!(cursor.next(&[]), None);
+}
--- /dev/null
+++ b/crates/routing/tests/server_choice.rs
@@ -0,0 +1,187 @@
+//! Choice among servers under load, against the naive choices, in a model without network.
+
+use geraniummast_model::MonoTime;
+use geraniummast_routing::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{collections::BinaryHeap, time::Duration};
+
+const SPEEDS: [f64; 6] = [0.5, 1.0, 1.0, 1.5, 0.5, 1.0];
+const SLOTS: usize = 3;
+const INSTANCES: usize = 8;
+/// Time that a request runs on a server of speed 1, in seconds.
+const WORK: f64 = 0.16;
+
+/// A server of the model: running requests by their end, and a queue.
+struct ModelServer {
+    speed: f64,
+    running: BinaryHeap<std::cmp::Reverse<u64>>,
+    queue: Vec<(u64, usize, u64)>,
+}
+
+/// How an instance of the model chooses.
+#[derive(Clone, Copy, PartialEq)]
+enum Policy {
+    Expected,
+    RoundRobin,
+    Random,
+    LeastOwn,
+}
+
+/// Time in the system of each request, in seconds, at `rate` requests a second.
+fn play(policy: Policy, rate: f64, seed: u64) -> Vec<f64> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut servers: Vec<ModelServer> = SPEEDS
+        .iter()
+        .map(|&speed| ModelServer {
+            speed,
+            running: BinaryHeap::new(),
+            queue: Vec::new(),
+        })
+        .collect();
+    let mut loads = vec![vec![LoadTracker::new(SLOTS as u32, WORK); SPEEDS.len()]; INSTANCES];
+    let choice = ServerChoice::default();
+    let mut turns = [0_usize; INSTANCES];
+    let mut flying: Vec<(u64, usize, usize, u64)> = Vec::new();
+    let mut times = Vec::new();
+    let mut next_arrival = 0_u64;
+    for step in 0..30_000_u64 {
+        let now = step * 1_000;
+        // Ends of requests reach their instance with the server's report.
+        let due: Vec<_> = flying.extract_if(.., |request| request.0 <= now).collect();
+        for (end, instance, server, began) in due {
+            let model = &mut servers[server];
+            model.running.pop();
+            if let Some((arrived, from, work)) = model.queue.first().copied() {
+                model.queue.remove(0);
+                let end = now + (work as f64 / model.speed) as u64;
+                model.running.push(std::cmp::Reverse(end));
+                flying.push((end, from, server, arrived));
+            }
+            times.push((end - began) as f64 / 1e6);
+            let load = &mut loads[instance][server];
+            load.ended();
+            let report = ReportedLoad {
+                running: model.running.len() as u32,
+                waiting: model.queue.len() as u32,
+                slots: SLOTS as u32,
+            };
+            load.reported(report, MonoTime(now));
+            load.served(Duration::from_micros(end - began), false);
+        }
+        while next_arrival <= now {
+            next_arrival += (-rng.random::<f64>().ln() / rate * 1e6) as u64;
+            let instance = rng.random_range(0..INSTANCES);
+            let inputs: Vec<ChoiceInput<'_>> = loads[instance]
+                .iter()
+                .map(|load| ChoiceInput {
+                    load,
+                    near: true,
+                    tried: false,
+                    cold: false,
+                })
+                .collect();
+            let server = match policy {
+                Policy::Expected => match choice.choose(&inputs, MonoTime(now), || rng.random()) {
+                    ChoiceStep::Send(position) => position,
+                    ChoiceStep::Wait | ChoiceStep::Refuse => continue,
+                },
+                Policy::RoundRobin => {
+                    turns[instance] += 1;
+                    turns[instance] % SPEEDS.len()
+                }
+                Policy::Random => rng.random_range(0..SPEEDS.len()),
+                Policy::LeastOwn => (0..SPEEDS.len())
+                    .min_by_key(|&server| loads[instance][server].own())
+                    .unwrap(),
+            };
+            loads[instance][server].started(MonoTime(now));
+            let work = (WORK * (0.5 + rng.random::<f64>()) * 1e6) as u64;
+            let model = &mut servers[server];
+            if model.running.len() < SLOTS {
+                let end = now + (work as f64 / model.speed) as u64;
+                model.running.push(std::cmp::Reverse(end));
+                flying.push((end, instance, server, now));
+            } else {
+                model.queue.push((now, instance, work));
+            }
+        }
+    }
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+fn in_target(times: &[f64]) -> f64 {
+    times.iter().filter(|time| **time <= 0.5).count() as f64 / times.len() as f64
+}
+
+#[test]
+fn unequal_servers_at_three_quarters_of_their_capacity_answer_in_time() {
+    // Capacity: 5.5 speeds x 3 slots / 0.16 s = 103 requests a second.
+    for seed in 0..3 {
+        let expected = in_target(&play(Policy::Expected, 77.0, seed));
+        assert!(expected > 0.97, "seed {seed}: {expected}");
+        for naive in [Policy::RoundRobin, Policy::Random, Policy::LeastOwn] {
+            let other = in_target(&play(naive, 77.0, seed));
+            assert!(expected > other, "seed {seed}: {expected} against {other}");
+        }
+    }
+}
+
+#[test]
+fn a_server_that_fails_three_times_rests_and_is_tried_by_one_request() {
+    let mut load = LoadTracker::new(3, 0.1);
+    for _ in 0..3 {
+        load.failed(MonoTime(0));
+    }
+    assert!(load.is_resting(MonoTime(100_000)));
+    assert!(!load.is_resting(MonoTime(500_000)));
+    load.started(MonoTime(500_000));
+    assert!(
+        load.is_resting(MonoTime(510_000)),
+        "a second one is held off"
+    );
+    load.served(Duration::from_millis(90), false);
+    load.ended();
+    assert!(!load.is_resting(MonoTime(600_000)));
+}
+
+#[test]
+fn a_report_counts_the_requests_of_others_and_fades() {
+    let mut load = LoadTracker::new(3, 0.1);
+    load.started(MonoTime(0));
+    let report = ReportedLoad {
+        running: 3,
+        waiting: 2,
+        slots: 3,
+    };
+    load.reported(report, MonoTime(0));
+    assert!((load.estimate(MonoTime(0)) - 5.0).abs() < 1e-9);
+    assert!((load.estimate(MonoTime(500_000)) - 3.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_full_server_is_not_sent_more_and_the_request_waits() {
+    let mut load = LoadTracker::new(3, 0.1);
+    for _ in 0..6 {
+        load.started(MonoTime(0));
+    }
+    let input = ChoiceInput {
+        load: &load,
+        near: true,
+        tried: false,
+        cold: false,
+    };
+    let choice = ServerChoice::default();
+    assert_eq!(
+        choice.choose(&[input], MonoTime(0), || 0.5),
+        ChoiceStep::Wait
+    );
+    let tried = ChoiceInput {
+        tried: true,
+        ..input
+    };
+    assert_eq!(
+        choice.choose(&[tried], MonoTime(0), || 0.5),
+        ChoiceStep::Refuse
+    );
+}
