Serve keys sooner after a loss, and keep their record compact

Two renewals of which no byte had left counted as sent, and servers whose addresses had gone to another service answered 400 and were waited out. Ruled out: shorter holds alone: a new leader has to renew within one hold.

--- a/crates/gateway/src/lead_orders.rs
+++ b/crates/gateway/src/lead_orders.rs
@@ -9,6 +9,17 @@
 /// Time after which a renewal that was not answered is sent again.
 const RENEW_AGAIN: Duration = Duration::from_millis(250);
 
+/// What became of an order.
+#[derive(Debug)]
+enum OrderResult {
+    /// The server answered.
+    Answered(OrderAnswer),
+    /// No byte of it left.
+    NotSent,
+    /// It may have arrived.
+    Unanswered,
+}
+
 /// Renews a server's ranges one after the other.
 pub(crate) async fn renew(
     node: Arc<GatewayNode>,
@@ -21,14 +32,18 @@
         if !node.with_keys(&service, |view| view.lead.begin_renewal(&range, now)) {
             continue;
         }
-        let answer = grant_once(&node, &service, &server, &range, None).await;
-        if answer != Some(OrderAnswer::Taken(None)) {
-            let now = node.now();
-            node.with_keys(&service, |view| {
-                view.lead.renewal_failed(&range, now, RENEW_AGAIN);
-            });
-            break;
+        let result = grant_once(&node, &service, &server, &range, None).await;
+        if let OrderResult::Answered(OrderAnswer::Taken(_)) = result {
+            continue;
         }
+        let failed_at = node.now();
+        node.with_keys(&service, |view| {
+            if let OrderResult::NotSent = result {
+                view.lead.renewal_not_sent(&range, now);
+            }
+            view.lead.renewal_failed(&range, failed_at, RENEW_AGAIN);
+        });
+        break;
     }
     server.end_order_turn();
 }
@@ -45,13 +60,13 @@
             node.with_keys(&service, |view| view.lead.released(&range, handover, now));
         }
         MoveStep::Grant { range, handover } => {
-            let answer = match node.server(&range.owner) {
+            let result = match node.server(&range.owner) {
                 Some(server) => {
                     grant_once(&node, &service, &server, &range, handover.as_deref()).await
                 }
-                None => None,
+                None => OrderResult::NotSent,
             };
-            let taken = matches!(answer, Some(OrderAnswer::Taken(_)));
+            let taken = matches!(result, OrderResult::Answered(OrderAnswer::Taken(_)));
             let now = node.now();
             node.with_keys(&service, |view| view.lead.granted(&range, taken, now));
         }
@@ -65,7 +80,7 @@
     server: &ServerRuntime,
     range: &KeyRange,
     handover: Option<&str>,
-) -> Option<OrderAnswer> {
+) -> OrderResult {
     let order = GrantOrder {
         server_id: &server.mark().id,
         first: range.first,
@@ -79,7 +94,11 @@
         .exchange(order.to_request().map(Full::new), GRANT_TIMEOUT)
         .await;
     note(node, service, server, range, "grant", &response);
-    response.ok().map(|response| OrderAnswer::from(&response))
+    match response {
+        Ok(response) => OrderResult::Answered(OrderAnswer::from(&response)),
+        Err(ExchangeError::Refused(_) | ExchangeError::NotSent(_)) => OrderResult::NotSent,
+        Err(_) => OrderResult::Unanswered,
+    }
 }
 
 /// What the server hands over, none without an answer.
@@ -120,13 +139,19 @@
         Ok(response) => {
             server.order_answered();
             match OrderAnswer::from(response) {
-                OrderAnswer::Taken(_) => ("taken", String::new()),
+                OrderAnswer::Taken(_) => {
+                    server.order_taken();
+                    ("taken", String::new())
+                }
                 OrderAnswer::Superseded => ("superseded", String::new()),
                 OrderAnswer::Misdirected => {
                     server.address_taken();
                     ("misdirected", String::new())
                 }
-                OrderAnswer::Rejected(status) => ("rejected", status.to_string()),
+                OrderAnswer::Rejected(status) => {
+                    server.order_rejected(status);
+                    ("rejected", status.to_string())
+                }
             }
         }
         Err(error) => {
--- a/crates/gateway/src/lead_worker.rs
+++ b/crates/gateway/src/lead_worker.rs
@@ -149,14 +149,16 @@
         marks
     });
     for mark in holders {
-        let is_reborn = {
+        let is_replaced = {
             let roster = node.roster.lock().unwrap();
-            roster
-                .get(&mark.id)
-                .is_some_and(|entry| entry.mark.born > mark.born)
+            let address = node.server(&mark).map(|server| server.entry.address);
+            roster.entries().any(|entry| {
+                let is_later = entry.mark.born > mark.born;
+                is_later && (entry.mark.id == mark.id || Some(entry.address) == address)
+            })
         };
         let has_ended = node.server(&mark).is_some_and(|server| server.has_ended());
-        if !is_reborn && !has_ended {
+        if !is_replaced && !has_ended {
             continue;
         }
         let is_new = node.with_keys(service, |view| {
@@ -165,7 +167,7 @@
             is_new
         });
         if is_new {
-            log::info!(service, server = mark.to_string().as_str(), is_reborn; "server has ended");
+            log::info!(service, server = mark.to_string().as_str(), is_replaced; "server has ended");
         }
     }
     let former = node.with_keys(service, |view| {
@@ -208,7 +210,7 @@
     let Ok(Some(object)) = node.store.read(ObjectKind::Records, &name).await else {
         return;
     };
-    let leads = RecordBody::read::<KeyRecord>(&object).is_ok_and(|record| record.leader == node.me);
+    let leads = record_worker::read_keys(&object).is_ok_and(|record| record.leader == node.me);
     let event = ObjectEvent {
         object,
         is_removed: false,
@@ -332,7 +334,7 @@
 ) {
     let asked_at = node.now();
     let name = format!("{}{service}", KeyView::PREFIX);
-    let spec = match RecordBody::write(record) {
+    let spec = match RecordBody::write(&RecordWire::from(record)) {
         Ok(spec) => spec,
         Err(fault) => {
             log::error!(service, cause = fault.to_string().as_str(); "key record not written");
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -58,14 +58,17 @@
 }
 
 fn take_keys(node: &GatewayNode, service: &str, object: &PlatformObject) -> Result<(), BodyFault> {
-    let record: KeyRecord = RecordBody::read(object)?;
-    if let Some(fault) = record.fault() {
-        return Err(BodyFault(fault.into()));
-    }
+    let record = read_keys(object)?;
     adopt(node, service, record, object.revision);
     Ok(())
 }
 
+/// Key record of an object.
+pub(crate) fn read_keys(object: &PlatformObject) -> Result<KeyRecord, BodyFault> {
+    let wire: RecordWire = RecordBody::read(object)?;
+    KeyRecord::try_from(wire).map_err(|fault| BodyFault(fault.to_string()))
+}
+
 /// Takes a key record in, and tells who waits for it.
 pub(crate) fn adopt(node: &GatewayNode, service: &str, record: KeyRecord, revision: u64) {
     let now = node.now();
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -26,6 +26,7 @@
     broken_at: Option<MonoTime>,
     order_busy: bool,
     is_replaced: bool,
+    has_taken: bool,
 }
 
 impl ServerRuntime {
@@ -115,6 +116,18 @@
         };
     }
 
+    /// Notes an order that it took.
+    pub(crate) fn order_taken(&self) {
+        self.state.lock().unwrap().has_taken = true;
+    }
+
+    /// Notes an order that it did not understand. A server that has taken orders before does:
+    /// one of another service has its address.
+    pub(crate) fn order_rejected(&self, status: StatusCode) {
+        let mut state = self.state.lock().unwrap();
+        state.is_replaced |= state.has_taken && status == StatusCode::BAD_REQUEST;
+    }
+
     /// Notes that another server has its address.
     pub(crate) fn address_taken(&self) {
         self.state.lock().unwrap().is_replaced = true;
--- a/crates/routing/src/key_lead.rs
+++ b/crates/routing/src/key_lead.rs
@@ -241,6 +241,11 @@
         true
     }
 
+    /// Takes back a renewal that was booked at `at` and of which no byte left.
+    pub fn renewal_not_sent(&mut self, range: &KeyRange, at: MonoTime) {
+        self.book.not_sent(range.fence, at);
+    }
+
     /// Lets a renewal that failed be sent again `soon`.
     pub fn renewal_failed(&mut self, range: &KeyRange, now: MonoTime, soon: Duration) {
         let again = now.before(self.timing.renew_every.saturating_sub(soon));
--- a/crates/routing/src/key_takeover.rs
+++ b/crates/routing/src/key_takeover.rs
@@ -30,9 +30,9 @@
 
 impl LeaderView {
     /// Silence after which a leader is suspected and all instances tell each other that they live.
-    pub const SUSPICION: Duration = Duration::from_millis(900);
+    pub const SUSPICION: Duration = Duration::from_millis(800);
     /// Time in which they hear of each other.
-    const MUSTER: Duration = Duration::from_millis(350);
+    const MUSTER: Duration = Duration::from_millis(300);
     /// Further silence for each rank, so that few instances write at once.
     const RANK_STEP: Duration = Duration::from_millis(150);
     /// Age of the leader's confirmation at which one that reaches the store replaces it.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod key_takeover;
 mod load_tracker;
 mod order_book;
+mod record_wire;
 mod retry_window;
 mod route_rule;
 mod route_table;
@@ -33,6 +34,7 @@
     key_takeover::{LeaderView, TakeoverStep},
     load_tracker::{LoadTracker, ReportedLoad},
     order_book::OrderBook,
+    record_wire::{RecordFault, RecordWire},
     retry_window::RetryWindow,
     route_rule::{RouteRule, SplitPart},
     route_table::{RequestLimits, RouteTable},
--- a/crates/routing/src/order_book.rs
+++ b/crates/routing/src/order_book.rs
@@ -10,16 +10,23 @@
 #[derive(Clone, Debug)]
 pub struct OrderBook {
     hold: Duration,
-    sent: IndexMap<u64, MonoTime>,
+    sent: IndexMap<u64, SentTimes>,
     /// Time until which grants of earlier leaders may hold.
     inherited: MonoTime,
 }
 
+/// When a grant was last sent, and when the one before.
+#[derive(Clone, Copy, Debug)]
+struct SentTimes {
+    last: MonoTime,
+    before: Option<MonoTime>,
+}
+
 impl OrderBook {
     /// Share by which a server's clock may run slow (page on keys: 2%).
     const SLOW_CLOCK: f64 = 0.02;
     /// Time that a grant may spend on its way.
-    const TRANSIT: Duration = Duration::from_millis(500);
+    const TRANSIT: Duration = Duration::from_millis(250);
 
     /// Book of grants that each hold for `hold`.
     pub fn new(hold: Duration) -> Self {
@@ -37,7 +44,18 @@
 
     /// Notes that a grant under `fence` is about to be sent.
     pub fn sent(&mut self, fence: u64, now: MonoTime) {
-        self.sent.insert(fence, now);
+        let before = self.sent.get(&fence).map(|times| times.last);
+        self.sent.insert(fence, SentTimes { last: now, before });
+    }
+
+    /// Takes back a grant that was booked at `at` and of which no byte left.
+    pub fn not_sent(&mut self, fence: u64, at: MonoTime) {
+        if let Some(times) = self.sent.get_mut(&fence)
+            && times.last == at
+            && let Some(before) = times.before
+        {
+            times.last = before;
+        }
     }
 
     /// Notes that grants of earlier leaders may hold until `until`.
@@ -52,10 +70,9 @@
 
     /// Time until which a grant under `fence` may hold.
     pub fn until(&self, fence: u64) -> MonoTime {
-        let own = self
-            .sent
-            .get(&fence)
-            .map_or(MonoTime::default(), |at| at.after(self.longest()));
+        let own = self.sent.get(&fence).map_or(MonoTime::default(), |times| {
+            times.last.after(self.longest())
+        });
         own.max(self.inherited)
     }
 
@@ -63,6 +80,6 @@
     pub fn retain(&mut self, mut is_named: impl FnMut(u64) -> bool, now: MonoTime) {
         let longest = self.longest();
         self.sent
-            .retain(|fence, at| is_named(*fence) || now < at.after(longest));
+            .retain(|fence, times| is_named(*fence) || now < times.last.after(longest));
     }
 }
