Watch the store from a few instances and hand its objects on

Ruled out: fewer writes alone: settling a move needs the second one. Whoever hears no leader watches by itself. Seeds are asked while the store has told nothing.

--- a/crates/gateway/src/configuration_worker.rs
+++ b/crates/gateway/src/configuration_worker.rs
@@ -1,36 +1,26 @@
 //! Putting the operators' configuration in force.
 
-use crate::{
-    object_watcher::{self, WatchNews},
-    prelude::*,
-};
+use crate::prelude::*;
 
-/// Follows the configuration.
-pub(crate) async fn run(node: Arc<GatewayNode>) {
-    object_watcher::follow(node, ObjectKind::Configuration, |node, news| {
-        let objects = match news {
-            WatchNews::List(page) => page.objects,
-            WatchNews::Changes(changes) => changes
-                .events
-                .into_iter()
-                .filter(|event| !event.is_removed)
-                .map(|event| event.object)
-                .collect(),
-        };
-        for object in objects {
-            if object.name == ObjectKind::CONFIGURATION_NAME {
-                take(node, &object);
-            }
+/// Takes news of the configuration in.
+pub(crate) fn apply(node: &Arc<GatewayNode>, news: WatchNews) {
+    let objects = match news {
+        WatchNews::List(page) => page.objects,
+        WatchNews::Changes(changes) => changes
+            .events
+            .into_iter()
+            .filter(|event| !event.is_removed)
+            .map(|event| event.object)
+            .collect(),
+    };
+    for object in objects {
+        if object.name == ObjectKind::CONFIGURATION_NAME {
+            take(node, &object);
         }
-    })
-    .await;
+    }
 }
 
 fn take(node: &Arc<GatewayNode>, object: &PlatformObject) {
-    node.peers
-        .lock()
-        .unwrap()
-        .saw_revision(ObjectKind::Configuration, object.revision);
     let table = match ConfigurationBody::read(object) {
         Ok(table) => table,
         Err(fault) => {
--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -1,53 +1,34 @@
 //! Following the list of servers.
 
-use crate::{
-    object_watcher::{self, WatchNews},
-    prelude::*,
-};
+use crate::prelude::*;
 
-/// Follows the servers.
-pub(crate) async fn run(node: Arc<GatewayNode>) {
-    object_watcher::follow(node, ObjectKind::Servers, |node, news| {
-        let now = node.now();
-        let hold = node.lapse_hold();
-        let newest = match &news {
-            WatchNews::List(page) => page.objects.iter().map(|object| object.revision).max(),
-            WatchNews::Changes(changes) => changes
-                .events
-                .iter()
-                .map(|event| event.object.revision)
-                .max(),
-        };
-        let mut roster = node.roster.lock().unwrap();
-        match news {
-            WatchNews::List(page) => {
-                let entries = page.objects.iter().filter_map(|object| {
-                    let entry = read(object)?;
-                    Some((entry, object.revision))
-                });
-                roster.replace(entries.collect(), page.revision, now, hold);
-            }
-            WatchNews::Changes(changes) => {
-                for event in changes.events {
-                    let object = &event.object;
-                    let entry = if event.is_removed { None } else { read(object) };
-                    // What was removed may carry the revision of the last change before.
-                    let change = match entry {
-                        Some(entry) => RosterChange::Entry(Box::new(entry), object.revision),
-                        None => RosterChange::Gone(object.name.clone(), object.revision),
-                    };
-                    roster.apply(change, now, hold);
-                }
-            }
+/// Takes news of the servers in.
+pub(crate) fn apply(node: &Arc<GatewayNode>, news: WatchNews) {
+    let now = node.now();
+    let hold = node.lapse_hold();
+    let mut roster = node.roster.lock().unwrap();
+    match news {
+        WatchNews::List(page) => {
+            let entries = page.objects.iter().filter_map(|object| {
+                let entry = read(object)?;
+                Some((entry, object.revision))
+            });
+            roster.replace(entries.collect(), page.revision, now, hold);
         }
-        drop(roster);
-        if let Some(newest) = newest {
-            let mut peers = node.peers.lock().unwrap();
-            peers.saw_revision(ObjectKind::Servers, newest);
+        WatchNews::Changes(changes) => {
+            for event in changes.events {
+                let object = &event.object;
+                let entry = if event.is_removed { None } else { read(object) };
+                let change = match entry {
+                    Some(entry) => RosterChange::Entry(Box::new(entry), object.revision),
+                    None => RosterChange::Gone(object.name.clone(), object.revision),
+                };
+                roster.apply(change, now, hold);
+            }
         }
-        node.refresh_servers();
-    })
-    .await;
+    }
+    drop(roster);
+    node.refresh_servers();
 }
 
 /// Drops lapsed entries in time.
--- /dev/null
+++ b/crates/gateway/src/feed_client.rs
@@ -0,0 +1,137 @@
+//! Learning the store's objects from another instance.
+
+use crate::{
+    feed_server::{FeedFrames, frames},
+    feed_wire::{AskWire, FeedAsk, ReplyWire},
+    news_router,
+    object_mirror::MirrorDelta,
+    prelude::*,
+};
+use futures_lite::StreamExt;
+use futures_util::SinkExt;
+
+/// Longest time until an answer.
+const PULL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause after a failed question.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time that a watching instance gives its own watch before it asks another one.
+const WATCH_LAG: Duration = Duration::from_millis(200);
+/// Time between questions to the seeds while nothing is known.
+const SEED_PAUSE: Duration = Duration::from_millis(500);
+
+/// The connection of the last answer.
+struct OpenFeed {
+    address: SocketAddr,
+    frames: FeedFrames,
+}
+
+/// Asks whoever tells newer revisions.
+pub(crate) async fn run(node: Arc<GatewayNode>) {
+    let mut open: Option<OpenFeed> = None;
+    loop {
+        let behind = node.behind.listen();
+        let newest = node.mirror.lock().unwrap().newest();
+        let source = node.peers.lock().unwrap().newer_source(newest, node.now());
+        let Some((address, since)) = source else {
+            behind.await;
+            continue;
+        };
+        let now = node.now();
+        let leads = node.is_leading();
+        let is_watching = node.peers.lock().unwrap().should_watch(leads, now);
+        if is_watching && !node.store.health.is_lost() && now.since(since) < WATCH_LAG {
+            Timer::after(WATCH_LAG / 4).await;
+            continue;
+        }
+        match pull(&node, &mut open, address).await {
+            Some(changed) => {
+                if changed && is_watching {
+                    node.rearm.notify(usize::MAX);
+                }
+            }
+            None => {
+                open = None;
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks the seeds as long as the store has told nothing.
+pub(crate) async fn run_seeds(node: Arc<GatewayNode>) {
+    let mut turn = 0;
+    loop {
+        Timer::after(SEED_PAUSE).await;
+        if node.mirror.lock().unwrap().complete()[..2]
+            .iter()
+            .all(|revision| *revision > 0)
+        {
+            return;
+        }
+        let seeds = &node.settings.seed_addresses;
+        if seeds.is_empty() || !node.store.health.is_lost() {
+            continue;
+        }
+        turn += 1;
+        let seed = seeds[turn % seeds.len()];
+        if seed != node.settings.feed_address {
+            pull(&node, &mut None, seed).await;
+        }
+    }
+}
+
+/// Asks one instance; tells whether the answer brought a change, none without an answer.
+async fn pull(
+    node: &Arc<GatewayNode>,
+    open: &mut Option<OpenFeed>,
+    address: SocketAddr,
+) -> Option<bool> {
+    let ask = {
+        let mirror = node.mirror.lock().unwrap();
+        FeedAsk {
+            complete: mirror.complete(),
+            newest: mirror.newest(),
+        }
+    };
+    let late = async {
+        Timer::after(PULL_TIMEOUT).await;
+        None
+    };
+    let deltas = future::or(exchange(open, address, ask), late).await?;
+    let mut changed = false;
+    for delta in deltas {
+        let (kind, newest) = (delta.kind, delta.newest);
+        let page = {
+            let mut mirror = node.mirror.lock().unwrap();
+            let page = mirror.list_of(delta);
+            mirror.saw_newest(kind, newest);
+            page
+        };
+        if let Some(page) = page {
+            changed = true;
+            news_router::apply(node, kind, WatchNews::List(page));
+        }
+    }
+    Some(changed)
+}
+
+async fn exchange(
+    open: &mut Option<OpenFeed>,
+    address: SocketAddr,
+    ask: FeedAsk,
+) -> Option<Vec<MirrorDelta>> {
+    if open.as_ref().is_none_or(|open| open.address != address) {
+        let stream = async_net::TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        *open = Some(OpenFeed {
+            address,
+            frames: frames(stream),
+        });
+    }
+    let frames = &mut open.as_mut()?.frames;
+    let frame = prost::Message::encode_to_vec(&AskWire::from(ask));
+    frames.send(Bytes::from(frame)).await.ok()?;
+    let reply = frames.next().await?.ok()?;
+    let wire = <ReplyWire as prost::Message>::decode(reply.freeze()).ok()?;
+    wire.try_into().ok()
+}
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -1,6 +1,6 @@
 //! Tables that all workers of an instance share.
 //!
-//! Lock order: routes, roster, servers, services, keys, peers, then the locks inside of a server or
+//! Lock order: mirror, routes, roster, servers, services, keys, peers, then the locks inside of a server or
 //! a service. No lock is held across an await.
 
 use crate::prelude::*;
@@ -30,6 +30,11 @@
     pub(crate) lead_due: Event,
     /// Notified when another instance knows newer objects.
     pub(crate) behind: Event,
+    /// Notified when a watch of this instance has missed a change.
+    pub(crate) rearm: Event,
+    /// Notified when others should hear of a change at once.
+    pub(crate) beat_due: Event,
+    pub(crate) mirror: Mutex<ObjectMirror>,
     stopping_since: Mutex<Option<MonoTime>>,
 }
 
@@ -89,6 +94,9 @@
             keys_changed: Event::new(),
             lead_due: Event::new(),
             behind: Event::new(),
+            rearm: Event::new(),
+            beat_due: Event::new(),
+            mirror: Mutex::default(),
             stopping_since: Mutex::default(),
             settings,
         }
@@ -290,15 +298,13 @@
         self.peers.lock().unwrap().instance_count()
     }
 
-    /// Waits until another instance knows newer objects of a kind.
-    pub(crate) async fn wait_behind(&self, kind: ObjectKind) {
-        loop {
-            let behind = self.behind.listen();
-            if self.peers.lock().unwrap().take_behind(kind, self.now()) {
-                return;
-            }
-            behind.await;
-        }
+    /// Whether this instance leads the keys of a service.
+    pub(crate) fn is_leading(&self) -> bool {
+        self.keys
+            .lock()
+            .unwrap()
+            .values()
+            .any(|view| view.lead.leads())
     }
 
     /// Whether callers should be sent here.
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -1,10 +1,10 @@
 //! The process around an instance: settings, logs, signals and exit codes.
 
 use crate::{
-    caller_listeners, configuration_worker, discovery_worker, lead_worker, operator_page,
-    peer_worker, prelude::*, record_worker,
+    caller_listeners, discovery_worker, feed_client, feed_server, lead_worker,
+    object_mirror::KINDS, object_watcher, operator_page, peer_worker, prelude::*, record_worker,
 };
-use async_net::UdpSocket;
+use async_net::{TcpListener, UdpSocket};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use geraniummast_settings::SettingRequest;
@@ -78,12 +78,16 @@
         .unwrap()
         .begin(&node.settings.name, node.now());
     let socket = UdpSocket::bind(node.settings.peer_address).await?;
+    let feed = TcpListener::bind(node.settings.feed_address).await?;
     let connections = caller_listeners::start(&node, metrics).await?;
     let workers = &node.workers;
-    workers.spawn(configuration_worker::run(node.clone()));
-    workers.spawn(discovery_worker::run(node.clone()));
+    for kind in KINDS {
+        workers.spawn(object_watcher::follow(node.clone(), kind));
+    }
+    workers.spawn(feed_server::serve(node.clone(), feed));
+    workers.spawn(feed_client::run(node.clone()));
+    workers.spawn(feed_client::run_seeds(node.clone()));
     workers.spawn(discovery_worker::expire(node.clone()));
-    workers.spawn(record_worker::run(node.clone()));
     workers.spawn(record_worker::announce(node.clone()));
     workers.spawn(lead_worker::run(node.clone()));
     workers.spawn(peer_worker::listen(node.clone(), socket.clone()));
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use geraniummast_settings::{
-    SettingFault, SettingRequest, SettingSpec, SettingTable, address, name, number,
+    SettingFault, SettingRequest, SettingSpec, SettingTable, address, addresses, name, number,
 };
 
 /// Settings as read.
@@ -20,6 +20,10 @@
     pub operator_address: SocketAddr,
     /// Where other instances send heartbeats.
     pub peer_address: SocketAddr,
+    /// Where the store's objects are handed on to other instances.
+    pub feed_address: SocketAddr,
+    /// Feed addresses of instances that are asked while the store has told nothing.
+    pub seed_addresses: Vec<SocketAddr>,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// Time that a graceful stop may take.
@@ -93,6 +97,19 @@
         "Address on which heartbeats of other instances arrive, as they send to it",
         |to, text| address(&mut to.peer_address, text),
     ),
+    SettingSpec::required(
+        "feed-address",
+        ADDRESS,
+        "Address on which the store's objects are handed on to other instances",
+        |to, text| address(&mut to.feed_address, text),
+    ),
+    SettingSpec::optional(
+        "seed-addresses",
+        "",
+        "IP:PORT,IP:PORT,... or nothing",
+        "Feed addresses of instances that are asked while the store has told nothing",
+        |to, text| addresses(&mut to.seed_addresses, text),
+    ),
     SettingSpec::required(
         "store-address",
         ADDRESS,
@@ -190,6 +207,8 @@
             readiness_address: UNSPECIFIED,
             operator_address: UNSPECIFIED,
             peer_address: UNSPECIFIED,
+            feed_address: UNSPECIFIED,
+            seed_addresses: Vec::new(),
             store_address: UNSPECIFIED,
             stop_timeout: Duration::ZERO,
             drain_time: Duration::ZERO,
--- a/crates/gateway/src/instance_record.rs
+++ b/crates/gateway/src/instance_record.rs
@@ -11,6 +11,10 @@
     pub(crate) incarnation: u64,
     /// Where heartbeats reach it.
     pub(crate) address: SocketAddr,
+    /// Where it hands the store's objects on.
+    pub(crate) feed_address: SocketAddr,
+    /// Data centre that it runs in.
+    pub(crate) data_centre: String,
 }
 
 impl InstanceRecord {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,9 @@
 mod configuration_worker;
 mod discovery_worker;
 mod event_log;
+mod feed_client;
+mod feed_server;
+mod feed_wire;
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
@@ -22,7 +25,9 @@
 mod lead_orders;
 mod lead_worker;
 mod metric_names;
+mod news_router;
 mod object_client;
+mod object_mirror;
 mod object_watcher;
 mod operator_page;
 mod own_answer;
@@ -52,6 +57,8 @@
             key_view::KeyView,
             metric_names::*,
             object_client::{CallError, ObjectClient},
+            object_mirror::ObjectMirror,
+            object_watcher::WatchNews,
             peer_table::PeerTable,
             server_pool::ServerPool,
             server_runtime::ServerRuntime,
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -1,9 +1,10 @@
 //! Following the objects of one kind.
 //!
-//! A list, then watches from its revision. A watch that another instance's heartbeat shows to be
-//! behind is broken off and made again, since its connection may have gone silent.
+//! A list, then watches from its revision. An instance that has not the duty to watch learns from
+//! others instead. A watch is made again when another instance knew more: its connection may have
+//! gone silent.
 
-use crate::prelude::*;
+use crate::{news_router, object_mirror::position_of, prelude::*};
 
 /// What a watcher learned.
 pub(crate) enum WatchNews {
@@ -19,59 +20,86 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after calls that failed.
 const MOST_PAUSE: Duration = Duration::from_millis(800);
+/// Time between two looks at the duty.
+const DUTY_LOOK: Duration = Duration::from_millis(300);
 
-/// Follows a kind until the pool stops, handing all news to `apply`.
-pub(crate) async fn follow(
-    node: Arc<GatewayNode>,
-    kind: ObjectKind,
-    apply: impl Fn(&Arc<GatewayNode>, WatchNews),
-) {
+/// What to do after a watch.
+enum NextWatch {
+    /// Go on from what is known.
+    Again,
+    /// The history is gone.
+    List,
+    /// The store did not answer.
+    Pause,
+}
+
+/// Follows a kind until the pool stops.
+pub(crate) async fn follow(node: Arc<GatewayNode>, kind: ObjectKind) {
     let mut pause = LEAST_PAUSE;
-    let mut revision = None;
+    let mut must_list = false;
     loop {
-        let result = match revision {
-            None => node.store.list(kind).await.map(|page| {
-                let next = page.revision;
-                apply(&node, WatchNews::List(page));
-                next
-            }),
-            Some(after) => watch_once(&node, kind, after, &apply).await,
+        let known = node.mirror.lock().unwrap().complete()[position_of(kind)];
+        if known > 0 && !has_duty(&node) {
+            Timer::after(DUTY_LOOK).await;
+            continue;
+        }
+        let next = match known == 0 || must_list {
+            true => list(&node, kind).await,
+            false => watch(&node, kind, known).await,
         };
-        match result {
-            Ok(next) => {
-                revision = Some(next);
+        must_list = match next {
+            NextWatch::Again => {
                 pause = LEAST_PAUSE;
-                continue;
+                false
             }
-            Err(CallError::Compacted) => {
-                log::info!(kind = kind.label(); "history is gone, listing again");
-                revision = None;
-                continue;
+            NextWatch::List => true,
+            NextWatch::Pause => {
+                Timer::after(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
+                pause = (pause * 2).min(MOST_PAUSE);
+                must_list
             }
-            Err(_) => {}
+        };
+    }
+}
+
+fn has_duty(node: &GatewayNode) -> bool {
+    let leads = node.is_leading();
+    node.peers.lock().unwrap().should_watch(leads, node.now())
+}
+
+async fn list(node: &Arc<GatewayNode>, kind: ObjectKind) -> NextWatch {
+    match node.store.list(kind).await {
+        Ok(page) => {
+            news_router::apply(node, kind, WatchNews::List(page));
+            NextWatch::Again
         }
-        Timer::after(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
-        pause = (pause * 2).min(MOST_PAUSE);
+        Err(_) => NextWatch::Pause,
     }
 }
 
-async fn watch_once(
-    node: &Arc<GatewayNode>,
-    kind: ObjectKind,
-    after: u64,
-    apply: &impl Fn(&Arc<GatewayNode>, WatchNews),
-) -> Result<u64, CallError> {
+async fn watch(node: &Arc<GatewayNode>, kind: ObjectKind, after: u64) -> NextWatch {
     let watch = async { Some(node.store.watch(kind, after, WATCH_TIME).await) };
-    let behind = async {
-        node.wait_behind(kind).await;
+    let broken_off = async {
+        future::or(node.rearm.listen(), relieved(node)).await;
         None
     };
-    let Some(changes) = future::or(watch, behind).await else {
-        log::info!(kind = kind.label(), after; "watch is behind other instances, asking again");
-        return Ok(after);
-    };
-    let changes = changes?;
-    let next = changes.revision.max(after);
-    apply(node, WatchNews::Changes(changes));
-    Ok(next)
+    match future::or(watch, broken_off).await {
+        None => NextWatch::Again,
+        Some(Ok(changes)) => {
+            news_router::apply(node, kind, WatchNews::Changes(changes));
+            NextWatch::Again
+        }
+        Some(Err(CallError::Compacted)) => {
+            log::info!(kind = kind.label(), after; "history is gone, listing again");
+            NextWatch::List
+        }
+        Some(Err(_)) => NextWatch::Pause,
+    }
+}
+
+/// Ends when the instance has no longer the duty to watch.
+async fn relieved(node: &GatewayNode) {
+    while has_duty(node) {
+        Timer::after(DUTY_LOOK).await;
+    }
 }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -12,13 +12,27 @@
     me: String,
     began: MonoTime,
     peers: IndexMap<String, PeerState>,
-    seen: [u64; 3],
-    told: [u64; 3],
-    behind_since: [Option<MonoTime>; 3],
+    /// Newest revisions that others told, by kind.
+    told: [Option<ToldRevision>; 3],
+    /// What leaders said about who watches the store.
+    duties: IndexMap<String, WatchOrder>,
     /// Instances that a leader hears, and when it said so.
     leader_count: Option<(u32, MonoTime)>,
 }
 
+/// A revision, who told it first, and when.
+struct ToldRevision {
+    revision: u64,
+    instance: String,
+    at: MonoTime,
+}
+
+/// Which instances a leader wants to watch the store; none when all should.
+struct WatchOrder {
+    watchers: Vec<String>,
+    at: MonoTime,
+}
+
 struct PeerState {
     record: InstanceRecord,
     revision: u64,
@@ -31,8 +45,6 @@
     const LOST_TIME: Duration = Duration::from_millis(2_000);
     /// Time in which heartbeats of all are expected once a leader is suspected.
     const MUSTER_TIME: Duration = Duration::from_millis(600);
-    /// Time for which a watch may lag behind other instances.
-    const LAG_TIME: Duration = Duration::from_millis(450);
 
     /// Starts the table of the instance `me`.
     pub(crate) fn begin(&mut self, me: &str, now: MonoTime) {
@@ -77,55 +89,86 @@
         self.peers.shift_remove(name);
     }
 
-    /// Takes a heartbeat in; true when it shows newer objects than known here.
-    pub(crate) fn heard(&mut self, beat: PeerBeat, now: MonoTime) -> bool {
+    /// Takes a heartbeat in.
+    pub(crate) fn heard(&mut self, beat: PeerBeat, now: MonoTime) {
         for (told, revision) in self.told.iter_mut().zip(beat.revisions) {
-            *told = revision.max(*told);
+            if told.as_ref().is_none_or(|told| told.revision < revision) {
+                *told = Some(ToldRevision {
+                    revision,
+                    instance: beat.instance.clone(),
+                    at: now,
+                });
+            }
         }
-        if beat.leads.iter().any(|lead| lead.leads) {
-            self.leader_count = Some((beat.heard, now));
+        match beat.leads.iter().any(|lead| lead.leads) {
+            true => {
+                self.leader_count = Some((beat.heard, now));
+                let order = WatchOrder {
+                    watchers: beat.watchers.clone(),
+                    at: now,
+                };
+                self.duties.insert(beat.instance.clone(), order);
+            }
+            false => {
+                self.duties.shift_remove(&beat.instance);
+            }
         }
-        let Some(peer) = self.peers.get_mut(&beat.instance) else {
-            return self.is_behind();
-        };
-        if beat.incarnation >= peer.beat.incarnation {
+        if let Some(peer) = self.peers.get_mut(&beat.instance)
+            && beat.incarnation >= peer.beat.incarnation
+        {
             peer.heard_at = Some(now);
             peer.beat = beat;
         }
-        self.is_behind()
     }
 
-    /// Notes the newest revision of a kind that this instance knows.
-    pub(crate) fn saw_revision(&mut self, kind: ObjectKind, revision: u64) {
-        let seen = &mut self.seen[position_of(kind)];
-        *seen = revision.max(*seen);
-    }
-
-    /// Newest revisions known here.
-    pub(crate) fn seen(&self) -> [u64; 3] {
-        self.seen
+    /// Instance that told newer revisions than these, where it hands objects on, and since when.
+    pub(crate) fn newer_source(
+        &self,
+        newest: [u64; 3],
+        now: MonoTime,
+    ) -> Option<(SocketAddr, MonoTime)> {
+        let newer = self.told.iter().zip(newest).filter_map(|(told, newest)| {
+            let told = told.as_ref().filter(|told| told.revision > newest)?;
+            let peer = self.peers.get(&told.instance)?;
+            let is_live = peer.is_heard(now, Self::LOST_TIME);
+            is_live.then_some((peer.record.feed_address, told.at))
+        });
+        newer.min_by_key(|(_, at)| *at)
     }
 
-    /// Whether this instance has lagged on a kind for a while; asks once each while.
-    pub(crate) fn take_behind(&mut self, kind: ObjectKind, now: MonoTime) -> bool {
-        let position = position_of(kind);
-        if self.seen[position] >= self.told[position] {
-            self.behind_since[position] = None;
-            return false;
-        }
-        let since = *self.behind_since[position].get_or_insert(now);
-        let is_due = now.since(since) >= Self::LAG_TIME;
-        if is_due {
-            self.behind_since[position] = Some(now);
-        }
-        is_due
+    /// Whether this instance has the duty to watch the store.
+    pub(crate) fn should_watch(&self, leads: bool, now: MonoTime) -> bool {
+        let orders: Vec<&WatchOrder> = self
+            .duties
+            .values()
+            .filter(|order| now.since(order.at) < WatchDuty::LEADER_SILENCE)
+            .collect();
+        let is_named =
+            |order: &&WatchOrder| order.watchers.is_empty() || order.watchers.contains(&self.me);
+        leads || orders.is_empty() || orders.iter().any(is_named)
     }
 
-    fn is_behind(&self) -> bool {
-        self.seen
-            .iter()
-            .zip(self.told)
-            .any(|(seen, told)| *seen < told)
+    /// Instances that this one, as a leader, wants to watch the store; none when all should.
+    pub(crate) fn choose_watchers(&self, data_centre: &str, now: MonoTime) -> Vec<String> {
+        let live = self
+            .peers
+            .values()
+            .filter(|peer| {
+                peer.is_heard(now, Self::MUSTER_TIME)
+                    && !peer.beat.is_stopping
+                    && !peer.beat.store_lost
+            })
+            .map(|peer| WatchCandidate {
+                name: &peer.record.name,
+                data_centre: &peer.record.data_centre,
+            })
+            .collect();
+        let me = WatchCandidate {
+            name: &self.me,
+            data_centre,
+        };
+        let helpers = WatchDuty::helpers(me, live);
+        helpers.into_iter().map(String::from).collect()
     }
 
     /// Instances that share budgets, this one included.
@@ -237,11 +280,3 @@
         self.beat.leads.iter().find(|lead| lead.service == service)
     }
 }
-
-fn position_of(kind: ObjectKind) -> usize {
-    match kind {
-        ObjectKind::Servers => 0,
-        ObjectKind::Configuration => 1,
-        ObjectKind::Records => 2,
-    }
-}
--- a/crates/gateway/src/peer_wire.rs
+++ b/crates/gateway/src/peer_wire.rs
@@ -15,6 +15,10 @@
     pub(crate) revisions: [u64; 3],
     /// Instances that it hears, itself included.
     pub(crate) heard: u32,
+    /// Whether the store does not answer it.
+    pub(crate) store_lost: bool,
+    /// Of a leader: instances that should watch the store; none when all should.
+    pub(crate) watchers: Vec<String>,
     /// How it stands to each keyed service.
     pub(crate) leads: Vec<LeadBeat>,
     /// Keys of requests since its last heartbeat.
@@ -68,6 +72,10 @@
     samples: Vec<SampleWire>,
     #[prost(message, repeated, tag = "8")]
     paces: Vec<PaceWire>,
+    #[prost(bool, tag = "9")]
+    store_lost: bool,
+    #[prost(string, repeated, tag = "10")]
+    watchers: Vec<String>,
 }
 
 #[derive(prost::Message)]
@@ -127,6 +135,8 @@
             is_stopping: beat.is_stopping,
             revisions: beat.revisions.to_vec(),
             heard: beat.heard,
+            store_lost: beat.store_lost,
+            watchers: beat.watchers,
             leads: beat
                 .leads
                 .into_iter()
@@ -180,6 +190,8 @@
             incarnation: wire.incarnation,
             is_stopping: wire.is_stopping,
             heard: wire.heard,
+            store_lost: wire.store_lost,
+            watchers: wire.watchers,
             leads: wire
                 .leads
                 .into_iter()
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -9,7 +9,9 @@
 };
 use async_net::UdpSocket;
 
-/// Time between heartbeats.
+/// Shortest time between heartbeats, however many changes there are.
+const LEAST_INTERVAL: Duration = Duration::from_millis(15);
+/// Time between heartbeats without a change.
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Largest datagram taken, in bytes.
 const MAX_DATAGRAM: usize = 8_192;
@@ -43,16 +45,20 @@
             view.window.add(&sample.keys, sample.total, now);
         });
     }
-    if node.peers.lock().unwrap().heard(beat, now) {
-        node.behind.notify(usize::MAX);
-    }
+    node.peers.lock().unwrap().heard(beat, now);
+    node.behind.notify(usize::MAX);
 }
 
 /// Sends heartbeats.
 pub(crate) async fn send(node: Arc<GatewayNode>, socket: UdpSocket) {
     let mut turn = 0;
     loop {
-        Timer::after(INTERVAL).await;
+        let due = node.beat_due.listen();
+        Timer::after(LEAST_INTERVAL).await;
+        future::or(due, async {
+            Timer::after(INTERVAL).await;
+        })
+        .await;
         beat(&node, &socket, turn).await;
         turn += 1;
     }
@@ -65,6 +71,8 @@
         instance: node.settings.name.clone(),
         incarnation: node.me.incarnation,
         is_stopping: node.is_stopping(),
+        store_lost: node.store.health.is_lost(),
+        revisions: node.mirror.lock().unwrap().newest(),
         ..PeerBeat::default()
     };
     let mut leaders = Vec::new();
@@ -95,7 +103,9 @@
     beat.paces = paces(node, turn);
     let targets = {
         let peers = node.peers.lock().unwrap();
-        beat.revisions = peers.seen();
+        if beat.leads.iter().any(|lead| lead.leads) && !beat.store_lost {
+            beat.watchers = peers.choose_watchers(&node.settings.data_centre, now);
+        }
         beat.heard = peers.live_count(now);
         targets(node, &peers, &beat, &leaders, now)
     };
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -1,32 +1,26 @@
 //! Following the project's own records: who holds which keys, and which instances there are.
 
-use crate::{
-    object_watcher::{self, WatchNews},
-    prelude::*,
-};
+use crate::prelude::*;
 
 /// Pause before an instance's record is written again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Follows the records.
-pub(crate) async fn run(node: Arc<GatewayNode>) {
-    object_watcher::follow(node, ObjectKind::Records, |node, news| {
-        let events = match news {
-            WatchNews::List(page) => page
-                .objects
-                .into_iter()
-                .map(|object| ObjectEvent {
-                    object,
-                    is_removed: false,
-                })
-                .collect(),
-            WatchNews::Changes(changes) => changes.events,
-        };
-        for event in events {
-            take(node, &event);
-        }
-    })
-    .await;
+/// Takes news of the records in.
+pub(crate) fn apply(node: &GatewayNode, news: WatchNews) {
+    let events = match news {
+        WatchNews::List(page) => page
+            .objects
+            .into_iter()
+            .map(|object| ObjectEvent {
+                object,
+                is_removed: false,
+            })
+            .collect(),
+        WatchNews::Changes(changes) => changes.events,
+    };
+    for event in events {
+        take(node, &event);
+    }
 }
 
 /// Takes one record in.
@@ -53,8 +47,6 @@
             "record cannot be read and is left out"
         );
     }
-    let mut peers = node.peers.lock().unwrap();
-    peers.saw_revision(ObjectKind::Records, object.revision);
 }
 
 fn take_keys(node: &GatewayNode, service: &str, object: &PlatformObject) -> Result<(), BodyFault> {
@@ -113,6 +105,8 @@
         name: node.settings.name.clone(),
         incarnation: node.me.incarnation,
         address: node.settings.peer_address,
+        feed_address: node.settings.feed_address,
+        data_centre: node.settings.data_centre.clone(),
     };
     let name = format!("{}{}", InstanceRecord::PREFIX, record.name);
     let Ok(spec) = RecordBody::write(&record) else {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod server_roster;
 mod service_rule;
 mod split_cursor;
+mod watch_duty;
 
 pub use {
     answer_verdict::{AnswerFacts, AnswerVerdict},
@@ -44,6 +45,7 @@
     server_roster::{RosterChange, ServerRoster},
     service_rule::ServiceRule,
     split_cursor::SplitCursor,
+    watch_duty::{WatchCandidate, WatchDuty},
 };
 
 /// Imports used throughout the crate.
