Let late requests wait behind those that can make their target

Ruled out: overload (capacity is 1.3 times the load), resting servers (none). Change: the queue ranks by whether the target can be made, then priority, then arrival; refusals log what was seen of the servers.

--- a/crates/gateway/src/caller_call.rs
+++ b/crates/gateway/src/caller_call.rs
@@ -49,12 +49,27 @@
 pub(crate) enum CallOutcome {
     /// A server's answer.
     Served(Response<Bytes>),
-    /// It has not run; when to come back.
-    Refused(RefusalReason, Duration),
+    /// It has not run; when to come back, and what was seen of the servers.
+    Refused(RefusalReason, Duration, LoadView),
     /// It may have run and has no answer.
     Failed(FailureReason),
 }
 
+/// What an instance saw of a service's servers when it refused a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LoadView {
+    /// Servers that take new work.
+    pub(crate) servers: usize,
+    /// Those that rest after failures.
+    pub(crate) resting: usize,
+    /// Those with room for another request.
+    pub(crate) with_room: usize,
+    /// Shortest time in which one would be done with the request.
+    pub(crate) least_expected: Duration,
+    /// Requests that waited at this instance.
+    pub(crate) waiting: usize,
+}
+
 /// Why a request was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RefusalReason {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,7 +50,7 @@
     pub(crate) use {
         crate::{
             attempt_result::AttemptResult,
-            caller_call::{CallOutcome, CallerCall, FailureReason, RefusalReason},
+            caller_call::{CallOutcome, CallerCall, FailureReason, LoadView, RefusalReason},
             event_log::EventLog,
             gateway_node::GatewayNode,
             instance_record::InstanceRecord,
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -58,7 +58,7 @@
     if call.progress.may_have_run() {
         return CallOutcome::Failed(FailureReason::NoAnswer);
     }
-    CallOutcome::Refused(reason, pause_of(node, state, reason))
+    refusal(node, call, state, reason)
 }
 
 fn next_step(
@@ -72,7 +72,7 @@
     let refuse = |reason| {
         NextStep::End(match call.progress.may_have_run() {
             true => CallOutcome::Failed(FailureReason::NoAnswer),
-            false => CallOutcome::Refused(reason, pause_of(node, state, reason)),
+            false => refusal(node, call, state, reason),
         })
     };
     match result {
@@ -112,6 +112,30 @@
             .take(now, node.instance_count())
 }
 
+fn refusal(
+    node: &GatewayNode,
+    call: &CallerCall,
+    state: &ServiceState,
+    reason: RefusalReason,
+) -> CallOutcome {
+    let now = node.now();
+    let servers = node.usable_servers(&call.service);
+    let mut view = LoadView {
+        servers: servers.len(),
+        waiting: state.waiting(),
+        least_expected: Duration::MAX,
+        ..LoadView::default()
+    };
+    for server in servers {
+        let load = server.load.lock().unwrap();
+        view.resting += usize::from(load.is_resting(now));
+        view.with_room += usize::from(node.choice.has_room(&load, now));
+        let expected = Duration::from_secs_f64(load.expected(now));
+        view.least_expected = view.least_expected.min(expected);
+    }
+    CallOutcome::Refused(reason, pause_of(node, state, reason), view)
+}
+
 /// When a refused caller should come back.
 fn pause_of(node: &GatewayNode, state: &ServiceState, reason: RefusalReason) -> Duration {
     /// Time in which a range on its way usually arrives.
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -106,7 +106,7 @@
         Timer::after(call.left(node.now())).await;
         match call.progress.may_have_run() {
             true => CallOutcome::Failed(FailureReason::TimedOut),
-            false => CallOutcome::Refused(RefusalReason::NoRoom, START_PAUSE),
+            false => CallOutcome::Refused(RefusalReason::NoRoom, START_PAUSE, LoadView::default()),
         }
     };
     future::or(request_dispatch::run(node, call), late).await
@@ -126,8 +126,9 @@
             hop_headers::strip(response.headers_mut());
             (label, response)
         }
-        CallOutcome::Refused(reason, pause) => {
+        CallOutcome::Refused(reason, pause, view) => {
             metrics::counter!(REFUSALS, "reason" => reason.label()).increment(1);
+            log_load(node, call, reason, view);
             log_refusal(
                 node,
                 &call.facts,
@@ -191,6 +192,26 @@
     }
 }
 
+fn log_load(node: &GatewayNode, call: &CallerCall, reason: RefusalReason, view: LoadView) {
+    let now = node.now();
+    if node.log.admit("load", now) {
+        log::info!(
+            id = call.facts.id_text(),
+            service = call.service.as_str(),
+            reason = reason.label(),
+            servers = view.servers,
+            resting = view.resting,
+            with_room = view.with_room,
+            waiting = view.waiting,
+            least_expected_ms = view.least_expected.as_millis().min(100_000) as u64,
+            target_left_ms = call.target_left(now).as_millis() as u64,
+            left_ms = call.left(now).as_millis() as u64,
+            sends = call.progress.sends.load(Ordering::Relaxed);
+            "load at a refusal"
+        );
+    }
+}
+
 fn log_failure(node: &GatewayNode, call: &CallerCall, reason: FailureReason, took: Duration) {
     if node.log.admit("failure", node.now()) {
         log::info!(
--- a/crates/gateway/src/server_finder.rs
+++ b/crates/gateway/src/server_finder.rs
@@ -1,6 +1,6 @@
 //! Finding a server for a request, waiting a moment if none has room.
 
-use crate::{prelude::*, service_state::QueueTicket};
+use crate::prelude::*;
 
 /// A server that was found, counted as in use until dropped.
 pub(crate) struct FoundServer {
@@ -61,6 +61,7 @@
         let freed = state.freed.listen();
         let keys_changed = node.keys_changed.listen();
         let now = node.now();
+        let rank = rank_of(node, call, now);
         let reason = match look(node, call, state, tried, seat.ticket, began, now) {
             LookStep::Found(found) => return Ok(found),
             LookStep::Refuse(reason) => return Err(reason),
@@ -72,10 +73,10 @@
         };
         let limit = call.route.target.mul_f64(share).min(call.left(began));
         let waited = now.since(began);
-        if waited >= limit || is_queue_hopeless(call, state, seat.ticket, limit, now) {
+        if waited >= limit || is_queue_hopeless(state, rank, seat.ticket, limit, now) {
             return Err(reason);
         }
-        seat.take(call.route.priority);
+        seat.take(rank);
         let pause = LOOK_AGAIN.min(limit.saturating_sub(waited));
         let changed = future::or(freed, keys_changed);
         future::or(changed, async {
@@ -85,10 +86,24 @@
     }
 }
 
+/// Rank of a request among those that wait.
+fn rank_of(node: &GatewayNode, call: &CallerCall, now: MonoTime) -> QueueRank {
+    let target_left = call.target_left(now).as_secs_f64();
+    let least = node
+        .usable_servers(&call.service)
+        .iter()
+        .map(|server| server.load.lock().unwrap().expected(now))
+        .fold(f64::INFINITY, f64::min);
+    QueueRank {
+        is_late: least > target_left,
+        priority: call.route.priority,
+    }
+}
+
 /// Whether a request that has not joined the queue yet would wait beyond its limit.
 fn is_queue_hopeless(
-    call: &CallerCall,
     state: &ServiceState,
+    rank: QueueRank,
     ticket: Option<QueueTicket>,
     limit: Duration,
     now: MonoTime,
@@ -96,7 +111,7 @@
     if ticket.is_some() {
         return false;
     }
-    let ahead = state.ahead(call.route.priority) as f64;
+    let ahead = state.queue(|queue| queue.ahead(rank)) as f64;
     let rate = state.drain.lock().unwrap().rate(now);
     ahead >= 1.0 && ahead / rate.max(1.0) > limit.as_secs_f64()
 }
@@ -132,7 +147,8 @@
     if servers.is_empty() {
         return LookStep::Refuse(RefusalReason::NoServer);
     }
-    if !state.is_next(ticket, call.route.priority) {
+    let rank = rank_of(node, call, now);
+    if !state.queue(|queue| queue.is_next(ticket, rank)) {
         return LookStep::Wait(RefusalReason::NoRoom);
     }
     let step = {
@@ -241,10 +257,11 @@
         }
     }
 
-    fn take(&mut self, priority: u32) {
-        if self.ticket.is_none() {
-            self.ticket = Some(self.state.join(priority));
-        }
+    fn take(&mut self, rank: QueueRank) {
+        self.ticket = Some(match self.ticket {
+            None => self.state.queue(|queue| queue.join(rank)),
+            Some(ticket) => self.state.queue(|queue| queue.rerank(ticket, rank)),
+        });
     }
 }
 
--- a/crates/gateway/src/service_state.rs
+++ b/crates/gateway/src/service_state.rs
@@ -14,20 +14,6 @@
     pace: Mutex<f64>,
 }
 
-/// Requests that wait, by rank and arrival.
-#[derive(Debug, Default)]
-struct WaitingQueue {
-    next: u64,
-    waiting: Vec<QueueTicket>,
-}
-
-/// Place of one waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct QueueTicket {
-    priority: u32,
-    number: u64,
-}
-
 impl ServiceState {
     /// Service time assumed before any was measured, in seconds.
     const FIRST_PACE: f64 = 0.1;
@@ -60,50 +46,19 @@
         *self.pace.lock().unwrap()
     }
 
-    /// Joins the queue.
-    pub(crate) fn join(&self, priority: u32) -> QueueTicket {
-        let mut queue = self.queue.lock().unwrap();
-        queue.next += 1;
-        let ticket = QueueTicket {
-            priority,
-            number: queue.next,
-        };
-        queue.waiting.push(ticket);
-        ticket
+    /// Works on the queue of requests that wait.
+    pub(crate) fn queue<T>(&self, work: impl FnOnce(&mut WaitingQueue) -> T) -> T {
+        work(&mut self.queue.lock().unwrap())
     }
 
-    /// Leaves the queue.
+    /// Leaves the queue, and tells those behind.
     pub(crate) fn leave(&self, ticket: QueueTicket) {
-        let mut queue = self.queue.lock().unwrap();
-        queue.waiting.retain(|waiting| *waiting != ticket);
-        drop(queue);
+        self.queue(|queue| queue.leave(ticket));
         self.freed.notify(usize::MAX);
     }
 
-    /// Whether nobody of the same or a higher rank waits before this request.
-    pub(crate) fn is_next(&self, ticket: Option<QueueTicket>, priority: u32) -> bool {
-        let queue = self.queue.lock().unwrap();
-        match ticket {
-            Some(ticket) => queue.waiting.iter().all(|waiting| *waiting >= ticket),
-            None => queue
-                .waiting
-                .iter()
-                .all(|waiting| waiting.priority > priority),
-        }
-    }
-
-    /// Requests that wait before one of this rank.
-    pub(crate) fn ahead(&self, priority: u32) -> usize {
-        let queue = self.queue.lock().unwrap();
-        queue
-            .waiting
-            .iter()
-            .filter(|waiting| waiting.priority <= priority)
-            .count()
-    }
-
     /// Requests that wait.
     pub(crate) fn waiting(&self) -> usize {
-        self.queue.lock().unwrap().waiting.len()
+        self.queue(|queue| queue.len())
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod server_roster;
 mod service_rule;
 mod split_cursor;
+mod waiting_queue;
 mod watch_duty;
 
 pub use {
@@ -45,6 +46,7 @@
     server_roster::{RosterChange, ServerRoster},
     service_rule::ServiceRule,
     split_cursor::SplitCursor,
+    waiting_queue::{QueueRank, QueueTicket, WaitingQueue},
     watch_duty::{WatchCandidate, WatchDuty},
 };
 
