Let requests past their target wait longer for room

Ruled out: sending them into full servers (it delays those in time). Change: a late request waits up to 0.35 of the time left.

--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -176,7 +176,7 @@
 
 impl GatewaySettings {
     /// Part of a stop's time that is left for closing sockets.
-    const STOP_MARGIN: Duration = Duration::from_millis(250);
+    const STOP_MARGIN: Duration = Duration::from_millis(400);
     /// Share of a stop's time in which all requests are taken (rule on shutdown: what is sent in
     /// the first half may still be at work in the last sixth).
     const CLOSE_SHARE: f64 = 0.48;
--- a/crates/gateway/src/server_finder.rs
+++ b/crates/gateway/src/server_finder.rs
@@ -43,6 +43,9 @@
 const WAIT_SHARE: f64 = 0.3;
 /// The same while the key's range moves, which takes as long as the work that runs on it.
 const MOVE_WAIT_SHARE: f64 = 0.9;
+/// Share of the time left that a request may wait whose target cannot be made any more: sending
+/// its caller away again would cost it the last of its tries.
+const LATE_WAIT_SHARE: f64 = 0.35;
 /// Time after which a waiting request looks again without being told to.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
 /// Time for which a record that proved wrong is waited out, if no newer one comes.
@@ -67,11 +70,7 @@
             LookStep::Refuse(reason) => return Err(reason),
             LookStep::Wait(reason) => reason,
         };
-        let share = match reason {
-            RefusalReason::NoOwner => MOVE_WAIT_SHARE,
-            _ => WAIT_SHARE,
-        };
-        let limit = call.route.target.mul_f64(share).min(call.left(began));
+        let limit = wait_limit(call, reason, rank, began);
         let waited = now.since(began);
         if waited >= limit || is_queue_hopeless(state, rank, seat.ticket, limit, now) {
             return Err(reason);
@@ -100,6 +99,22 @@
     }
 }
 
+/// Longest time that a request may wait here for room.
+fn wait_limit(
+    call: &CallerCall,
+    reason: RefusalReason,
+    rank: QueueRank,
+    began: MonoTime,
+) -> Duration {
+    let left = call.left(began);
+    let limit = match (reason, rank.is_late) {
+        (RefusalReason::NoOwner, _) => call.route.target.mul_f64(MOVE_WAIT_SHARE),
+        (_, true) => left.mul_f64(LATE_WAIT_SHARE),
+        (_, false) => call.route.target.mul_f64(WAIT_SHARE),
+    };
+    limit.min(left)
+}
+
 /// Whether a request that has not joined the queue yet would wait beyond its limit.
 fn is_queue_hopeless(
     state: &ServiceState,
