Tell changes of key records as deltas in heartbeats

A leader that was never heard counted as silent since the start of the process and was replaced at once (log: silence_ms=10966). Ruled out: late renewals (none was sent for the range). Change: deltas and grants ride on heartbeats; settles are written with the next plan; the hold of a holder follows the fence that it was granted under; silence counts from when the record names the leader.

--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -272,11 +272,13 @@
         self.keys.lock().unwrap().keys().cloned().collect()
     }
 
-    /// Range of a key, and the revision of the record that says so.
-    pub(crate) fn key_range(&self, service: &str, key: u16) -> Option<(KeyRange, u64)> {
+    /// Range of a key, the revision of the record that says so, and whether its owner serves it.
+    pub(crate) fn key_range(&self, service: &str, key: u16) -> Option<(KeyRange, u64, bool)> {
         let keys = self.keys.lock().unwrap();
-        let (record, revision) = keys.get(service)?.lead.record()?;
-        Some((record.range_of(key)?.clone(), revision))
+        let view = keys.get(service)?;
+        let (record, revision) = view.lead.record()?;
+        let range = record.range_of(key)?;
+        Some((range.clone(), revision, view.is_served(range)))
     }
 
     /// Revision of a service's key record.
--- a/crates/gateway/src/lead_orders.rs
+++ b/crates/gateway/src/lead_orders.rs
@@ -68,7 +68,14 @@
             };
             let taken = matches!(result, OrderResult::Answered(OrderAnswer::Taken(_)));
             let now = node.now();
-            node.with_keys(&service, |view| view.lead.granted(&range, taken, now));
+            node.with_keys(&service, |view| {
+                view.lead.granted(&range, taken, now);
+                if taken {
+                    view.granted.insert((range.first, range.fence), now);
+                }
+            });
+            node.keys_changed.notify(usize::MAX);
+            node.beat_due.notify(usize::MAX);
         }
     }
     node.lead_due.notify(usize::MAX);
--- a/crates/gateway/src/lead_worker.rs
+++ b/crates/gateway/src/lead_worker.rs
@@ -1,6 +1,6 @@
 //! Leading the keys of the services: who orders, what is ordered, what is planned.
 
-use crate::{lead_orders, prelude::*, record_worker};
+use crate::{key_view::ToldDelta, lead_orders, prelude::*, record_worker};
 
 /// Longest time between two looks.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -71,7 +71,6 @@
             note_ends(node, service);
             confirm(node, service, memory).await;
             order(node, service);
-            settle(node, service).await;
             plan(node, service, memory).await;
         }
     }
@@ -96,6 +95,7 @@
             .record()
             .map(|(record, revision)| (record.clone(), revision))
     });
+    let led_since = node.with_keys(service, |view| view.led_since);
     let mark = match &held {
         Some((record, _)) => record.leader.clone(),
         None => LeaderMark {
@@ -107,7 +107,7 @@
         .peers
         .lock()
         .unwrap()
-        .leader_view(service, &mark, &node.me, now);
+        .leader_view(service, &mark, led_since, &node.me, now);
     if view.step() == TakeoverStep::Follow {
         return;
     }
@@ -256,18 +256,7 @@
     }
 }
 
-/// Writes down which moves have ended.
-async fn settle(node: &Arc<GatewayNode>, service: &str) {
-    let settled = node.with_keys(service, |view| {
-        let revision = view.lead.record().map(|(_, revision)| revision);
-        view.lead.settled().zip(revision)
-    });
-    if let Some((record, revision)) = settled {
-        write(node, service, &record, Some(revision), "settle").await;
-    }
-}
-
-/// Plans moves and writes them down.
+/// Writes down which moves have ended and which are due.
 async fn plan(node: &Arc<GatewayNode>, service: &str, memory: &mut LeadMemory) {
     let now = node.now();
     if now.since(memory.planned_at) < PLAN_EVERY || node.store.health.is_lost() {
@@ -290,15 +279,31 @@
         if record.ranges.is_empty() && is_early {
             return None;
         }
+        let mut delta = view.lead.settled().unwrap_or_default();
+        let settled = delta.apply(record);
         let is_free = |mark: &ServerMark, fence| view.lead.is_free(mark, fence, now);
-        let mut next = KeyPlanner::default().plan(record, &servers, &weights, is_free)?;
-        if now >= view.lead.inherited_until() {
-            next.former.clear();
+        let plan = KeyPlanner::default().plan(&settled, &servers, &weights, is_free);
+        delta.forgets_former = !record.former.is_empty() && now >= view.lead.inherited_until();
+        match plan {
+            Some(KeyPlan::Deal(dealt)) => return Some((dealt, revision, None)),
+            Some(KeyPlan::Change(moves)) => delta.moves = moves.moves,
+            None => {}
         }
-        Some((next, revision))
+        (!delta.is_empty()).then(|| (delta.apply(record), revision, Some(delta)))
     });
-    if let Some((record, revision)) = planned {
-        write(node, service, &record, Some(revision), "plan").await;
+    let Some((record, revision, delta)) = planned else {
+        return;
+    };
+    let written = write(node, service, &record, Some(revision), "plan").await;
+    if let (Some(revision_after), Some(delta)) = (written, delta) {
+        let told = ToldDelta {
+            base: revision,
+            revision: revision_after,
+            delta,
+            at: node.now(),
+        };
+        node.with_keys(service, |view| view.told_deltas.push(told));
+        node.beat_due.notify(usize::MAX);
     }
 }
 
@@ -330,21 +335,22 @@
         .collect()
 }
 
-/// Writes a record at a revision, or creates it, and takes in what the store then holds.
+/// Writes a record at a revision, or creates it, and takes in what the store then holds; gives the
+/// revision that was written.
 async fn write(
     node: &Arc<GatewayNode>,
     service: &str,
     record: &KeyRecord,
     revision: Option<u64>,
     reason: &'static str,
-) {
+) -> Option<u64> {
     let asked_at = node.now();
     let name = format!("{}{service}", KeyView::PREFIX);
     let spec = match RecordBody::write(&RecordWire::from(record)) {
         Ok(spec) => spec,
         Err(fault) => {
             log::error!(service, cause = fault.to_string().as_str(); "key record not written");
-            return;
+            return None;
         }
     };
     let request = match revision {
@@ -388,4 +394,8 @@
     ) {
         refresh(node, service).await;
     }
+    match result {
+        Ok(WriteAnswer::Written(object)) => Some(object.revision),
+        _ => None,
+    }
 }
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -144,6 +144,13 @@
         })
     }
 
+    /// Takes one object in that another instance told; what else changed is not known by it.
+    pub(crate) fn put(&mut self, kind: ObjectKind, object: PlatformObject) {
+        let mirror = &mut self.kinds[position_of(kind)];
+        mirror.newest = mirror.newest.max(object.revision);
+        mirror.objects.insert(object.name.clone(), object);
+    }
+
     /// Notes that another instance's last change is known.
     pub(crate) fn saw_newest(&mut self, kind: ObjectKind, newest: u64) {
         let mirror = &mut self.kinds[position_of(kind)];
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -210,6 +210,7 @@
         &self,
         service: &str,
         leader: &LeaderMark,
+        led_since: MonoTime,
         me: &LeaderMark,
         now: MonoTime,
     ) -> LeaderView {
@@ -217,7 +218,8 @@
         let current = peer.filter(|peer| peer.beat.incarnation == leader.incarnation);
         let lead = current.and_then(|peer| peer.lead_of(service));
         let heard_at = current.and_then(|peer| peer.heard_at);
-        let silence = now.since(heard_at.unwrap_or(self.began).max(self.began));
+        let listened_since = led_since.max(self.began);
+        let silence = now.since(heard_at.unwrap_or_default().max(listened_since));
         LeaderView {
             is_former_self: leader.instance == me.instance,
             // A new life of the leader's process does not lead; the old one cannot.
--- a/crates/gateway/src/peer_wire.rs
+++ b/crates/gateway/src/peer_wire.rs
@@ -21,6 +21,10 @@
     pub(crate) watchers: Vec<String>,
     /// How it stands to each keyed service.
     pub(crate) leads: Vec<LeadBeat>,
+    /// Of a leader: changes of key records that it has just written.
+    pub(crate) deltas: Vec<DeltaBeat>,
+    /// Of a leader: ranges on their way that their owners hold already.
+    pub(crate) granted: Vec<GrantedBeat>,
     /// Keys of requests since its last heartbeat.
     pub(crate) samples: Vec<SampleBeat>,
     /// How fast it found servers.
@@ -37,6 +41,25 @@
     pub(crate) confirmed_age: Duration,
 }
 
+/// A change of a key record.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct DeltaBeat {
+    pub(crate) service: String,
+    /// Revision of the record before it.
+    pub(crate) base: u64,
+    /// Revision of the record after it.
+    pub(crate) revision: u64,
+    pub(crate) delta: RecordDelta,
+}
+
+/// A range on its way that its owner holds.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct GrantedBeat {
+    pub(crate) service: String,
+    pub(crate) first: u16,
+    pub(crate) fence: u64,
+}
+
 /// Keys of recent requests.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct SampleBeat {
@@ -76,6 +99,58 @@
     store_lost: bool,
     #[prost(string, repeated, tag = "10")]
     watchers: Vec<String>,
+    #[prost(message, repeated, tag = "11")]
+    deltas: Vec<DeltaWire>,
+    #[prost(message, repeated, tag = "12")]
+    granted: Vec<GrantedWire>,
+}
+
+#[derive(prost::Message)]
+struct DeltaWire {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(uint64, tag = "2")]
+    base: u64,
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+    #[prost(message, repeated, tag = "4")]
+    moves: Vec<MoveWire>,
+    #[prost(message, repeated, tag = "5")]
+    settles: Vec<SettleWire>,
+    #[prost(bool, tag = "6")]
+    forgets_former: bool,
+}
+
+#[derive(prost::Message)]
+struct MoveWire {
+    #[prost(uint32, tag = "1")]
+    first: u32,
+    #[prost(uint32, tag = "2")]
+    last: u32,
+    #[prost(string, tag = "3")]
+    owner: String,
+    #[prost(uint64, tag = "4")]
+    born: u64,
+    #[prost(bool, tag = "5")]
+    released: bool,
+}
+
+#[derive(prost::Message)]
+struct SettleWire {
+    #[prost(uint32, tag = "1")]
+    first: u32,
+    #[prost(uint64, tag = "2")]
+    fence: u64,
+}
+
+#[derive(prost::Message)]
+struct GrantedWire {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(uint32, tag = "2")]
+    first: u32,
+    #[prost(uint64, tag = "3")]
+    fence: u64,
 }
 
 #[derive(prost::Message)]
@@ -137,6 +212,16 @@
             heard: beat.heard,
             store_lost: beat.store_lost,
             watchers: beat.watchers,
+            deltas: beat.deltas.into_iter().map(DeltaWire::from).collect(),
+            granted: beat
+                .granted
+                .into_iter()
+                .map(|granted| GrantedWire {
+                    service: granted.service,
+                    first: u32::from(granted.first),
+                    fence: granted.fence,
+                })
+                .collect(),
             leads: beat
                 .leads
                 .into_iter()
@@ -184,6 +269,18 @@
                 total: sample.total,
             });
         }
+        let mut deltas = Vec::with_capacity(wire.deltas.len());
+        for delta in wire.deltas {
+            deltas.push(DeltaBeat::try_from(delta)?);
+        }
+        let mut granted = Vec::with_capacity(wire.granted.len());
+        for range in wire.granted {
+            granted.push(GrantedBeat {
+                service: range.service,
+                first: u16::try_from(range.first)?,
+                fence: range.fence,
+            });
+        }
         Ok(Self {
             revisions: [revision(0), revision(1), revision(2)],
             instance: wire.instance,
@@ -192,6 +289,8 @@
             heard: wire.heard,
             store_lost: wire.store_lost,
             watchers: wire.watchers,
+            deltas,
+            granted,
             leads: wire
                 .leads
                 .into_iter()
@@ -218,3 +317,64 @@
         })
     }
 }
+
+impl From<DeltaBeat> for DeltaWire {
+    fn from(beat: DeltaBeat) -> Self {
+        let moves = beat.delta.moves.into_iter().map(|step| MoveWire {
+            first: u32::from(step.first),
+            last: u32::from(step.last),
+            owner: step.owner.id,
+            born: step.owner.born,
+            released: step.released,
+        });
+        let settles = beat
+            .delta
+            .settles
+            .into_iter()
+            .map(|(first, fence)| SettleWire {
+                first: u32::from(first),
+                fence,
+            });
+        Self {
+            service: beat.service,
+            base: beat.base,
+            revision: beat.revision,
+            moves: moves.collect(),
+            settles: settles.collect(),
+            forgets_former: beat.delta.forgets_former,
+        }
+    }
+}
+
+impl TryFrom<DeltaWire> for DeltaBeat {
+    type Error = std::num::TryFromIntError;
+
+    fn try_from(wire: DeltaWire) -> Result<Self, Self::Error> {
+        let mut delta = RecordDelta {
+            forgets_former: wire.forgets_former,
+            ..RecordDelta::default()
+        };
+        for step in wire.moves {
+            delta.moves.push(RangeMove {
+                first: u16::try_from(step.first)?,
+                last: u16::try_from(step.last)?,
+                owner: ServerMark {
+                    id: step.owner,
+                    born: step.born,
+                },
+                released: step.released,
+            });
+        }
+        for settle in wire.settles {
+            delta
+                .settles
+                .push((u16::try_from(settle.first)?, settle.fence));
+        }
+        Ok(Self {
+            service: wire.service,
+            base: wire.base,
+            revision: wire.revision,
+            delta,
+        })
+    }
+}
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -4,8 +4,9 @@
 //! heard. So the messages grow with the instances and not with their square.
 
 use crate::{
-    peer_wire::{LeadBeat, PaceBeat, PeerBeat, SampleBeat},
+    peer_wire::{DeltaBeat, GrantedBeat, LeadBeat, PaceBeat, PeerBeat, SampleBeat},
     prelude::*,
+    record_worker,
 };
 use async_net::UdpSocket;
 
@@ -19,6 +20,8 @@
 const MAX_DATAGRAM: usize = 8_192;
 /// Service times in one heartbeat, which has to fit one datagram.
 const MAX_PACES: usize = 24;
+/// Ranges told of one service, so that a heartbeat fits one datagram; more are asked for.
+const MAX_TOLD_RANGES: usize = 60;
 /// Least samples of a service time that is told.
 const LEAST_SAMPLES: u32 = 3;
 
@@ -47,10 +50,46 @@
             view.window.add(&sample.keys, sample.total, now);
         });
     }
+    for delta in std::mem::take(&mut beat.deltas) {
+        take_delta(node, delta);
+    }
+    for granted in std::mem::take(&mut beat.granted) {
+        let key = (granted.first, granted.fence);
+        let is_new = node.with_keys(&granted.service, |view| {
+            view.granted.insert(key, now).is_none()
+        });
+        if is_new {
+            node.keys_changed.notify(usize::MAX);
+        }
+    }
     node.peers.lock().unwrap().heard(beat, now);
     node.behind.notify(usize::MAX);
 }
 
+/// Changes the key record that stands before a change.
+fn take_delta(node: &GatewayNode, beat: DeltaBeat) {
+    let next = node.with_keys(&beat.service, |view| {
+        let (record, revision) = view.lead.record()?;
+        (revision == beat.base).then(|| beat.delta.apply(record))
+    });
+    let Some(next) = next else { return };
+    let spec = match RecordBody::write(&RecordWire::from(&next)) {
+        Ok(spec) => spec,
+        Err(fault) => {
+            log::error!(service = beat.service.as_str(), cause = fault.to_string().as_str(); "key record not kept");
+            return;
+        }
+    };
+    let object = PlatformObject {
+        name: format!("{}{}", KeyView::PREFIX, beat.service),
+        revision: beat.revision,
+        spec,
+        status: serde_json::Value::Null,
+    };
+    node.mirror.lock().unwrap().put(ObjectKind::Records, object);
+    record_worker::adopt(node, &beat.service, next, beat.revision);
+}
+
 /// Sends heartbeats.
 pub(crate) async fn send(node: Arc<GatewayNode>, socket: UdpSocket) {
     let mut turn = 0;
@@ -92,11 +131,14 @@
                 leads,
                 confirmed_age: view.lead.confirmed_age(now).min(Duration::from_secs(3_600)),
             });
+            view.forget_told(now);
             if leads {
                 view.window.add(&keys, total, now);
+                tell_changes(&mut beat, &service, view);
                 return;
             }
-            leaders.push(view.lead.record().map(|(record, _)| record.leader.clone()));
+            let leader = view.lead.record().map(|(record, _)| record.leader.clone());
+            leaders.push(leader.map(|leader| (leader, view.led_since)));
             if total > 0 {
                 beat.samples.push(SampleBeat {
                     service: service.clone(),
@@ -122,17 +164,42 @@
     }
 }
 
+/// Adds what a leader has changed lately.
+fn tell_changes(beat: &mut PeerBeat, service: &str, view: &KeyView) {
+    let fitting = view
+        .told_deltas
+        .iter()
+        .filter(|told| told.delta.moves.len() + told.delta.settles.len() <= MAX_TOLD_RANGES);
+    let deltas = fitting.map(|told| DeltaBeat {
+        service: service.into(),
+        base: told.base,
+        revision: told.revision,
+        delta: told.delta.clone(),
+    });
+    beat.deltas.extend(deltas);
+    let granted = view
+        .granted
+        .keys()
+        .take(MAX_TOLD_RANGES)
+        .map(|(first, fence)| GrantedBeat {
+            service: service.into(),
+            first: *first,
+            fence: *fence,
+        });
+    beat.granted.extend(granted);
+}
+
 fn targets(
     node: &GatewayNode,
     peers: &PeerTable,
     beat: &PeerBeat,
-    leaders: &[Option<LeaderMark>],
+    leaders: &[Option<(LeaderMark, MonoTime)>],
     now: MonoTime,
 ) -> Vec<SocketAddr> {
     let leads = beat.leads.iter().any(|lead| lead.leads);
-    let is_leader_heard = |(lead, leader): (&LeadBeat, &Option<LeaderMark>)| {
-        leader.as_ref().is_some_and(|leader| {
-            let view = peers.leader_view(&lead.service, leader, &node.me, now);
+    let is_leader_heard = |(lead, leader): (&LeadBeat, &Option<(LeaderMark, MonoTime)>)| {
+        leader.as_ref().is_some_and(|(leader, since)| {
+            let view = peers.leader_view(&lead.service, leader, *since, &node.me, now);
             view.silence < LeaderView::SUSPICION
         })
     };
@@ -144,7 +211,7 @@
     leaders
         .iter()
         .flatten()
-        .filter_map(|leader| peers.address_of(&leader.instance))
+        .filter_map(|(leader, _)| peers.address_of(&leader.instance))
         .collect()
 }
 
--- a/crates/gateway/src/server_finder.rs
+++ b/crates/gateway/src/server_finder.rs
@@ -201,10 +201,10 @@
     let Some(key) = call.facts.key else {
         return LookStep::Refuse(RefusalReason::NoKey);
     };
-    let Some((range, revision)) = node.key_range(&call.service, key) else {
+    let Some((range, revision, is_served)) = node.key_range(&call.service, key) else {
         return LookStep::Wait(RefusalReason::NoOwner);
     };
-    if !range.is_settled() {
+    if !is_served {
         return LookStep::Wait(RefusalReason::NoOwner);
     }
     let is_wrong = tried.wrong_revision.is_some_and(|wrong| revision <= wrong);
--- a/crates/routing/src/key_lead.rs
+++ b/crates/routing/src/key_lead.rs
@@ -326,17 +326,24 @@
         }
     }
 
-    /// Record with the moves settled that have ended, none when there are none.
-    pub fn settled(&self) -> Option<KeyRecord> {
+    /// Moves that have ended and are not written down, none when there are none.
+    pub fn settled(&self) -> Option<RecordDelta> {
         let held = self.held.as_ref()?;
-        let mut record = held.record.clone();
-        let mut changed = false;
-        for ((first, fence), work) in &self.works {
-            if work.stage == MoveStage::Granted {
-                changed |= record.settle(*first, *fence);
-            }
-        }
-        changed.then_some(record)
+        let settles: Vec<(u16, u64)> = held
+            .record
+            .ranges
+            .iter()
+            .filter(|range| !range.is_settled())
+            .map(|range| (range.first, range.fence))
+            .filter(|key| {
+                let work = self.works.get(key);
+                work.is_some_and(|work| work.stage == MoveStage::Granted)
+            })
+            .collect();
+        (!settles.is_empty()).then(|| RecordDelta {
+            settles,
+            ..RecordDelta::default()
+        })
     }
 
     /// Whether the owner holds the range, as far as this leader knows.
@@ -362,6 +369,21 @@
         self.renewed.clear();
     }
 
+    /// When a holder can hold nothing of a range any more that was `old` in the record before.
+    fn free_at(&self, holder: &ServerMark, old: Option<&KeyRange>, now: MonoTime) -> MonoTime {
+        let unknown = now.after(self.book.longest());
+        let own = match old {
+            None => unknown,
+            // Whoever owned it, settled or just granted, holds it by the grants under its fence.
+            Some(old) if old.owner == *holder => self.book.until(old.fence),
+            Some(old) => self
+                .works
+                .get(&(old.first, old.fence))
+                .map_or(unknown, |work| work.free_at),
+        };
+        own.max(self.book.inherited())
+    }
+
     /// Keeps the work of each range on its way and starts that of new ones.
     fn take_works(&mut self, before: Option<&KeyRecord>, now: MonoTime) {
         let Some(held) = &self.held else { return };
@@ -376,18 +398,9 @@
                 continue;
             }
             let old = before.and_then(|record| record.range_of(range.first));
-            let free_at = match (previous, old) {
-                (None, _) => now,
-                (Some(holder), _) if self.dead.contains_key(holder) => now,
-                (Some(holder), Some(old)) if old.is_settled() && old.owner == *holder => {
-                    self.book.until(old.fence).max(self.book.inherited())
-                }
-                (Some(_), Some(old)) => self
-                    .works
-                    .get(&(old.first, old.fence))
-                    .map_or(now.after(self.book.longest()), |work| work.free_at)
-                    .max(self.book.inherited()),
-                (Some(_), None) => now.after(self.book.longest()).max(self.book.inherited()),
+            let free_at = match previous {
+                Some(holder) if !self.dead.contains_key(holder) => self.free_at(holder, old, now),
+                _ => now,
             };
             let stage = match previous {
                 Some(_) => MoveStage::ToRelease { not_before: now },
--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -30,6 +30,43 @@
     pub capacity: f64,
 }
 
+/// What a planner wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyPlan {
+    /// All keys dealt out for the first time.
+    Deal(KeyRecord),
+    /// Some keys moved.
+    Change(RecordDelta),
+}
+
+impl KeyPlan {
+    /// Record after the plan.
+    pub fn apply(&self, record: &KeyRecord) -> KeyRecord {
+        match self {
+            Self::Deal(dealt) => dealt.clone(),
+            Self::Change(delta) => delta.apply(record),
+        }
+    }
+}
+
+/// A record with the moves that have been planned so far.
+struct PlanDraft {
+    record: KeyRecord,
+    moves: Vec<RangeMove>,
+}
+
+impl PlanDraft {
+    fn assign(&mut self, first: u16, last: u16, owner: &ServerMark, released: bool) {
+        self.record.assign(first, last, owner, released);
+        self.moves.push(RangeMove {
+            first,
+            last,
+            owner: owner.clone(),
+            released,
+        });
+    }
+}
+
 impl Default for KeyPlanner {
     fn default() -> Self {
         Self {
@@ -43,7 +80,7 @@
 }
 
 impl KeyPlanner {
-    /// Record after the moves that are due, none when nothing is.
+    /// What is due, none when nothing is.
     ///
     /// `servers` may own keys; `is_free` tells whether a server can hold nothing any more under a
     /// fence; `weights` are the requests of the window by key.
@@ -53,37 +90,46 @@
         servers: &[PlannedServer],
         weights: &[(u16, f64)],
         is_free: impl Fn(&ServerMark, u64) -> bool,
-    ) -> Option<KeyRecord> {
+    ) -> Option<KeyPlan> {
         if servers.is_empty() {
             return None;
         }
-        let mut planned = record.clone();
-        if planned.ranges.is_empty() {
+        if record.ranges.is_empty() {
+            let mut dealt = record.clone();
             let shares: Vec<(ServerMark, f64)> = servers
                 .iter()
                 .map(|server| (server.mark.clone(), server.capacity))
                 .collect();
-            planned.deal(&shares);
-            return Some(planned);
+            dealt.deal(&shares);
+            return Some(KeyPlan::Deal(dealt));
         }
-        let mut loads = LoadSums::new(&planned, servers, weights);
-        self.evacuate(&mut planned, servers, &mut loads, weights, is_free);
-        if planned.ranges.len() < self.max_ranges {
-            self.level(&mut planned, servers, &mut loads, weights);
+        let mut draft = PlanDraft {
+            record: record.clone(),
+            moves: Vec::new(),
+        };
+        let mut loads = LoadSums::new(record, servers, weights);
+        self.evacuate(&mut draft, servers, &mut loads, weights, is_free);
+        if draft.record.ranges.len() < self.max_ranges {
+            self.level(&mut draft, servers, &mut loads, weights);
         }
-        (planned != *record).then_some(planned)
+        let delta = RecordDelta {
+            moves: draft.moves,
+            ..RecordDelta::default()
+        };
+        (!delta.is_empty()).then_some(KeyPlan::Change(delta))
     }
 
     /// Moves each range whose owner may not own keys any more.
     fn evacuate(
         &self,
-        record: &mut KeyRecord,
+        draft: &mut PlanDraft,
         servers: &[PlannedServer],
         loads: &mut LoadSums,
         weights: &[(u16, f64)],
         is_free: impl Fn(&ServerMark, u64) -> bool,
     ) {
-        let leaving: Vec<KeyRange> = record
+        let leaving: Vec<KeyRange> = draft
+            .record
             .ranges
             .iter()
             .filter(|range| !servers.iter().any(|server| server.mark == range.owner))
@@ -101,7 +147,7 @@
                 let position = loads.least(servers);
                 let weight = weight_of(weights, first, last);
                 loads.add(position, weight, u32::from(last) - u32::from(first) + 1);
-                record.assign(first, last, &servers[position].mark, released);
+                draft.assign(first, last, &servers[position].mark, released);
             }
         }
     }
@@ -109,7 +155,7 @@
     /// Moves stretches from the servers with most load for their capacity.
     fn level(
         &self,
-        record: &mut KeyRecord,
+        draft: &mut PlanDraft,
         servers: &[PlannedServer],
         loads: &mut LoadSums,
         weights: &[(u16, f64)],
@@ -125,7 +171,7 @@
                 return;
             }
             let wanted = loads.wanted(servers, most, least);
-            let piece = densest(record, &servers[most].mark, weights, wanted);
+            let piece = densest(&draft.record, &servers[most].mark, weights, wanted);
             let Some(piece) =
                 piece.filter(|piece| loads.improves(servers, most, least, piece.weight))
             else {
@@ -133,7 +179,7 @@
                 stuck[most] = true;
                 continue;
             };
-            record.assign(piece.first, piece.last, &servers[least].mark, false);
+            draft.assign(piece.first, piece.last, &servers[least].mark, false);
             loads.weight[most] -= piece.weight;
             loads.weight[least] += piece.weight;
             moves += 1;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod key_takeover;
 mod load_tracker;
 mod order_book;
+mod record_delta;
 mod record_wire;
 mod retry_window;
 mod route_rule;
@@ -30,12 +31,13 @@
     answer_verdict::{AnswerFacts, AnswerVerdict},
     drain_meter::DrainMeter,
     key_lead::{KeyLead, LeadTiming, MoveStep},
-    key_planner::{KeyPlanner, PlannedServer},
+    key_planner::{KeyPlan, KeyPlanner, PlannedServer},
     key_range::{KeyRange, RangeState},
     key_record::{KeyRecord, LeaderMark, ServerMark},
     key_takeover::{LeaderView, TakeoverStep},
     load_tracker::{LoadTracker, ReportedLoad},
     order_book::OrderBook,
+    record_delta::{RangeMove, RecordDelta},
     record_wire::{RecordFault, RecordWire},
     retry_window::RetryWindow,
     route_rule::{RouteRule, SplitPart},
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -382,13 +382,6 @@
             return;
         }
         let now = MonoTime(self.now * 1_000);
-        if let Some(record) = self.instances[number].lead.settled() {
-            let base = self.instances[number]
-                .lead
-                .record()
-                .map_or(0, |held| held.1);
-            self.write(number, base, record);
-        }
         if self.now < self.instances[number].planned_at + 300 {
             return;
         }
@@ -409,10 +402,21 @@
         let Some((record, base)) = lead.record() else {
             return;
         };
+        // What has ended is written down with what comes next, as the worker does it.
+        let mut delta = lead.settled().unwrap_or_default();
+        let settled = delta.apply(record);
         let is_free = |mark: &ServerMark, fence| lead.is_free(mark, fence, now);
-        let planned = KeyPlanner::default().plan(record, &servers, &weights, is_free);
-        if let (Some(record), true) = (planned, lead.may_order(now)) {
-            self.write(number, base, record);
+        let planned = KeyPlanner::default().plan(&settled, &servers, &weights, is_free);
+        let next = match planned {
+            Some(KeyPlan::Deal(dealt)) => dealt,
+            Some(KeyPlan::Change(moves)) => {
+                delta.moves = moves.moves;
+                delta.apply(record)
+            }
+            None => settled,
+        };
+        if next != *record && lead.may_order(now) {
+            self.write(number, base, next);
         }
     }
 
--- a/crates/routing/tests/key_planner.rs
+++ b/crates/routing/tests/key_planner.rs
@@ -29,7 +29,7 @@
 fn dealt(servers: &[PlannedServer]) -> KeyRecord {
     let record = KeyRecord::new("reports", leader());
     let planned = KeyPlanner::default().plan(&record, servers, &[], |_, _| false);
-    settled(planned.unwrap())
+    settled(planned.unwrap().apply(&record))
 }
 
 fn share(record: &KeyRecord, id: &str, weights: &[(u16, f64)]) -> f64 {
@@ -52,7 +52,7 @@
 fn level(mut record: KeyRecord, servers: &[PlannedServer], weights: &[(u16, f64)]) -> KeyRecord {
     for _ in 0..40 {
         match KeyPlanner::default().plan(&record, servers, weights, |_, _| false) {
-            Some(next) => record = settled(next),
+            Some(next) => record = settled(next.apply(&record)),
             None => return record,
         }
         assert!(is_whole(&record));
@@ -131,7 +131,8 @@
     let left = [server("s1", 1.0), server("s3", 1.0)];
     let planned = KeyPlanner::default()
         .plan(&record, &left, &[], |_, _| false)
-        .unwrap();
+        .unwrap()
+        .apply(&record);
     assert!(is_whole(&planned));
     for range in &planned.ranges {
         assert_ne!(range.owner.id, "s2");
@@ -148,7 +149,8 @@
     let left = [server("s1", 1.0)];
     let planned = KeyPlanner::default()
         .plan(&record, &left, &[], |mark, _| mark.id == "s2")
-        .unwrap();
+        .unwrap()
+        .apply(&record);
     let moved = planned.ranges.iter().filter(|range| !range.is_settled());
     for range in moved {
         assert_eq!(range.state, RangeState::Moving { previous: None });
@@ -163,7 +165,9 @@
     let range = record.ranges[0].clone();
     record.assign(range.first, range.last, &all[1].mark, false);
     let left = [server("s1", 1.0), server("s3", 1.0)];
-    let planned = KeyPlanner::default().plan(&record, &left, &[], |_, _| false);
+    let planned = KeyPlanner::default()
+        .plan(&record, &left, &[], |_, _| false)
+        .map(|plan| plan.apply(&record));
     let kept = planned
         .as_ref()
         .unwrap_or(&record)
