Ask any live instance that knows more, and leave silent servers alone

Servers that go dark kept getting requests until their deadlines. Ruled out: a late watch (other instances had the version within 40 ms). Change: any instance heard within 2 s that tells newer revisions is asked, one that failed last; behind for 600 ms means watching the store oneself.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -28,10 +28,15 @@
 /// Asks whoever tells newer revisions.
 pub(crate) async fn run(node: Arc<GatewayNode>) {
     let mut open: Option<OpenFeed> = None;
+    let mut avoided = None;
     loop {
         let behind = node.behind.listen();
         let newest = node.mirror.lock().unwrap().newest();
-        let source = node.peers.lock().unwrap().newer_source(newest, node.now());
+        let source = node
+            .peers
+            .lock()
+            .unwrap()
+            .newer_source(newest, avoided, node.now());
         let Some((address, since)) = source else {
             behind.await;
             continue;
@@ -51,6 +56,7 @@
             }
             None => {
                 open = None;
+                avoided = Some(address);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,8 @@
 mod operator_page;
 mod own_answer;
 mod peer_table;
+#[cfg(test)]
+mod peer_table_tests;
 mod peer_wire;
 mod peer_worker;
 mod record_worker;
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -12,21 +12,14 @@
     me: String,
     began: MonoTime,
     peers: IndexMap<String, PeerState>,
-    /// Newest revisions that others told, by kind.
-    told: [Option<ToldRevision>; 3],
+    /// Since when others tell newer revisions than known here.
+    behind_since: Option<MonoTime>,
     /// What leaders said about who watches the store.
     duties: IndexMap<String, WatchOrder>,
     /// Instances that a leader hears, and when it said so.
     leader_count: Option<(u32, MonoTime)>,
 }
 
-/// A revision, who told it first, and when.
-struct ToldRevision {
-    revision: u64,
-    instance: String,
-    at: MonoTime,
-}
-
 /// Which instances a leader wants to watch the store; none when all should.
 #[derive(Default)]
 struct WatchOrder {
@@ -46,6 +39,8 @@
 impl PeerTable {
     /// Time after which an instance that is not heard counts as lost.
     const LOST_TIME: Duration = Duration::from_millis(2_000);
+    /// Time for which an instance may be behind others before it watches the store by itself.
+    const MAX_BEHIND: Duration = Duration::from_millis(600);
     /// Time in which heartbeats of all are expected once a leader is suspected.
     const MUSTER_TIME: Duration = Duration::from_millis(600);
 
@@ -94,15 +89,6 @@
 
     /// Takes a heartbeat in.
     pub(crate) fn heard(&mut self, beat: PeerBeat, now: MonoTime) {
-        for (told, revision) in self.told.iter_mut().zip(beat.revisions) {
-            if told.as_ref().is_none_or(|told| told.revision < revision) {
-                *told = Some(ToldRevision {
-                    revision,
-                    instance: beat.instance.clone(),
-                    at: now,
-                });
-            }
-        }
         match beat.leads.iter().any(|lead| lead.leads) {
             true => {
                 self.leader_count = Some((beat.heard, now));
@@ -125,19 +111,25 @@
         }
     }
 
-    /// Instance that told newer revisions than these, where it hands objects on, and since when.
+    /// Where an instance hands objects on that knows newer revisions than these, and since when
+    /// one does; another one than `avoided` if there is any.
     pub(crate) fn newer_source(
-        &self,
+        &mut self,
         newest: [u64; 3],
+        avoided: Option<SocketAddr>,
         now: MonoTime,
     ) -> Option<(SocketAddr, MonoTime)> {
-        let newer = self.told.iter().zip(newest).filter_map(|(told, newest)| {
-            let told = told.as_ref().filter(|told| told.revision > newest)?;
-            let peer = self.peers.get(&told.instance)?;
-            let is_live = peer.is_heard(now, Self::LOST_TIME);
-            is_live.then_some((peer.record.feed_address, told.at))
-        });
-        newer.min_by_key(|(_, at)| *at)
+        let source = self
+            .peers
+            .values()
+            .filter(|peer| {
+                let mut pairs = peer.beat.revisions.iter().zip(newest);
+                peer.is_heard(now, Self::LOST_TIME) && pairs.any(|(told, newest)| *told > newest)
+            })
+            .max_by_key(|peer| (Some(peer.record.feed_address) != avoided, peer.heard_at))
+            .map(|peer| peer.record.feed_address);
+        self.behind_since = source.and(self.behind_since.or(Some(now)));
+        source.zip(self.behind_since)
     }
 
     /// Whether this instance has the duty to watch the store.
@@ -149,7 +141,10 @@
             .collect();
         let is_named =
             |order: &&WatchOrder| order.watchers.is_empty() || order.watchers.contains(&self.me);
-        leads || orders.is_empty() || orders.iter().any(is_named)
+        let is_behind = self
+            .behind_since
+            .is_some_and(|since| now.since(since) >= Self::MAX_BEHIND);
+        leads || is_behind || orders.is_empty() || orders.iter().any(is_named)
     }
 
     /// Instances that this one, as a leader, wants to watch the store; none when all should.
--- /dev/null
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -0,0 +1,84 @@
+//! Learning from other instances while some of them are lost.
+
+use crate::{
+    peer_wire::{LeadBeat, PeerBeat},
+    prelude::*,
+};
+
+const KNOWN: [u64; 3] = [10, 10, 10];
+
+fn table() -> PeerTable {
+    let mut table = PeerTable::default();
+    table.begin("me", MonoTime(0));
+    for (number, name) in ["p1", "p2"].iter().enumerate() {
+        let record = InstanceRecord {
+            name: (*name).into(),
+            incarnation: 1,
+            address: SocketAddr::from(([127, 0, 0, 1], 10 + number as u16)),
+            feed_address: SocketAddr::from(([127, 0, 0, 1], 20 + number as u16)),
+            data_centre: "a".into(),
+        };
+        table.put(record, 1 + number as u64, MonoTime(0));
+    }
+    table
+}
+
+fn beat(name: &str, configuration: u64, leads: bool) -> PeerBeat {
+    PeerBeat {
+        instance: name.into(),
+        incarnation: 1,
+        revisions: [10, configuration, 10],
+        watchers: vec!["p2".into()],
+        leads: vec![LeadBeat {
+            service: "s".into(),
+            term: 1,
+            leads,
+            confirmed_age: Duration::ZERO,
+        }],
+        ..PeerBeat::default()
+    }
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime(millis * 1_000)
+}
+
+#[test]
+fn whoever_told_first_and_was_lost_does_not_keep_the_others_from_being_asked() {
+    let mut table = table();
+    table.heard(beat("p1", 15, false), at(1_000));
+    let first = table.newer_source(KNOWN, None, at(1_000)).unwrap().0;
+    assert_eq!(first.port(), 20);
+    table.heard(beat("p2", 15, true), at(1_100));
+    let failed = table.newer_source(KNOWN, Some(first), at(1_200)).unwrap().0;
+    assert_eq!(failed.port(), 21, "one that did not answer is asked last");
+    table.heard(beat("p2", 15, true), at(3_500));
+    let later = table.newer_source(KNOWN, None, at(3_600)).unwrap().0;
+    assert_eq!(
+        later.port(),
+        21,
+        "one that is not heard any more is not asked"
+    );
+}
+
+#[test]
+fn an_instance_that_stays_behind_watches_the_store_by_itself() {
+    let mut table = table();
+    table.heard(beat("p1", 15, true), at(1_000));
+    table.newer_source(KNOWN, None, at(1_000));
+    assert!(!table.should_watch(false, at(1_100)));
+    table.heard(beat("p1", 15, true), at(1_500));
+    table.newer_source(KNOWN, None, at(1_500));
+    assert!(table.should_watch(false, at(1_700)));
+    table.newer_source([10, 15, 10], None, at(1_800));
+    assert!(!table.should_watch(false, at(1_800)), "it has caught up");
+}
+
+#[test]
+fn an_instance_that_hears_no_leader_watches_the_store() {
+    let mut table = table();
+    assert!(table.should_watch(false, at(100)));
+    table.heard(beat("p1", 10, true), at(1_000));
+    assert!(!table.should_watch(false, at(1_500)));
+    assert!(table.should_watch(false, at(2_200)));
+}
--- a/crates/routing/src/load_tracker.rs
+++ b/crates/routing/src/load_tracker.rs
@@ -19,6 +19,8 @@
     /// When a server that failed may be tried again.
     rest_until: MonoTime,
     probing: bool,
+    /// Since when requests of this instance are there and none has been answered.
+    unheard_since: Option<MonoTime>,
 }
 
 /// A server's own report.
@@ -37,6 +39,10 @@
     const SAMPLE_WEIGHT: f64 = 0.15;
     /// Time in which a report loses half of its weight.
     const REPORT_HALF_LIFE: f64 = 0.5;
+    /// Silence, as a multiple of the service time, after which a server is taken for lost.
+    const SILENT_FACTOR: f64 = 6.0;
+    /// Least silence after which a server is taken for lost.
+    const LEAST_PATIENCE: Duration = Duration::from_millis(500);
     /// Failures in a row after which a server rests.
     const MAX_FAILURES: u32 = 3;
     /// Rest after failures; doubled by each further one.
@@ -56,18 +62,23 @@
             failures: 0,
             rest_until: MonoTime::default(),
             probing: false,
+            unheard_since: None,
         }
     }
 
     /// Counts a request in.
     pub fn started(&mut self, now: MonoTime) {
         self.own += 1;
+        self.unheard_since.get_or_insert(now);
         self.probing = self.failures >= Self::MAX_FAILURES && now >= self.rest_until;
     }
 
     /// Counts a request out.
     pub fn ended(&mut self) {
         self.own = self.own.saturating_sub(1);
+        if self.own == 0 {
+            self.unheard_since = None;
+        }
         self.probing = false;
     }
 
@@ -90,6 +101,25 @@
         self.service_time += (took - self.service_time) * weight;
     }
 
+    /// Notes an answer of the server, whatever it says.
+    pub fn heard(&mut self, now: MonoTime) {
+        self.unheard_since = Some(now);
+    }
+
+    /// Whether requests are there and none has been answered for much longer than one takes.
+    pub fn is_silent(&self, now: MonoTime) -> bool {
+        let patience = self.patience();
+        self.own > 0
+            && self
+                .unheard_since
+                .is_some_and(|since| now.since(since) > patience)
+    }
+
+    /// Silence after which the server is taken for lost.
+    pub fn patience(&self) -> Duration {
+        Duration::from_secs_f64(self.service_time * Self::SILENT_FACTOR).max(Self::LEAST_PATIENCE)
+    }
+
     /// Counts a failure that the server caused.
     pub fn failed(&mut self, now: MonoTime) {
         self.failures = self.failures.saturating_add(1);
@@ -105,9 +135,11 @@
         self.failed(now);
     }
 
-    /// Whether it rests after failures, or is being tried again by one request.
+    /// Whether it rests after failures, is being tried again by one request, or is silent.
     pub fn is_resting(&self, now: MonoTime) -> bool {
-        self.failures >= Self::MAX_FAILURES && (now < self.rest_until || self.probing)
+        let is_failing =
+            self.failures >= Self::MAX_FAILURES && (now < self.rest_until || self.probing);
+        is_failing || self.is_silent(now)
     }
 
     /// Requests there, of all instances.
--- a/crates/routing/tests/server_choice.rs
+++ b/crates/routing/tests/server_choice.rs
@@ -185,3 +185,20 @@
         ChoiceStep::Refuse
     );
 }
+
+#[test]
+fn a_server_that_answers_nobody_is_left_alone_until_it_is_heard() {
+    let mut load = LoadTracker::new(3, 0.1);
+    load.started(MonoTime(0));
+    load.started(MonoTime(100_000));
+    assert!(!load.is_silent(MonoTime(590_000)));
+    assert!(load.is_resting(MonoTime(610_000)));
+    load.heard(MonoTime(620_000));
+    load.ended();
+    assert!(
+        !load.is_resting(MonoTime(630_000)),
+        "one answer shows that it lives"
+    );
+    load.ended();
+    assert!(!load.is_resting(MonoTime(9_000_000)), "nothing waits there");
+}
