Let new instances learn from seeds first, and prefer near servers

Change: instances that are no seeds ask them for 2.5 s; servers in another data centre count 20 ms more; watches of servers pause 60 ms.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -16,8 +16,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time that a watching instance gives its own watch before it asks another one.
 const WATCH_LAG: Duration = Duration::from_millis(200);
-/// Time between questions to the seeds while nothing is known.
-const SEED_PAUSE: Duration = Duration::from_millis(500);
+/// Time between questions to the seeds.
+const SEED_PAUSE: Duration = Duration::from_millis(250);
+/// Time after the start for which the seeds are asked.
+const SEED_TIME: Duration = Duration::from_millis(2_500);
 
 /// The connection of the last answer.
 struct OpenFeed {
@@ -63,26 +65,26 @@
     }
 }
 
-/// Asks the seeds as long as the store has told nothing.
+/// Asks the seeds right after the start, and as long as the store has told nothing.
 pub(crate) async fn run_seeds(node: Arc<GatewayNode>) {
-    let mut turn = 0;
+    if !node.settings.asks_seeds() {
+        return;
+    }
+    let seeds = &node.settings.seed_addresses;
+    let mut open = None;
+    let mut turn = rand::random_range(0..seeds.len());
     loop {
-        Timer::after(SEED_PAUSE).await;
-        if node.mirror.lock().unwrap().complete()[..2]
-            .iter()
-            .all(|revision| *revision > 0)
-        {
-            return;
+        let answer = pull(&node, &mut open, seeds[turn % seeds.len()]).await;
+        node.seeds_answer.store(answer.is_some(), Ordering::Relaxed);
+        if answer.is_none() {
+            turn += 1;
         }
-        let seeds = &node.settings.seed_addresses;
-        if seeds.is_empty() || !node.store.health.is_lost() {
-            continue;
-        }
-        turn += 1;
-        let seed = seeds[turn % seeds.len()];
-        if seed != node.settings.feed_address {
-            pull(&node, &mut None, seed).await;
+        let is_new = node.now().since(node.started_at) < SEED_TIME;
+        let known = node.mirror.lock().unwrap().complete();
+        if !is_new && known[..2].iter().all(|revision| *revision > 0) {
+            return;
         }
+        Timer::after(SEED_PAUSE).await;
     }
 }
 
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -35,6 +35,10 @@
     /// Notified when others should hear of a change at once.
     pub(crate) beat_due: Event,
     pub(crate) mirror: Mutex<ObjectMirror>,
+    /// When the process started.
+    pub(crate) started_at: MonoTime,
+    /// Whether a seed answered the last question.
+    pub(crate) seeds_answer: AtomicBool,
     stopping_since: Mutex<Option<MonoTime>>,
 }
 
@@ -97,6 +101,8 @@
             rearm: Event::new(),
             beat_due: Event::new(),
             mirror: Mutex::default(),
+            started_at: SteadyClock.now(),
+            seeds_answer: AtomicBool::new(false),
             stopping_since: Mutex::default(),
             settings,
         }
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -181,6 +181,11 @@
     /// the first half may still be at work in the last sixth).
     const CLOSE_SHARE: f64 = 0.48;
 
+    /// Whether there are seeds and this instance is none of them.
+    pub(crate) fn asks_seeds(&self) -> bool {
+        !self.seed_addresses.is_empty() && !self.seed_addresses.contains(&self.feed_address)
+    }
+
     /// Time after which a stop ends what still runs.
     pub(crate) fn stop_limit(&self) -> Duration {
         self.stop_timeout.saturating_sub(Self::STOP_MARGIN)
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -23,6 +23,14 @@
 /// Time between two looks at the duty.
 const DUTY_LOOK: Duration = Duration::from_millis(300);
 
+/// Time after the start in which an instance that is no seed leaves the store to the seeds, if one
+/// of them answers.
+const SEED_TIME: Duration = Duration::from_millis(2_500);
+/// Time that the first answer of a seed is waited for.
+const FIRST_SEED_TIME: Duration = Duration::from_millis(150);
+/// Pause before the next watch of servers, so that entries written together come together.
+const SERVERS_PAUSE: Duration = Duration::from_millis(60);
+
 /// What to do after a watch.
 enum NextWatch {
     /// Go on from what is known.
@@ -37,9 +45,12 @@
 pub(crate) async fn follow(node: Arc<GatewayNode>, kind: ObjectKind) {
     let mut pause = LEAST_PAUSE;
     let mut must_list = false;
+    if node.settings.asks_seeds() {
+        Timer::after(FIRST_SEED_TIME).await;
+    }
     loop {
         let known = node.mirror.lock().unwrap().complete()[position_of(kind)];
-        if known > 0 && !has_duty(&node) {
+        if known > 0 && !has_duty(&node) || is_left_to_seeds(&node) {
             Timer::after(DUTY_LOOK).await;
             continue;
         }
@@ -62,6 +73,11 @@
     }
 }
 
+/// Whether the instance has just started and a seed tells it what it needs.
+fn is_left_to_seeds(node: &GatewayNode) -> bool {
+    node.now().since(node.started_at) < SEED_TIME && node.seeds_answer.load(Ordering::Relaxed)
+}
+
 fn has_duty(node: &GatewayNode) -> bool {
     let leads = node.is_leading();
     node.peers.lock().unwrap().should_watch(leads, node.now())
@@ -87,6 +103,9 @@
         None => NextWatch::Again,
         Some(Ok(changes)) => {
             news_router::apply(node, kind, WatchNews::Changes(changes));
+            if kind == ObjectKind::Servers {
+                Timer::after(SERVERS_PAUSE).await;
+            }
             NextWatch::Again
         }
         Some(Err(CallError::Compacted)) => {
--- a/crates/routing/src/server_choice.rs
+++ b/crates/routing/src/server_choice.rs
@@ -43,7 +43,7 @@
     fn default() -> Self {
         Self {
             max_fill: 1.7,
-            far_cost: 0.004,
+            far_cost: 0.02,
         }
     }
 }
