Let a leader without a successor renew until the end of its grace time

Ruled out: a take-over by others: the record cannot change while the store is away. Change: a stopping instance that still leads stays until the end of its grace time.

--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -137,8 +137,9 @@
             if spent >= close_at {
                 connections.close();
             }
-            let is_idle = connections.count() == 0 && spent >= LEAST_STOP_TIME.min(limit);
-            if is_idle || spent >= limit {
+            // A leader without a successor goes on renewing: while the store is away none can follow.
+            let is_idle = connections.count() == 0 && !node.is_leading();
+            if is_idle && spent >= LEAST_STOP_TIME.min(limit) || spent >= limit {
                 return;
             }
             Timer::after(Duration::from_millis(20)).await;
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -51,7 +51,7 @@
         });
     }
     for delta in std::mem::take(&mut beat.deltas) {
-        take_delta(node, delta);
+        take_delta(node, &delta);
     }
     for granted in std::mem::take(&mut beat.granted) {
         let key = (granted.first, granted.fence);
@@ -67,7 +67,7 @@
 }
 
 /// Changes the key record that stands before a change.
-fn take_delta(node: &GatewayNode, beat: DeltaBeat) {
+fn take_delta(node: &GatewayNode, beat: &DeltaBeat) {
     let next = node.with_keys(&beat.service, |view| {
         let (record, revision) = view.lead.record()?;
         (revision == beat.base).then(|| beat.delta.apply(record))
