Write logs through a bounded buffer that drops

Cause: a reader of standard output that stands still would have held requests up. Change: a thread of its own writes; beyond 1,024 waiting lines new ones are dropped (logforth's asynchronous appender). Conclusion: kept; dropped lines of a full buffer are not counted yet.

--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -18,6 +18,8 @@
 const FAILED: u8 = 1;
 /// Exit code of faulty settings.
 const FAULTY_SETTINGS: u8 = 2;
+/// Log lines that wait for a slow reader.
+const LOG_LINES: usize = 1_024;
 /// Least time for which a stopping instance takes what still comes: the balancer asks each second
 /// and needs two misses.
 const LEAST_STOP_TIME: Duration = Duration::from_millis(3_200);
@@ -40,22 +42,29 @@
         }
         SettingRequest::Run(settings) => {
             start_logs(&settings);
-            match serve(*settings) {
+            let code = match serve(*settings) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(error) => {
                     log::error!(cause = error.to_string().as_str(); "instance ended");
                     ExitCode::from(FAILED)
                 }
-            }
+            };
+            log::logger().flush();
+            code
         }
     }
 }
 
 fn start_logs(settings: &GatewaySettings) {
+    let stdout = append::Stdout::default().with_layout(LogfmtLayout::default());
+    // A reader that stands still must not hold requests up: lines beyond the buffer are dropped.
+    let buffered = append::asynchronous::AsyncBuilder::new("logs")
+        .buffered_lines_limit(Some(LOG_LINES))
+        .overflow_drop_incoming()
+        .append(stdout)
+        .build();
     logforth::starter_log::builder()
-        .dispatch(|dispatch| {
-            dispatch.append(append::Stdout::default().with_layout(LogfmtLayout::default()))
-        })
+        .dispatch(|dispatch| dispatch.append(buffered))
         .apply();
     log::set_max_level(settings.log_level);
 }
