--- /dev/null
+++ b/crates/daemon/tests/gateway_process.rs
@@ -0,0 +1,137 @@
+//! The instance on the platform as a process: settings, logs, readiness and stops.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{Ipv4Addr, TcpStream},
+    process::{Child, ChildStdout, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+/// Longest wait for something that has to happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Bytes that the pipe of the logs holds in the test of a reader that stands still.
+const PIPE_BYTES: usize = 4_096;
+
+/// A loopback address of this process and `number` alone, so that fixed ports are free.
+fn host(number: u8) -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 100 + number, high, low.max(1))
+}
+
+fn gateway(host: Ipv4Addr, more: &[&str]) -> Child {
+    let address = |flag: &str, port: u16| format!("--{flag}={host}:{port}");
+    Command::new(env!("CARGO_BIN_EXE_geraniummastd"))
+        .args(["gateway", "--name=a1", "--data-centre=dc1"])
+        .args([
+            address("caller-address", 18_381),
+            address("readiness-address", 18_388),
+            address("operator-address", 19_464),
+            address("peer-address", 17_200),
+            address("feed-address", 18_382),
+            address("store-address", 9),
+        ])
+        .args(more)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+/// Status of a plain request, none when nobody answers.
+fn status_of(host: Ipv4Addr, port: u16, path: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect((host, port)).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nHost: one.example\r\nConnection: close\r\n\r\n"
+    )
+    .ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+fn wait_for(mut happens: impl FnMut() -> bool) -> bool {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        if happens() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    let sent = Command::new("kill").args(["-s", name, &pid]).status();
+    assert!(sent.unwrap().success());
+}
+
+fn wait_started(stdout: ChildStdout) -> impl Iterator<Item = String> {
+    let mut lines = BufReader::new(stdout).lines().map(Result::unwrap);
+    assert!(lines.any(|line| line.contains("message=started")));
+    lines
+}
+
+#[test]
+fn all_faulty_settings_are_reported_together_and_nothing_starts() {
+    let faulty = ["--drain-s=never", "--retry-ratio=7", "--log-level=loud"];
+    let output = gateway(host(1), &faulty).wait_with_output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for place in ["--drain-s:", "--retry-ratio:", "--log-level:"] {
+        assert_eq!(text.matches(place).count(), 1, "{text}");
+    }
+    assert!(output.stdout.is_empty());
+}
+
+#[test]
+fn an_instance_without_a_configuration_is_unready_and_refuses_with_503() {
+    let host = host(2);
+    let mut child = gateway(host, &["--stop-timeout-s=1"]);
+    let lines = wait_started(child.stdout.take().unwrap());
+    assert_eq!(status_of(host, 18_388, "/readiness"), Some(503));
+    assert_eq!(status_of(host, 18_381, "/a/b"), Some(503));
+    assert_eq!(status_of(host, 19_464, "/metrics"), Some(200));
+    assert_eq!(status_of(host, 19_464, "/dump"), Some(200));
+    signal(&child, "HUP");
+    assert_eq!(
+        status_of(host, 18_381, "/a/b"),
+        Some(503),
+        "SIGHUP ends nothing"
+    );
+    signal(&child, "TERM");
+    let text: Vec<String> = lines.collect();
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(
+        text.iter()
+            .any(|line| line.contains("reason=no-configuration"))
+    );
+    assert!(text.iter().any(|line| line.contains("message=stopped")));
+}
+
+#[test]
+fn a_reader_of_the_logs_that_stands_still_holds_no_request_up() {
+    let host = host(3);
+    let mut child = gateway(host, &[]);
+    let stdout = child.stdout.take().unwrap();
+    rustix::pipe::fcntl_setpipe_size(&stdout, PIPE_BYTES).unwrap();
+    assert!(wait_for(|| status_of(host, 18_381, "/a/b").is_some()));
+    // Each refusal writes a line, 20 a second: the pipe is full after a second.
+    let began = Instant::now();
+    let mut answered = 0;
+    while began.elapsed() < Duration::from_secs(4) {
+        assert_eq!(status_of(host, 18_381, "/a/b"), Some(503));
+        answered += 1;
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let unread = rustix::io::ioctl_fionread(&stdout).unwrap() as usize;
+    assert!(
+        unread * 2 > PIPE_BYTES,
+        "{unread} bytes wait: the pipe was never full"
+    );
+    assert!(answered > 20, "{answered} answers in four seconds");
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
--- a/crates/gateway/src/lead_worker.rs
+++ b/crates/gateway/src/lead_worker.rs
@@ -1,28 +1,18 @@
 //! Leading the keys of the services: who orders, what is ordered, what is planned.
 
-use crate::{key_view::ToldDelta, lead_orders, prelude::*, record_worker};
+use crate::{lead_orders, lead_plan, prelude::*, record_writer};
 
 /// Longest time between two looks.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest time between two looks.
 const LEAST_INTERVAL: Duration = Duration::from_millis(10);
-/// Time between two plans of moves.
-const PLAN_EVERY: Duration = Duration::from_millis(300);
-/// Time between two confirmations by the store.
-const CONFIRM_EVERY: Duration = Duration::from_millis(1_200);
-/// Time for which the list of servers must stay the same before keys are first dealt out.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
-/// Weight of the service's mean pace against samples of one server.
-const PRIOR_SAMPLES: f64 = 6.0;
-/// Share of its speed at which a server counts that has just started.
-const COLD_SHARE: f64 = 0.5;
 
 /// What one service's worker remembers between two looks.
-struct LeadMemory {
-    planned_at: MonoTime,
-    asked_at: MonoTime,
-    servers: Vec<ServerMark>,
-    servers_since: MonoTime,
+pub(crate) struct LeadMemory {
+    pub(crate) planned_at: MonoTime,
+    pub(crate) asked_at: MonoTime,
+    pub(crate) servers: Vec<ServerMark>,
+    pub(crate) servers_since: MonoTime,
 }
 
 /// Leads each keyed service as soon as it is known.
@@ -69,9 +59,9 @@
         false => consider_takeover(node, service, memory).await,
         true => {
             note_ends(node, service);
-            confirm(node, service, memory).await;
+            record_writer::confirm(node, service, memory);
             order(node, service);
-            plan(node, service, memory).await;
+            lead_plan::plan(node, service, memory).await;
         }
     }
 }
@@ -124,11 +114,11 @@
     match held {
         Some((record, revision)) => {
             let next = record.led_by(node.me.clone());
-            write(node, service, &next, Some(revision), "take-over").await;
+            record_writer::write(node, service, &next, Some(revision), "take-over").await;
         }
         None => {
             let record = KeyRecord::new(service, node.me.clone());
-            write(node, service, &record, None, "create").await;
+            record_writer::write(node, service, &record, None, "create").await;
         }
     }
 }
@@ -193,40 +183,6 @@
     }
 }
 
-/// Has the store confirm from time to time that this instance leads.
-async fn confirm(node: &Arc<GatewayNode>, service: &str, memory: &mut LeadMemory) {
-    let now = node.now();
-    let age = node.with_keys(service, |view| view.lead.confirmed_age(now));
-    if age < CONFIRM_EVERY || now.since(memory.asked_at) < CONFIRM_EVERY / 2 {
-        return;
-    }
-    memory.asked_at = now;
-    let node = node.clone();
-    let service = service.to_string();
-    // Apart from the worker, which has to go on renewing while the store is silent.
-    node.workers.clone().spawn(async move {
-        refresh(&node, &service).await;
-    });
-}
-
-/// Reads the record, and takes it for a confirmation if it names this instance.
-async fn refresh(node: &GatewayNode, service: &str) {
-    let asked_at = node.now();
-    let name = format!("{}{service}", KeyView::PREFIX);
-    let Ok(Some(object)) = node.store.read(ObjectKind::Records, &name).await else {
-        return;
-    };
-    let leads = record_worker::read_keys(&object).is_ok_and(|record| record.leader == node.me);
-    let event = ObjectEvent {
-        object,
-        is_removed: false,
-    };
-    record_worker::take(node, &event);
-    if leads {
-        node.with_keys(service, |view| view.lead.confirm(asked_at));
-    }
-}
-
 /// Sends what is due.
 fn order(node: &Arc<GatewayNode>, service: &str) {
     let now = node.now();
@@ -255,147 +211,3 @@
         }
     }
 }
-
-/// Writes down which moves have ended and which are due.
-async fn plan(node: &Arc<GatewayNode>, service: &str, memory: &mut LeadMemory) {
-    let now = node.now();
-    if now.since(memory.planned_at) < PLAN_EVERY || node.store.health.is_lost() {
-        return;
-    }
-    memory.planned_at = now;
-    let servers = planned_servers(node, service, now);
-    let marks: Vec<ServerMark> = servers.iter().map(|server| server.mark.clone()).collect();
-    if marks != memory.servers {
-        memory.servers = marks;
-        memory.servers_since = now;
-    }
-    let planned = node.with_keys(service, |view| {
-        let (record, revision) = view.lead.record()?;
-        if !view.lead.may_order(now) {
-            return None;
-        }
-        let weights = view.window.weights(now);
-        let is_early = now.since(memory.servers_since) < SETTLE_TIME && weights.is_empty();
-        if record.ranges.is_empty() && is_early {
-            return None;
-        }
-        let mut delta = view.lead.settled().unwrap_or_default();
-        let settled = delta.apply(record);
-        let is_free = |mark: &ServerMark, fence| view.lead.is_free(mark, fence, now);
-        let plan = KeyPlanner::default().plan(&settled, &servers, &weights, is_free);
-        delta.forgets_former = !record.former.is_empty() && now >= view.lead.inherited_until();
-        match plan {
-            Some(KeyPlan::Deal(dealt)) => return Some((dealt, revision, None)),
-            Some(KeyPlan::Change(moves)) => delta.moves = moves.moves,
-            None => {}
-        }
-        (!delta.is_empty()).then(|| (delta.apply(record), revision, Some(delta)))
-    });
-    let Some((record, revision, delta)) = planned else {
-        return;
-    };
-    let written = write(node, service, &record, Some(revision), "plan").await;
-    if let (Some(revision_after), Some(delta)) = (written, delta) {
-        let told = ToldDelta {
-            base: revision,
-            revision: revision_after,
-            delta,
-            at: node.now(),
-        };
-        node.with_keys(service, |view| view.told_deltas.push(told));
-        node.beat_due.notify(usize::MAX);
-    }
-}
-
-/// Servers that may own keys, with the requests a second that each can serve.
-fn planned_servers(node: &GatewayNode, service: &str, now: MonoTime) -> Vec<PlannedServer> {
-    let mean = node.service(service).pace();
-    let servers = node.usable_servers(service);
-    let peers = node.peers.lock().unwrap();
-    servers
-        .iter()
-        .filter(|server| !server.is_silent(now) && !server.is_unsure(now) && !server.has_ended())
-        .map(|server| {
-            let (own, own_samples) = server.load.lock().unwrap().service_time();
-            let (told, told_samples) = peers.pace_of(server.mark());
-            let own_samples = f64::from(own_samples);
-            let told_samples = f64::from(told_samples);
-            let pace = (own * own_samples + told * told_samples + mean * PRIOR_SAMPLES)
-                / (own_samples + told_samples + PRIOR_SAMPLES);
-            let share = if now < server.cold_until {
-                COLD_SHARE
-            } else {
-                1.0
-            };
-            PlannedServer {
-                mark: server.mark().clone(),
-                capacity: f64::from(server.entry.slots) / pace.max(0.001) * share,
-            }
-        })
-        .collect()
-}
-
-/// Writes a record at a revision, or creates it, and takes in what the store then holds; gives the
-/// revision that was written.
-async fn write(
-    node: &Arc<GatewayNode>,
-    service: &str,
-    record: &KeyRecord,
-    revision: Option<u64>,
-    reason: &'static str,
-) -> Option<u64> {
-    let asked_at = node.now();
-    let name = format!("{}{service}", KeyView::PREFIX);
-    let spec = match RecordBody::write(&RecordWire::from(record)) {
-        Ok(spec) => spec,
-        Err(fault) => {
-            log::error!(service, cause = fault.to_string().as_str(); "key record not written");
-            return None;
-        }
-    };
-    let request = match revision {
-        Some(revision) => StoreRequest::replace(ObjectKind::Records, &name, revision, &spec),
-        None => StoreRequest::create(ObjectKind::Records, &name, &spec),
-    };
-    let result = node.store.write(request).await;
-    let (outcome, cause) = match &result {
-        Ok(WriteAnswer::Written(object)) => {
-            record_worker::adopt(node, service, record.clone(), object.revision);
-            if record.leader == node.me {
-                node.with_keys(service, |view| view.lead.confirm(asked_at));
-            }
-            ("written", String::new())
-        }
-        Ok(WriteAnswer::Conflict) => ("conflict", String::new()),
-        Ok(WriteAnswer::Missing) => ("missing", String::new()),
-        Ok(WriteAnswer::Refused(status)) => ("refused", status.to_string()),
-        Ok(WriteAnswer::Unclear(cause)) => ("unclear", cause.clone()),
-        Err(error) => ("lost", error.to_string()),
-    };
-    metrics::counter!(RECORD_WRITES, "reason" => reason, "result" => outcome).increment(1);
-    if node.log.admit("record", asked_at) {
-        let moving = record.ranges.iter().filter(|range| !range.is_settled());
-        log::info!(
-            service,
-            reason,
-            outcome,
-            cause = cause.as_str(),
-            revision = revision.unwrap_or_default(),
-            term = record.term,
-            last_fence = record.last_fence,
-            ranges = record.ranges.len(),
-            moving = moving.count();
-            "key record write"
-        );
-    }
-    if !matches!(
-        result,
-        Ok(WriteAnswer::Written(_) | WriteAnswer::Refused(_))
-    ) {
-        refresh(node, service).await;
-    }
-    match result {
-        Ok(WriteAnswer::Written(object)) => Some(object.revision),
-        _ => None,
-    }
-}
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -1,7 +1,7 @@
 //! The other instances, as their records and heartbeats tell.
 
 use crate::{
-    peer_wire::{LeadBeat, PeerBeat},
+    peer_beat::{LeadBeat, PeerBeat},
     prelude::*,
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -16,8 +16,8 @@
     behind_since: Option<MonoTime>,
     /// What leaders said about who watches the store.
     duties: IndexMap<String, WatchOrder>,
-    /// Instances that a leader hears, and when it said so.
-    leader_count: Option<(u32, MonoTime)>,
+    /// Instances that a leader hears.
+    leader_count: Option<u32>,
 }
 
 /// Which instances a leader wants to watch the store; none when all should.
@@ -91,7 +91,7 @@
     pub(crate) fn heard(&mut self, beat: PeerBeat, now: MonoTime) {
         match beat.leads.iter().any(|lead| lead.leads) {
             true => {
-                self.leader_count = Some((beat.heard, now));
+                self.leader_count = Some(beat.heard);
                 let known = self.duties.entry(beat.instance.clone()).or_default();
                 known.at = now;
                 known.watchers.clone_from(&beat.watchers);
@@ -170,12 +170,11 @@
         helpers.into_iter().map(String::from).collect()
     }
 
-    /// Instances that share budgets, this one included.
+    /// Instances that share budgets, this one included: those that a leader hears, and all that
+    /// have announced themselves, since one that is not heard may go on serving.
     pub(crate) fn instance_count(&self) -> usize {
-        match self.leader_count {
-            Some((count, _)) => count.max(1) as usize,
-            None => self.peers.len() + 1,
-        }
+        let heard = self.leader_count.map_or(0, |count| count as usize);
+        heard.max(self.peers.len() + 1)
     }
 
     /// Instances heard lately, this one included.
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -1,7 +1,7 @@
 //! Learning from other instances while some of them are lost.
 
 use crate::{
-    peer_wire::{LeadBeat, PeerBeat},
+    peer_beat::{LeadBeat, PeerBeat},
     prelude::*,
 };
 
@@ -82,3 +82,12 @@
     assert!(!table.should_watch(false, at(1_500)));
     assert!(table.should_watch(false, at(2_200)));
 }
+
+#[test]
+fn a_leader_that_hears_few_instances_does_not_give_each_a_larger_budget() {
+    let mut table = table();
+    let mut lonely = beat("p1", 10, true);
+    lonely.heard = 1;
+    table.heard(lonely, at(1_000));
+    assert_eq!(table.instance_count(), 3, "the others may go on serving");
+}
--- a/crates/gateway/src/peer_wire.rs
+++ b/crates/gateway/src/peer_wire.rs
@@ -1,81 +1,10 @@
-//! Heartbeats between instances, one datagram each.
+//! Heartbeats as datagrams.
 
-use crate::prelude::*;
-
-/// What an instance tells another one.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub(crate) struct PeerBeat {
-    /// Name of the sender.
-    pub(crate) instance: String,
-    /// Start of its process, in milliseconds since the Unix epoch.
-    pub(crate) incarnation: u64,
-    /// Whether it is about to end.
-    pub(crate) is_stopping: bool,
-    /// Newest revision it knows of servers, configuration and records.
-    pub(crate) revisions: [u64; 3],
-    /// Instances that it hears, itself included.
-    pub(crate) heard: u32,
-    /// Whether the store does not answer it.
-    pub(crate) store_lost: bool,
-    /// Of a leader: instances that should watch the store; none when all should.
-    pub(crate) watchers: Vec<String>,
-    /// How it stands to each keyed service.
-    pub(crate) leads: Vec<LeadBeat>,
-    /// Of a leader: changes of key records that it has just written.
-    pub(crate) deltas: Vec<DeltaBeat>,
-    /// Of a leader: ranges on their way that their owners hold already.
-    pub(crate) granted: Vec<GrantedBeat>,
-    /// Keys of requests since its last heartbeat.
-    pub(crate) samples: Vec<SampleBeat>,
-    /// How fast it found servers.
-    pub(crate) paces: Vec<PaceBeat>,
-}
-
-/// How an instance stands to a keyed service.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct LeadBeat {
-    pub(crate) service: String,
-    pub(crate) term: u64,
-    pub(crate) leads: bool,
-    /// Time since the store confirmed the leader.
-    pub(crate) confirmed_age: Duration,
-}
-
-/// A change of a key record.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct DeltaBeat {
-    pub(crate) service: String,
-    /// Revision of the record before it.
-    pub(crate) base: u64,
-    /// Revision of the record after it.
-    pub(crate) revision: u64,
-    pub(crate) delta: RecordDelta,
-}
-
-/// A range on its way that its owner holds.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct GrantedBeat {
-    pub(crate) service: String,
-    pub(crate) first: u16,
-    pub(crate) fence: u64,
-}
-
-/// Keys of recent requests.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct SampleBeat {
-    pub(crate) service: String,
-    pub(crate) keys: Vec<u16>,
-    pub(crate) total: u32,
-}
-
-/// Service time of one server.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct PaceBeat {
-    pub(crate) server: ServerMark,
-    /// Mean time that a request runs, in seconds.
-    pub(crate) service_time: f64,
-    pub(crate) samples: u32,
-}
+use crate::{
+    delta_wire::DeltaWire,
+    peer_beat::{DeltaBeat, GrantedBeat, LeadBeat, PaceBeat, PeerBeat, SampleBeat},
+    prelude::*,
+};
 
 #[derive(prost::Message)]
 struct BeatWire {
@@ -105,44 +34,6 @@
     granted: Vec<GrantedWire>,
 }
 
-#[derive(prost::Message)]
-struct DeltaWire {
-    #[prost(string, tag = "1")]
-    service: String,
-    #[prost(uint64, tag = "2")]
-    base: u64,
-    #[prost(uint64, tag = "3")]
-    revision: u64,
-    #[prost(message, repeated, tag = "4")]
-    moves: Vec<MoveWire>,
-    #[prost(message, repeated, tag = "5")]
-    settles: Vec<SettleWire>,
-    #[prost(bool, tag = "6")]
-    forgets_former: bool,
-}
-
-#[derive(prost::Message)]
-struct MoveWire {
-    #[prost(uint32, tag = "1")]
-    first: u32,
-    #[prost(uint32, tag = "2")]
-    last: u32,
-    #[prost(string, tag = "3")]
-    owner: String,
-    #[prost(uint64, tag = "4")]
-    born: u64,
-    #[prost(bool, tag = "5")]
-    released: bool,
-}
-
-#[derive(prost::Message)]
-struct SettleWire {
-    #[prost(uint32, tag = "1")]
-    first: u32,
-    #[prost(uint64, tag = "2")]
-    fence: u64,
-}
-
 #[derive(prost::Message)]
 struct GrantedWire {
     #[prost(string, tag = "1")]
@@ -317,64 +208,3 @@
         })
     }
 }
-
-impl From<DeltaBeat> for DeltaWire {
-    fn from(beat: DeltaBeat) -> Self {
-        let moves = beat.delta.moves.into_iter().map(|step| MoveWire {
-            first: u32::from(step.first),
-            last: u32::from(step.last),
-            owner: step.owner.id,
-            born: step.owner.born,
-            released: step.released,
-        });
-        let settles = beat
-            .delta
-            .settles
-            .into_iter()
-            .map(|(first, fence)| SettleWire {
-                first: u32::from(first),
-                fence,
-            });
-        Self {
-            service: beat.service,
-            base: beat.base,
-            revision: beat.revision,
-            moves: moves.collect(),
-            settles: settles.collect(),
-            forgets_former: beat.delta.forgets_former,
-        }
-    }
-}
-
-impl TryFrom<DeltaWire> for DeltaBeat {
-    type Error = std::num::TryFromIntError;
-
-    fn try_from(wire: DeltaWire) -> Result<Self, Self::Error> {
-        let mut delta = RecordDelta {
-            forgets_former: wire.forgets_former,
-            ..RecordDelta::default()
-        };
-        for step in wire.moves {
-            delta.moves.push(RangeMove {
-                first: u16::try_from(step.first)?,
-                last: u16::try_from(step.last)?,
-                owner: ServerMark {
-                    id: step.owner,
-                    born: step.born,
-                },
-                released: step.released,
-            });
-        }
-        for settle in wire.settles {
-            delta
-                .settles
-                .push((u16::try_from(settle.first)?, settle.fence));
-        }
-        Ok(Self {
-            service: wire.service,
-            base: wire.base,
-            revision: wire.revision,
-            delta,
-        })
-    }
-}
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -4,7 +4,7 @@
 //! heard. So the messages grow with the instances and not with their square.
 
 use crate::{
-    peer_wire::{DeltaBeat, GrantedBeat, LeadBeat, PaceBeat, PeerBeat, SampleBeat},
+    peer_beat::{DeltaBeat, GrantedBeat, LeadBeat, PaceBeat, PeerBeat, SampleBeat},
     prelude::*,
     record_worker,
 };
--- /dev/null
+++ b/crates/gateway/src/record_writer.rs
@@ -0,0 +1,105 @@
+//! Writing key records, and having the store confirm who leads.
+
+use crate::{lead_worker::LeadMemory, prelude::*, record_worker};
+
+/// Time between two confirmations by the store.
+const CONFIRM_EVERY: Duration = Duration::from_millis(1_200);
+
+/// Has the store confirm from time to time that this instance leads.
+pub(crate) fn confirm(node: &Arc<GatewayNode>, service: &str, memory: &mut LeadMemory) {
+    let now = node.now();
+    let age = node.with_keys(service, |view| view.lead.confirmed_age(now));
+    if age < CONFIRM_EVERY || now.since(memory.asked_at) < CONFIRM_EVERY / 2 {
+        return;
+    }
+    memory.asked_at = now;
+    let node = node.clone();
+    let service = service.to_string();
+    // Apart from the worker, which has to go on renewing while the store is silent.
+    node.workers.clone().spawn(async move {
+        refresh(&node, &service).await;
+    });
+}
+
+/// Reads the record, and takes it for a confirmation if it names this instance.
+async fn refresh(node: &GatewayNode, service: &str) {
+    let asked_at = node.now();
+    let name = format!("{}{service}", KeyView::PREFIX);
+    let Ok(Some(object)) = node.store.read(ObjectKind::Records, &name).await else {
+        return;
+    };
+    let leads = record_worker::read_keys(&object).is_ok_and(|record| record.leader == node.me);
+    let event = ObjectEvent {
+        object,
+        is_removed: false,
+    };
+    record_worker::take(node, &event);
+    if leads {
+        node.with_keys(service, |view| view.lead.confirm(asked_at));
+    }
+}
+
+/// Writes a record at a revision, or creates it, and takes in what the store then holds; gives the
+/// revision that was written.
+pub(crate) async fn write(
+    node: &Arc<GatewayNode>,
+    service: &str,
+    record: &KeyRecord,
+    revision: Option<u64>,
+    reason: &'static str,
+) -> Option<u64> {
+    let asked_at = node.now();
+    let name = format!("{}{service}", KeyView::PREFIX);
+    let spec = match RecordBody::write(&RecordWire::from(record)) {
+        Ok(spec) => spec,
+        Err(fault) => {
+            log::error!(service, cause = fault.to_string().as_str(); "key record not written");
+            return None;
+        }
+    };
+    let request = match revision {
+        Some(revision) => StoreRequest::replace(ObjectKind::Records, &name, revision, &spec),
+        None => StoreRequest::create(ObjectKind::Records, &name, &spec),
+    };
+    let result = node.store.write(request).await;
+    let (outcome, cause) = match &result {
+        Ok(WriteAnswer::Written(object)) => {
+            record_worker::adopt(node, service, record.clone(), object.revision);
+            if record.leader == node.me {
+                node.with_keys(service, |view| view.lead.confirm(asked_at));
+            }
+            ("written", String::new())
+        }
+        Ok(WriteAnswer::Conflict) => ("conflict", String::new()),
+        Ok(WriteAnswer::Missing) => ("missing", String::new()),
+        Ok(WriteAnswer::Refused(status)) => ("refused", status.to_string()),
+        Ok(WriteAnswer::Unclear(cause)) => ("unclear", cause.clone()),
+        Err(error) => ("lost", error.to_string()),
+    };
+    metrics::counter!(RECORD_WRITES, "reason" => reason, "result" => outcome).increment(1);
+    if node.log.admit("record", asked_at) {
+        let moving = record.ranges.iter().filter(|range| !range.is_settled());
+        log::info!(
+            service,
+            reason,
+            outcome,
+            cause = cause.as_str(),
+            revision = revision.unwrap_or_default(),
+            term = record.term,
+            last_fence = record.last_fence,
+            ranges = record.ranges.len(),
+            moving = moving.count();
+            "key record write"
+        );
+    }
+    if !matches!(
+        result,
+        Ok(WriteAnswer::Written(_) | WriteAnswer::Refused(_))
+    ) {
+        refresh(node, service).await;
+    }
+    match result {
+        Ok(WriteAnswer::Written(object)) => Some(object.revision),
+        _ => None,
+    }
+}
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -117,10 +117,10 @@
     let took = now.since(call.arrived);
     let (label, response) = match outcome {
         CallOutcome::Served(response) => {
-            let label = if now <= call.target_at {
-                "served"
-            } else {
-                "late"
+            let label = match response.status().is_server_error() {
+                true => "server-error",
+                false if now <= call.target_at => "served",
+                false => "late",
             };
             let mut response = response.map(Full::new);
             hop_headers::strip(response.headers_mut());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,11 +7,16 @@
 mod answer_verdict;
 mod drain_meter;
 mod key_lead;
+mod key_piece;
 mod key_planner;
 mod key_range;
 mod key_record;
 mod key_takeover;
+mod lead_moves;
+mod lead_timing;
+mod load_sums;
 mod load_tracker;
+mod move_work;
 mod order_book;
 mod record_delta;
 mod record_wire;
@@ -30,12 +35,14 @@
 pub use {
     answer_verdict::{AnswerFacts, AnswerVerdict},
     drain_meter::DrainMeter,
-    key_lead::{KeyLead, LeadTiming, MoveStep},
+    key_lead::KeyLead,
     key_planner::{KeyPlan, KeyPlanner, PlannedServer},
     key_range::{KeyRange, RangeState},
     key_record::{KeyRecord, LeaderMark, ServerMark},
     key_takeover::{LeaderView, TakeoverStep},
+    lead_timing::LeadTiming,
     load_tracker::{LoadTracker, ReportedLoad},
+    move_work::MoveStep,
     order_book::OrderBook,
     record_delta::{RangeMove, RecordDelta},
     record_wire::{RecordFault, RecordWire},
--- /dev/null
+++ b/crates/routing/tests/key_history/flying_order.rs
@@ -0,0 +1,143 @@
+//! Orders between instances and servers: on their way, lost, or carried out late.
+
+use crate::history_world::{HOLD_MS, HistoryWorld};
+use geraniummast_model::MonoTime;
+use geraniummast_routing::*;
+use std::time::Duration;
+
+/// An order on its way or being carried out late.
+pub(crate) struct FlyingOrder {
+    at: u64,
+    arrived: u64,
+    instance: usize,
+    incarnation: u64,
+    server: ServerMark,
+    kind: OrderKind,
+    range: KeyRange,
+    answer_lost: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum OrderKind {
+    Renew,
+    Grant,
+    Release,
+}
+
+impl HistoryWorld {
+    /// Sends what the instance's leader side wants sent.
+    pub(crate) fn order(&mut self, number: usize) {
+        let now = MonoTime(self.now * 1_000);
+        for server in 0..self.servers.len() {
+            let (id, born) = (self.servers[server].id.clone(), self.servers[server].born);
+            for life in 1..born {
+                let mark = ServerMark {
+                    id: id.clone(),
+                    born: life,
+                };
+                self.instances[number].lead.died(&mark, now);
+            }
+        }
+        let steps = self.instances[number].lead.move_steps(now);
+        for step in steps {
+            match step {
+                MoveStep::Release { range, holder } => {
+                    self.send(number, OrderKind::Release, holder, range);
+                }
+                MoveStep::Grant { range, .. } => {
+                    let owner = range.owner.clone();
+                    self.send(number, OrderKind::Grant, owner, range);
+                }
+            }
+        }
+        for range in self.instances[number].lead.due_renewals(now) {
+            if self.instances[number].lead.begin_renewal(&range, now) {
+                let owner = range.owner.clone();
+                self.send(number, OrderKind::Renew, owner, range);
+            }
+        }
+    }
+
+    fn send(&mut self, instance: usize, kind: OrderKind, server: ServerMark, range: KeyRange) {
+        let arrived = self.now + self.span(0, 40);
+        let is_late = !self.is_calm && self.chance(60);
+        let is_lost = !self.is_calm && self.chance(40);
+        let at = match (is_lost, is_late) {
+            (true, _) => u64::MAX,
+            (false, true) => arrived + self.span(2_000, 12_000),
+            (false, false) => arrived + self.span(0, 200),
+        };
+        let is_unheard = !self.is_calm && self.chance(30);
+        self.orders.push(FlyingOrder {
+            at,
+            arrived,
+            instance,
+            incarnation: self.instances[instance].lead.me().incarnation,
+            server,
+            kind,
+            range,
+            answer_lost: is_late || is_lost || is_unheard,
+        });
+    }
+
+    /// Carries out the orders that are due, and tells their senders.
+    pub(crate) fn deliver_orders(&mut self) {
+        let now = self.now;
+        let due: Vec<FlyingOrder> = self
+            .orders
+            .extract_if(.., |order| order.at <= now)
+            .collect();
+        for order in due {
+            let server = self
+                .servers
+                .iter_mut()
+                .find(|server| server.mark() == order.server);
+            let answer = server.filter(|server| server.is_up).map(|server| {
+                let KeyRange {
+                    first, last, fence, ..
+                } = order.range;
+                match order.kind {
+                    OrderKind::Release => {
+                        server.release(first, last, fence);
+                        true
+                    }
+                    _ => server.grant(first, last, fence, order.arrived as f64, HOLD_MS as f64),
+                }
+            });
+            let answer = answer.filter(|_| !order.answer_lost);
+            self.tell(&order, answer);
+        }
+        // Orders that nobody answered are given up by their senders.
+        let given_up: Vec<FlyingOrder> = self
+            .orders
+            .extract_if(.., |order| {
+                order.at == u64::MAX && order.arrived + 600 <= now
+            })
+            .collect();
+        for order in given_up {
+            self.tell(&order, None);
+        }
+    }
+
+    fn tell(&mut self, order: &FlyingOrder, answer: Option<bool>) {
+        let now = MonoTime(self.now * 1_000);
+        let instance = &mut self.instances[order.instance];
+        if instance.lead.me().incarnation != order.incarnation {
+            return;
+        }
+        match order.kind {
+            OrderKind::Renew if answer != Some(true) => {
+                let soon = Duration::from_millis(250);
+                instance.lead.renewal_failed(&order.range, now, soon);
+            }
+            OrderKind::Renew => {}
+            OrderKind::Grant => instance
+                .lead
+                .granted(&order.range, answer == Some(true), now),
+            OrderKind::Release => {
+                let handover = answer.map(|_| String::new());
+                instance.lead.released(&order.range, handover, now);
+            }
+        }
+    }
+}
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -3,6 +3,7 @@
 use crate::{
     fake_server::{BLOCK, BLOCKS, FakeServer},
     fake_store::FakeStore,
+    flying_order::FlyingOrder,
 };
 use geraniummast_model::MonoTime;
 use geraniummast_routing::*;
@@ -34,57 +35,38 @@
 }
 
 /// Hold that is granted.
-const HOLD_MS: u64 = 3_000;
+pub(crate) const HOLD_MS: u64 = 3_000;
 /// Step of simulated time.
 const STEP_MS: u64 = 20;
 /// Steps of one run.
 const STEPS: u64 = 1_500;
 
-struct FakeInstance {
-    lead: KeyLead,
+pub(crate) struct FakeInstance {
+    pub(crate) lead: KeyLead,
     /// Frozen or cut from the store until then.
-    frozen_until: u64,
-    cut_until: u64,
-    restart_at: Option<u64>,
-    planned_at: u64,
-    confirmed_at: u64,
-    started_at: u64,
-}
-
-/// An order on its way or being carried out late.
-struct FlyingOrder {
-    at: u64,
-    arrived: u64,
-    instance: usize,
-    incarnation: u64,
-    server: ServerMark,
-    kind: OrderKind,
-    range: KeyRange,
-    answer_lost: bool,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum OrderKind {
-    Renew,
-    Grant,
-    Release,
+    pub(crate) frozen_until: u64,
+    pub(crate) cut_until: u64,
+    pub(crate) restart_at: Option<u64>,
+    pub(crate) planned_at: u64,
+    pub(crate) confirmed_at: u64,
+    pub(crate) started_at: u64,
 }
 
 /// One history.
 pub(crate) struct HistoryWorld {
-    rng: StdRng,
-    plan: HistoryPlan,
-    now: u64,
-    store: FakeStore,
-    late_writes: Vec<(u64, u64, KeyRecord)>,
-    instances: Vec<FakeInstance>,
-    servers: Vec<FakeServer>,
-    orders: Vec<FlyingOrder>,
-    is_calm: bool,
+    pub(crate) rng: StdRng,
+    pub(crate) plan: HistoryPlan,
+    pub(crate) now: u64,
+    pub(crate) store: FakeStore,
+    pub(crate) late_writes: Vec<(u64, u64, KeyRecord)>,
+    pub(crate) instances: Vec<FakeInstance>,
+    pub(crate) servers: Vec<FakeServer>,
+    pub(crate) orders: Vec<FlyingOrder>,
+    pub(crate) is_calm: bool,
     /// Highest fence under which a block was ever held, and by whom.
-    highest: Vec<(u64, Option<ServerMark>)>,
+    pub(crate) highest: Vec<(u64, Option<ServerMark>)>,
     /// When a block was last held.
-    held_at: Vec<u64>,
+    pub(crate) held_at: Vec<u64>,
 }
 
 impl HistoryWorld {
@@ -155,11 +137,11 @@
             .collect()
     }
 
-    fn chance(&mut self, per_mille: u32) -> bool {
+    pub(crate) fn chance(&mut self, per_mille: u32) -> bool {
         self.rng.random_range(0..1_000) < per_mille
     }
 
-    fn span(&mut self, from: u64, to: u64) -> u64 {
+    pub(crate) fn span(&mut self, from: u64, to: u64) -> u64 {
         self.rng.random_range(from..to)
     }
 
@@ -263,120 +245,6 @@
         }
     }
 
-    fn order(&mut self, number: usize) {
-        let now = MonoTime(self.now * 1_000);
-        for server in 0..self.servers.len() {
-            let (id, born) = (self.servers[server].id.clone(), self.servers[server].born);
-            for life in 1..born {
-                let mark = ServerMark {
-                    id: id.clone(),
-                    born: life,
-                };
-                self.instances[number].lead.died(&mark, now);
-            }
-        }
-        let steps = self.instances[number].lead.move_steps(now);
-        for step in steps {
-            match step {
-                MoveStep::Release { range, holder } => {
-                    self.send(number, OrderKind::Release, holder, range);
-                }
-                MoveStep::Grant { range, .. } => {
-                    let owner = range.owner.clone();
-                    self.send(number, OrderKind::Grant, owner, range);
-                }
-            }
-        }
-        for range in self.instances[number].lead.due_renewals(now) {
-            if self.instances[number].lead.begin_renewal(&range, now) {
-                let owner = range.owner.clone();
-                self.send(number, OrderKind::Renew, owner, range);
-            }
-        }
-    }
-
-    fn send(&mut self, instance: usize, kind: OrderKind, server: ServerMark, range: KeyRange) {
-        let arrived = self.now + self.span(0, 40);
-        let is_late = !self.is_calm && self.chance(60);
-        let is_lost = !self.is_calm && self.chance(40);
-        let at = match (is_lost, is_late) {
-            (true, _) => u64::MAX,
-            (false, true) => arrived + self.span(2_000, 12_000),
-            (false, false) => arrived + self.span(0, 200),
-        };
-        let is_unheard = !self.is_calm && self.chance(30);
-        self.orders.push(FlyingOrder {
-            at,
-            arrived,
-            instance,
-            incarnation: self.instances[instance].lead.me().incarnation,
-            server,
-            kind,
-            range,
-            answer_lost: is_late || is_lost || is_unheard,
-        });
-    }
-
-    fn deliver_orders(&mut self) {
-        let now = self.now;
-        let due: Vec<FlyingOrder> = self
-            .orders
-            .extract_if(.., |order| order.at <= now)
-            .collect();
-        for order in due {
-            let server = self
-                .servers
-                .iter_mut()
-                .find(|server| server.mark() == order.server);
-            let answer = server.filter(|server| server.is_up).map(|server| {
-                let KeyRange {
-                    first, last, fence, ..
-                } = order.range;
-                match order.kind {
-                    OrderKind::Release => {
-                        server.release(first, last, fence);
-                        true
-                    }
-                    _ => server.grant(first, last, fence, order.arrived as f64, HOLD_MS as f64),
-                }
-            });
-            let answer = answer.filter(|_| !order.answer_lost);
-            self.tell(&order, answer);
-        }
-        // Orders that nobody answered are given up by their senders.
-        let given_up: Vec<FlyingOrder> = self
-            .orders
-            .extract_if(.., |order| {
-                order.at == u64::MAX && order.arrived + 600 <= now
-            })
-            .collect();
-        for order in given_up {
-            self.tell(&order, None);
-        }
-    }
-
-    fn tell(&mut self, order: &FlyingOrder, answer: Option<bool>) {
-        let now = MonoTime(self.now * 1_000);
-        let instance = &mut self.instances[order.instance];
-        if instance.lead.me().incarnation != order.incarnation {
-            return;
-        }
-        match order.kind {
-            OrderKind::Renew if answer != Some(true) => {
-                let soon = Duration::from_millis(250);
-                instance.lead.renewal_failed(&order.range, now, soon);
-            }
-            OrderKind::Renew => {}
-            OrderKind::Grant => instance
-                .lead
-                .granted(&order.range, answer == Some(true), now),
-            OrderKind::Release => {
-                let handover = answer.map(|_| String::new());
-                instance.lead.released(&order.range, handover, now);
-            }
-        }
-    }
-
     fn write_changes(&mut self, number: usize) {
         if !self.reaches_store(number) {
             return;
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -6,6 +6,7 @@
 
 mod fake_server;
 mod fake_store;
+mod flying_order;
 mod history_world;
 
 use history_world::{HistoryPlan, HistoryWorld};
