--- a/crates/daemon/tests/gateway_process.rs
+++ b/crates/daemon/tests/gateway_process.rs
@@ -1,5 +1,6 @@
 //! The instance on the platform as a process: settings, logs, readiness and stops.
 
+use geraniummast_platform::READINESS_PATH;
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{Ipv4Addr, TcpStream},
@@ -91,7 +92,7 @@
     let host = host(2);
     let mut child = gateway(host, &["--stop-timeout-s=1"]);
     let lines = wait_started(child.stdout.take().unwrap());
-    assert_eq!(status_of(host, 18_388, "/readiness"), Some(503));
+    assert_eq!(status_of(host, 18_388, READINESS_PATH), Some(503));
     assert_eq!(status_of(host, 18_381, "/a/b"), Some(503));
     assert_eq!(status_of(host, 19_464, "/metrics"), Some(200));
     assert_eq!(status_of(host, 19_464, "/dump"), Some(200));
