--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -174,7 +174,8 @@
     call.progress.in_flight.store(true, Ordering::Relaxed);
     call.progress.sends.fetch_add(1, Ordering::Relaxed);
     let request = outgoing(call, server, call.left(sent_at));
-    let exchange = future::or(link.exchange(request), lost(node, call, server)).await;
+    // A silent server is given no new requests, but what it has is waited for: it may be at work.
+    let exchange = link.exchange(request).await;
     call.progress.in_flight.store(false, Ordering::Relaxed);
     let now = node.now();
     let response = match exchange {
@@ -229,28 +230,6 @@
     }
 }
 
-/// Ends when the server has fallen silent and the request may be sent to another one instead.
-async fn lost(
-    node: &GatewayNode,
-    call: &CallerCall,
-    server: &ServerRuntime,
-) -> Result<Response<Bytes>, ExchangeError> {
-    let sends = call.progress.sends.load(Ordering::Relaxed);
-    if !call.route.idempotent || sends >= call.route.max_attempts as usize {
-        return future::pending().await;
-    }
-    /// Time between two looks once the first patience is over.
-    const LOOK_AGAIN: Duration = Duration::from_millis(100);
-    let mut pause = server.load.lock().unwrap().patience();
-    loop {
-        Timer::after(pause).await;
-        pause = LOOK_AGAIN;
-        if server.load.lock().unwrap().is_silent(node.now()) {
-            return Err(ExchangeError::TimedOut);
-        }
-    }
-}
-
 fn outgoing(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method.clone();
