--- /dev/null
+++ b/crates/routing/tests/key_history/history_plan.rs
@@ -0,0 +1,27 @@
+//! What a history assumes.
+
+use crate::history_world::HOLD_MS;
+
+/// Faults and spans of a history.
+#[derive(Clone)]
+pub(crate) struct HistoryPlan {
+    /// Hold that leaders reckon with.
+    pub(crate) booked_hold_ms: u64,
+    /// Time that leaders order without the store's word.
+    pub(crate) authority_ms: u64,
+    /// Time that they take former leaders to order.
+    pub(crate) assumed_authority_ms: u64,
+    /// Whether servers reject orders under a lower fence than they have seen.
+    pub(crate) servers_check_fences: bool,
+}
+
+impl Default for HistoryPlan {
+    fn default() -> Self {
+        Self {
+            booked_hold_ms: HOLD_MS,
+            authority_ms: 6_000,
+            assumed_authority_ms: 6_000,
+            servers_check_fences: true,
+        }
+    }
+}
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -7,9 +7,12 @@
 mod fake_server;
 mod fake_store;
 mod flying_order;
+mod history_plan;
 mod history_world;
+mod record_writes;
 
-use history_world::{HistoryPlan, HistoryWorld};
+use history_plan::HistoryPlan;
+use history_world::HistoryWorld;
 
 /// Histories in one run of the tests.
 const SEEDS: u64 = 300;
--- /dev/null
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -0,0 +1,86 @@
+//! Writes of the key record: what leaders write, and writes that are lost or come late.
+
+use crate::history_world::HistoryWorld;
+use geraniummast_model::MonoTime;
+use geraniummast_routing::*;
+use rand::RngExt;
+
+impl HistoryWorld {
+    /// Writes down what has ended and what the planner wants.
+    pub(crate) fn write_changes(&mut self, number: usize) {
+        if !self.reaches_store(number) {
+            return;
+        }
+        let now = MonoTime(self.now * 1_000);
+        if self.now < self.instances[number].planned_at + 300 {
+            return;
+        }
+        self.instances[number].planned_at = self.now;
+        let servers: Vec<PlannedServer> = self
+            .servers
+            .iter()
+            .filter(|server| server.is_up)
+            .map(|server| PlannedServer {
+                mark: server.mark(),
+                capacity: 10.0,
+            })
+            .collect();
+        // Load that changes place makes the planner move keys.
+        let hot = self.rng.random_range(0..60_000_u16);
+        let weights: Vec<(u16, f64)> = (0..40).map(|step| (hot + step * 100, 3.0)).collect();
+        let lead = &self.instances[number].lead;
+        let Some((record, base)) = lead.record() else {
+            return;
+        };
+        // What has ended is written down with what comes next, as the worker does it.
+        let mut delta = lead.settled().unwrap_or_default();
+        let settled = delta.apply(record);
+        let is_free = |mark: &ServerMark, fence| lead.is_free(mark, fence, now);
+        let planned = KeyPlanner::default().plan(&settled, &servers, &weights, is_free);
+        let next = match planned {
+            Some(KeyPlan::Deal(dealt)) => dealt,
+            Some(KeyPlan::Change(moves)) => {
+                delta.moves = moves.moves;
+                delta.apply(record)
+            }
+            None => settled,
+        };
+        if next != *record && lead.may_order(now) {
+            self.write(number, base, next);
+        }
+    }
+
+    /// A write whose answer may be lost, and which may be done seconds later.
+    pub(crate) fn write(&mut self, number: usize, base: u64, record: KeyRecord) {
+        if !self.is_calm && self.chance(50) {
+            let at = self.now + self.span(0, 5_000);
+            self.late_writes.push((at, base, record));
+            return;
+        }
+        let Some(revision) = self.store.write(base, record.clone()) else {
+            return;
+        };
+        if !self.is_calm && self.chance(50) {
+            return;
+        }
+        let now = MonoTime(self.now * 1_000);
+        let instance = &mut self.instances[number];
+        let leads = record.leader == *instance.lead.me();
+        instance.lead.adopt(record, revision, now);
+        if leads {
+            instance.lead.confirm(now);
+        }
+    }
+
+    /// Carries out the writes that come late.
+    pub(crate) fn apply_late_writes(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .late_writes
+            .extract_if(.., |write| write.0 <= now)
+            .collect();
+        for (_, base, record) in due {
+            let _ = self.store.write(base, record);
+        }
+    }
+}
