--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -4,7 +4,7 @@
     feed_server::{FeedFrames, frames},
     feed_wire::{AskWire, FeedAsk, ReplyWire},
     news_router,
-    object_mirror::MirrorDelta,
+    object_mirror::{DeltaList, MirrorDelta},
     prelude::*,
 };
 use futures_lite::StreamExt;
@@ -18,8 +18,6 @@
 const WATCH_LAG: Duration = Duration::from_millis(200);
 /// Time between questions to the seeds.
 const SEED_PAUSE: Duration = Duration::from_millis(250);
-/// Time after the start for which the seeds are asked.
-const SEED_TIME: Duration = Duration::from_millis(2_500);
 
 /// The connection of the last answer.
 struct OpenFeed {
@@ -79,16 +77,15 @@
         if answer.is_none() {
             turn += 1;
         }
-        let is_new = node.now().since(node.started_at) < SEED_TIME;
         let known = node.mirror.lock().unwrap().complete();
-        if !is_new && known[..2].iter().all(|revision| *revision > 0) {
+        if !node.is_new() && known[..2].iter().all(|revision| *revision > 0) {
             return;
         }
         Timer::after(SEED_PAUSE).await;
     }
 }
 
-/// Asks one instance; tells whether the answer brought a change, none without an answer.
+/// Asks one instance; tells whether the answer brought a change, none without a whole answer.
 async fn pull(
     node: &Arc<GatewayNode>,
     open: &mut Option<OpenFeed>,
@@ -106,21 +103,28 @@
         None
     };
     let deltas = future::or(exchange(open, address, ask), late).await?;
-    let mut changed = false;
+    let (mut changed, mut is_partial) = (false, false);
     for delta in deltas {
         let (kind, newest) = (delta.kind, delta.newest);
         let page = {
             let mut mirror = node.mirror.lock().unwrap();
             let page = mirror.list_of(delta);
-            mirror.saw_newest(kind, newest);
+            if let DeltaList::Whole(_) | DeltaList::Known = page {
+                mirror.saw_newest(kind, newest);
+            }
             page
         };
-        if let Some(page) = page {
-            changed = true;
-            news_router::apply(node, kind, WatchNews::List(page));
+        match page {
+            DeltaList::Whole(page) => {
+                changed = true;
+                news_router::apply(node, kind, WatchNews::List(page));
+            }
+            DeltaList::Known => {}
+            DeltaList::Partial => is_partial = true,
         }
     }
-    Some(changed)
+    // The other one left out what it took for known here: its next answer may be whole.
+    (!is_partial).then_some(changed)
 }
 
 async fn exchange(
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -140,6 +140,21 @@
         true
     }
 
+    /// Whether requests to a service carry keys that its servers hold.
+    pub(crate) fn is_keyed(&self, service: &str) -> bool {
+        self.route_table()
+            .and_then(|table| table.services().get(service).map(|rule| rule.keyed))
+            .unwrap_or_default()
+    }
+
+    /// Whether the instance has started so lately that it leaves the store to the seeds, if one of
+    /// them answers.
+    pub(crate) fn is_new(&self) -> bool {
+        /// Time that an instance takes to learn all from a seed.
+        const NEW_TIME: Duration = Duration::from_millis(2_500);
+        self.now().since(self.started_at) < NEW_TIME
+    }
+
     /// State of a service.
     pub(crate) fn service(&self, name: &str) -> Arc<ServiceState> {
         let mut services = self.services.lock().unwrap();
@@ -237,6 +252,12 @@
         self.peers.lock().unwrap().instance_count()
     }
 
+    /// Whether the store answers neither this instance nor any other that is heard.
+    pub(crate) fn is_store_lost_for_all(&self) -> bool {
+        let now = self.now();
+        self.store.health.is_lost() && self.peers.lock().unwrap().all_lost_store(now)
+    }
+
     /// Whether this instance leads the keys of a service.
     pub(crate) fn is_leading(&self) -> bool {
         self.keys
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod feed_client;
 mod feed_server;
 mod feed_wire;
+mod found_server;
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
@@ -35,6 +36,7 @@
 mod operator_page;
 mod own_answer;
 mod peer_beat;
+mod peer_state;
 mod peer_table;
 #[cfg(test)]
 mod peer_table_tests;
@@ -44,11 +46,13 @@
 mod record_writer;
 mod request_dispatch;
 mod request_handler;
+mod search_look;
 mod server_finder;
 mod server_pool;
 mod server_runtime;
 mod service_state;
 mod store_health;
+mod tried_servers;
 
 pub use {gateway_process::run, gateway_settings::GatewaySettings};
 
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -29,6 +29,16 @@
     pub(crate) changed: Vec<PlatformObject>,
 }
 
+/// What a delta from another instance makes.
+pub(crate) enum DeltaList {
+    /// All objects, newer than what is known.
+    Whole(ObjectPage),
+    /// Nothing new.
+    Known,
+    /// It names an object that neither side has told of.
+    Partial,
+}
+
 /// All kinds, in the order of their positions.
 pub(crate) const KINDS: [ObjectKind; 3] = [
     ObjectKind::Servers,
@@ -115,15 +125,14 @@
         deltas
     }
 
-    /// The whole list that a delta from another instance makes; none when it is not newer, or
-    /// names an object that neither side has.
-    pub(crate) fn list_of(&self, delta: MirrorDelta) -> Option<ObjectPage> {
+    /// What a delta from another instance makes of what is known here.
+    pub(crate) fn list_of(&self, delta: MirrorDelta) -> DeltaList {
         let mirror = &self.kinds[position_of(delta.kind)];
         if mirror
             .complete
             .is_some_and(|complete| complete >= delta.complete)
         {
-            return None;
+            return DeltaList::Known;
         }
         let mut changed: IndexMap<String, PlatformObject> = delta
             .changed
@@ -134,10 +143,13 @@
         for name in &delta.names {
             let object = changed
                 .swap_remove(name)
-                .or_else(|| mirror.objects.get(name).cloned())?;
-            objects.push(object);
+                .or_else(|| mirror.objects.get(name).cloned());
+            match object {
+                Some(object) => objects.push(object),
+                None => return DeltaList::Partial,
+            }
         }
-        Some(ObjectPage {
+        DeltaList::Whole(ObjectPage {
             objects,
             has_more: false,
             revision: delta.complete,
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -23,9 +23,6 @@
 /// Time between two looks at the duty.
 const DUTY_LOOK: Duration = Duration::from_millis(300);
 
-/// Time after the start in which an instance that is no seed leaves the store to the seeds, if one
-/// of them answers.
-const SEED_TIME: Duration = Duration::from_millis(2_500);
 /// Time that the first answer of a seed is waited for.
 const FIRST_SEED_TIME: Duration = Duration::from_millis(150);
 /// Pause before the next watch of servers, so that entries written together come together.
@@ -75,7 +72,7 @@
 
 /// Whether the instance has just started and a seed tells it what it needs.
 fn is_left_to_seeds(node: &GatewayNode) -> bool {
-    node.now().since(node.started_at) < SEED_TIME && node.seeds_answer.load(Ordering::Relaxed)
+    node.is_new() && node.seeds_answer.load(Ordering::Relaxed)
 }
 
 fn has_duty(node: &GatewayNode) -> bool {
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -1,9 +1,6 @@
 //! The other instances, as their records and heartbeats tell.
 
-use crate::{
-    peer_beat::{LeadBeat, PeerBeat},
-    prelude::*,
-};
+use crate::{peer_beat::PeerBeat, peer_state::PeerState, prelude::*};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Other instances by name, and how far this one is behind them.
@@ -29,13 +26,6 @@
     at: MonoTime,
 }
 
-struct PeerState {
-    record: InstanceRecord,
-    revision: u64,
-    heard_at: Option<MonoTime>,
-    beat: PeerBeat,
-}
-
 impl PeerTable {
     /// Time after which an instance that is not heard counts as lost.
     const LOST_TIME: Duration = Duration::from_millis(2_000);
@@ -186,6 +176,18 @@
         heard.count() as u32 + 1
     }
 
+    /// Whether all instances that are heard, one at least unless there are none, have lost the
+    /// store.
+    pub(crate) fn all_lost_store(&self, now: MonoTime) -> bool {
+        let mut heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(now, Self::LOST_TIME))
+            .peekable();
+        let hears_any = self.peers.is_empty() || heard.peek().is_some();
+        hears_any && heard.all(|peer| peer.beat.store_lost)
+    }
+
     /// Addresses of all other instances.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.peers
@@ -280,13 +282,3 @@
         (sum / f64::from(samples.max(1)), samples)
     }
 }
-
-impl PeerState {
-    fn is_heard(&self, now: MonoTime, within: Duration) -> bool {
-        self.heard_at.is_some_and(|at| now.since(at) < within)
-    }
-
-    fn lead_of(&self, service: &str) -> Option<&LeadBeat> {
-        self.beat.leads.iter().find(|lead| lead.service == service)
-    }
-}
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -91,3 +91,20 @@
     table.heard(lonely, at(1_000));
     assert_eq!(table.instance_count(), 3, "the others may go on serving");
 }
+
+#[test]
+fn the_store_is_lost_for_all_only_while_somebody_is_heard_and_nobody_reaches_it() {
+    let mut table = table();
+    let lost = |name: &str| PeerBeat {
+        store_lost: true,
+        ..beat(name, 10, false)
+    };
+    table.heard(lost("p1"), at(100));
+    assert!(!table.all_lost_store(at(100)), "p2 has told nothing of it");
+    table.heard(lost("p2"), at(200));
+    assert!(table.all_lost_store(at(300)));
+    table.heard(beat("p1", 10, false), at(400));
+    assert!(!table.all_lost_store(at(500)), "p1 reaches it");
+    assert!(!table.all_lost_store(at(60_000)), "nobody is heard");
+    assert!(PeerTable::default().all_lost_store(at(0)), "alone");
+}
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -1,9 +1,11 @@
 //! Leading one request through its attempts.
 
 use crate::{
+    found_server::FoundServer,
     hop_headers,
     prelude::*,
-    server_finder::{self, FoundServer, TriedServers},
+    server_finder,
+    tried_servers::{TriedServers, WrongRecord},
 };
 
 /// Connections that may fail for one request before it is refused.
@@ -23,7 +25,7 @@
     let mut dials = 0;
     let mut failed: Option<Response<Bytes>> = None;
     loop {
-        let found = match server_finder::find(node, call, &state, &tried).await {
+        let found = match server_finder::find(node, call, &state, &mut tried).await {
             Ok(found) => found,
             Err(reason) => return give_up(node, call, &state, reason, failed),
         };
@@ -34,7 +36,10 @@
         }
         tried.marks.push(found.server.mark().clone());
         if let AttemptResult::Misdirected = result {
-            tried.wrong_revision = found.key_revision;
+            let now = node.now();
+            tried.wrong = found
+                .key_revision
+                .map(|revision| WrongRecord::new(revision, now));
         }
         drop(found);
         match next_step(node, call, &state, result, dials, &mut failed) {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -13,7 +13,9 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Pause told to callers while no configuration is known.
 const START_PAUSE: Duration = Duration::from_millis(300);
-
+/// Pause told to callers of a route none of whose parts takes requests: only another configuration
+/// helps.
+const NO_PART_PAUSE: Duration = Duration::from_secs(1);
 /// Pause told to callers of an instance that is about to end: others can take them at once.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
@@ -58,35 +60,48 @@
             return own_answer::reason(&facts, StatusCode::BAD_REQUEST, "body-broken");
         }
     };
-    let call = make_call(&node, &table, route.clone(), head, body, facts, arrived);
-    let Some(call) = call else {
-        return own_answer::reason(
-            &RequestHeaders::default(),
-            StatusCode::SERVICE_UNAVAILABLE,
-            RefusalReason::NoServer.label(),
-        );
+    let Some(service) = node.draw_service(route) else {
+        let reason = RefusalReason::NoServer;
+        log_refusal(&node, &facts, "-", &route.name, reason, arrived);
+        return own_answer::refusal(&facts, reason, NO_PART_PAUSE);
+    };
+    let drawn = DrawnRoute {
+        route: route.clone(),
+        service,
+        revision: table.revision(),
     };
+    let call = make_call(&node, drawn, head, body, facts, arrived);
     let outcome = serve(&node, &call).await;
     finish(&node, &call, outcome)
 }
 
-fn make_call(
-    node: &Arc<GatewayNode>,
-    table: &RouteTable,
+/// A route with the service drawn from its parts, and the configuration's revision.
+struct DrawnRoute {
     route: RouteRule,
+    service: String,
+    revision: u64,
+}
+
+fn make_call(
+    node: &GatewayNode,
+    drawn: DrawnRoute,
     head: http::request::Parts,
     body: Bytes,
     facts: RequestHeaders,
     arrived: MonoTime,
-) -> Option<CallerCall> {
-    let service = node.draw_service(&route)?;
+) -> CallerCall {
+    let DrawnRoute {
+        route,
+        service,
+        revision,
+    } = drawn;
     let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
     let usual = node.usual_patience(&route.name, patience);
     let spent = usual.saturating_sub(patience);
     if let Some(key) = facts.key {
         node.note_key(&service, key);
     }
-    Some(CallerCall {
+    CallerCall {
         deadline: arrived.after(patience.min(route.timeout)),
         target_at: arrived.after(route.target.saturating_sub(spent)),
         head,
@@ -94,10 +109,10 @@
         facts,
         route,
         service,
-        revision: table.revision(),
+        revision,
         arrived,
         progress: Default::default(),
-    })
+    }
 }
 
 /// Runs the call until it ends or its time is up.
--- /dev/null
+++ b/crates/gateway/src/search_look.rs
@@ -0,0 +1,156 @@
+//! One look for a server: who may take a request, and whether it has to wait.
+
+use crate::{found_server::FoundServer, prelude::*, tried_servers::TriedServers};
+
+/// One look at the servers.
+pub(crate) enum LookStep {
+    Found(FoundServer),
+    Wait(RefusalReason),
+    Refuse(RefusalReason),
+}
+
+/// One look at the servers for a request, with what it is decided from.
+pub(crate) struct SearchLook<'a> {
+    node: &'a Arc<GatewayNode>,
+    call: &'a CallerCall,
+    state: &'a Arc<ServiceState>,
+    tried: &'a TriedServers,
+    ticket: Option<QueueTicket>,
+    servers: Vec<Arc<ServerRuntime>>,
+    pub(crate) rank: QueueRank,
+    pub(crate) now: MonoTime,
+}
+
+impl<'a> SearchLook<'a> {
+    pub(crate) fn new(
+        node: &'a Arc<GatewayNode>,
+        call: &'a CallerCall,
+        state: &'a Arc<ServiceState>,
+        tried: &'a TriedServers,
+        ticket: Option<QueueTicket>,
+    ) -> Self {
+        let now = node.now();
+        let servers = node.usable_servers(&call.service);
+        let least = servers
+            .iter()
+            .map(|server| server.load.lock().unwrap().expected(now))
+            .fold(f64::INFINITY, f64::min);
+        let rank = QueueRank {
+            is_late: least > call.target_left(now).as_secs_f64(),
+            priority: call.route.priority,
+        };
+        Self {
+            node,
+            call,
+            state,
+            tried,
+            ticket,
+            servers,
+            rank,
+            now,
+        }
+    }
+
+    pub(crate) fn step(&self) -> LookStep {
+        match self.node.is_keyed(&self.call.service) {
+            true => self.look_for_owner(),
+            false => self.look_for_any(),
+        }
+    }
+
+    fn look_for_any(&self) -> LookStep {
+        if self.servers.is_empty() {
+            return LookStep::Refuse(RefusalReason::NoServer);
+        }
+        let is_next = |queue: &mut WaitingQueue| queue.is_next(self.ticket, self.rank);
+        if !self.state.queue(is_next) {
+            return LookStep::Wait(RefusalReason::NoRoom);
+        }
+        match self.choose() {
+            ChoiceStep::Send(position) => self.take(&self.servers[position], None),
+            ChoiceStep::Wait => LookStep::Wait(RefusalReason::NoRoom),
+            ChoiceStep::Refuse => LookStep::Refuse(RefusalReason::NoServer),
+        }
+    }
+
+    fn choose(&self) -> ChoiceStep {
+        let loads: Vec<_> = self
+            .servers
+            .iter()
+            .map(|server| server.load.lock().unwrap())
+            .collect();
+        let inputs: Vec<ChoiceInput<'_>> = self
+            .servers
+            .iter()
+            .zip(&loads)
+            .map(|(server, load)| ChoiceInput {
+                load,
+                near: server.entry.data_centre == self.node.settings.data_centre,
+                tried: self.tried.marks.contains(server.mark()),
+                cold: self.now < server.cold_until,
+            })
+            .collect();
+        self.node
+            .choice
+            .choose(&inputs, self.now, rand::random::<f64>)
+    }
+
+    fn look_for_owner(&self) -> LookStep {
+        let Some(key) = self.call.facts.key else {
+            return LookStep::Refuse(RefusalReason::NoKey);
+        };
+        let Some((server, revision)) = self.owner_of(key) else {
+            return LookStep::Wait(RefusalReason::NoOwner);
+        };
+        let (resting, has_room) = {
+            let load = server.load.lock().unwrap();
+            let has_room = self.node.owner_choice.has_room(&load, self.now);
+            (load.is_resting(self.now), has_room)
+        };
+        match (resting, has_room) {
+            (true, _) => LookStep::Wait(RefusalReason::NoOwner),
+            (false, false) => LookStep::Wait(RefusalReason::NoRoom),
+            (false, true) => self.take(&server, Some(revision)),
+        }
+    }
+
+    /// Server that serves a key now, and the revision of the record that says so.
+    fn owner_of(&self, key: u16) -> Option<(Arc<ServerRuntime>, u64)> {
+        let (range, revision, is_served) = self.node.key_range(&self.call.service, key)?;
+        let is_wrong = self
+            .tried
+            .wrong
+            .is_some_and(|wrong| revision <= wrong.revision && self.now < wrong.until);
+        if !is_served || is_wrong {
+            return None;
+        }
+        let server = self.node.server(&range.owner)?;
+        server
+            .takes_requests(self.now, self.node.drain_time())
+            .then_some((server, revision))
+    }
+
+    /// Counts the request in at a server, unless it cannot end there in time.
+    fn take(&self, server: &Arc<ServerRuntime>, key_revision: Option<u64>) -> LookStep {
+        let now = self.now;
+        let mut load = server.load.lock().unwrap();
+        let expected = load.expected(now);
+        let was_full = load.estimate(now) >= f64::from(load.slots());
+        if expected > self.call.left(now).as_secs_f64() {
+            return LookStep::Refuse(RefusalReason::Hopeless);
+        }
+        if was_full && expected > self.call.target_left(now).as_secs_f64() {
+            return LookStep::Wait(RefusalReason::NoRoom);
+        }
+        load.started(now);
+        drop(load);
+        LookStep::Found(FoundServer {
+            server: server.clone(),
+            started: now,
+            was_full,
+            key_revision,
+            state: self.state.clone(),
+            clock: self.node.clock,
+        })
+    }
+}
--- a/crates/routing/src/retry_window.rs
+++ b/crates/routing/src/retry_window.rs
@@ -50,11 +50,6 @@
         true
     }
 
-    /// Counts a repeat that happened without being asked for.
-    pub fn note_repeat(&mut self, now: MonoTime) {
-        self.repeats.push_back(now);
-    }
-
     /// Whether a repeat would fit.
     pub fn has_room(&mut self, now: MonoTime, instances: usize) -> bool {
         self.forget(now);
