Grant keys only to the life of a server that the store names

The server's hold ended at 34.302 s, it ran a request at 34.449 s, and its keys were granted on at 34.687 s: it had started again under its identifier. A renewal over a new connection gave the new life the keys under the old fence; then discovery told of the new life, the old one counted as dead, and its keys went on without a release. Two more faults of that kind came up with it: a former leader, cut from the store, that sent a lost grant again to a new life; and a grant to an owner that had already been succeeded. Ruled out: the release answered early (the server had not got one), the inherited book (term above 1, so nothing was free within 2 s). Change: a life that a later one has succeeded at the same address is asked for a release like any holder; only one whose address leads elsewhere is free at once. Grants go over connections made before the store named the life that they are meant for; while the store is lost for all, and only then, without its word. A grant is booked when nothing but the sending is left, no longer before the connection is made (up to 500 ms against a margin of 250 ms). A connection that broke no longer keeps a server out of plans once it has answered again.

--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -44,7 +44,8 @@
         }
         for server in node.all_servers() {
             server.pool.close_idle(now);
-            server.orders.close_idle();
+            server.grants.close_idle(now);
+            server.releases.close_idle();
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/grant_links.rs
@@ -0,0 +1,123 @@
+//! Connections over which a server is granted keys.
+//!
+//! A grant under a fence that was given out before must not reach a later life of the server: that
+//! one needs a higher fence. A new connection is therefore used only once the store, asked after
+//! the connection was made, has named the life that the grants are meant for.
+
+use crate::prelude::*;
+
+/// Proven connections of a leader to one life of one server.
+pub(crate) struct GrantLinks {
+    idle: Mutex<Vec<IdleGrantLink>>,
+}
+
+struct IdleGrantLink {
+    connection: HttpConnection,
+    until: MonoTime,
+}
+
+/// Why there is no connection to grant keys over.
+#[derive(Debug)]
+pub(crate) enum LinkFault {
+    /// The server could not be reached.
+    Unreached(ExchangeError),
+    /// Nothing says that the connection leads to the right life of the server.
+    Unproven(&'static str),
+}
+
+/// What is known of the life at the end of a new connection.
+enum LifeProof {
+    Same,
+    Other,
+    Unknown,
+}
+
+impl GrantLinks {
+    /// Idle connections kept.
+    const MAX_IDLE: usize = 2;
+    /// Time after which a connection that is not used is closed.
+    const IDLE_TIME: Duration = Duration::from_secs(2);
+    /// Longest time that a new connection may take.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+    /// Longest time that the store is asked for the server's life: a grant that was due has to
+    /// leave before the one before it lapses.
+    const PROOF_TIMEOUT: Duration = Duration::from_millis(500);
+
+    /// No connection yet.
+    pub(crate) fn new() -> Self {
+        Self {
+            idle: Mutex::default(),
+        }
+    }
+
+    /// A connection that leads to this life of the server.
+    pub(crate) async fn take(
+        &self,
+        node: &GatewayNode,
+        server: &ServerRuntime,
+    ) -> Result<HttpConnection, LinkFault> {
+        if let Some(connection) = self.take_idle(node.now()) {
+            return Ok(connection);
+        }
+        let dialer = Dialer::direct();
+        let address = server.entry.address;
+        let connection =
+            HttpConnection::open(&node.workers, &dialer, address, Self::CONNECT_TIMEOUT)
+                .await
+                .map_err(LinkFault::Unreached)?;
+        match prove(node, server.mark()).await {
+            LifeProof::Same => Ok(connection),
+            LifeProof::Other => Err(LinkFault::Unproven("another life of the server")),
+            // Without the store no record changes, so nobody else was given the keys.
+            LifeProof::Unknown if node.is_store_lost_for_all() => Ok(connection),
+            LifeProof::Unknown => Err(LinkFault::Unproven("no word on the server's life")),
+        }
+    }
+
+    /// Keeps a connection after a whole answer.
+    pub(crate) fn keep(&self, connection: HttpConnection, now: MonoTime) {
+        let mut idle = self.idle.lock().unwrap();
+        if connection.is_open() && idle.len() < Self::MAX_IDLE {
+            idle.push(IdleGrantLink {
+                connection,
+                until: now.after(Self::IDLE_TIME),
+            });
+        }
+    }
+
+    /// Closes connections that have not been used for a while.
+    pub(crate) fn close_idle(&self, now: MonoTime) {
+        let mut idle = self.idle.lock().unwrap();
+        idle.retain(|link| link.is_usable(now));
+    }
+
+    fn take_idle(&self, now: MonoTime) -> Option<HttpConnection> {
+        let mut idle = self.idle.lock().unwrap();
+        std::iter::from_fn(|| idle.pop())
+            .find(|link| link.is_usable(now))
+            .map(|link| link.connection)
+    }
+}
+
+impl IdleGrantLink {
+    fn is_usable(&self, now: MonoTime) -> bool {
+        self.connection.is_open() && now < self.until
+    }
+}
+
+/// Asks the store which life of a server it knows.
+async fn prove(node: &GatewayNode, mark: &ServerMark) -> LifeProof {
+    let read = async { Some(node.store.read(ObjectKind::Servers, &mark.id).await) };
+    let late = async {
+        Timer::after(GrantLinks::PROOF_TIMEOUT).await;
+        None
+    };
+    let Some(Ok(Some(object))) = future::or(read, late).await else {
+        return LifeProof::Unknown;
+    };
+    match ServerBody::read(&object) {
+        Ok(entry) if entry.mark == *mark => LifeProof::Same,
+        Ok(_) => LifeProof::Other,
+        Err(_) => LifeProof::Unknown,
+    }
+}
--- a/crates/gateway/src/lead_orders.rs
+++ b/crates/gateway/src/lead_orders.rs
@@ -1,6 +1,6 @@
 //! Orders to servers that hold keys, as tasks.
 
-use crate::prelude::*;
+use crate::{grant_links::LinkFault, prelude::*};
 
 /// Longest time until a grant is answered.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -28,26 +28,48 @@
     ranges: Vec<KeyRange>,
 ) {
     for range in ranges {
-        let now = node.now();
-        if !node.with_keys(&service, |view| view.lead.begin_renewal(&range, now)) {
-            continue;
-        }
-        let result = grant_once(&node, &service, &server, &range, None).await;
-        if let OrderResult::Answered(OrderAnswer::Taken(_)) = result {
-            continue;
+        if let RenewalStep::Stop = renew_once(&node, &service, &server, &range).await {
+            let now = node.now();
+            node.with_keys(&service, |view| {
+                view.lead.renewal_failed(&range, now, RENEW_AGAIN);
+            });
+            break;
         }
-        let failed_at = node.now();
-        node.with_keys(&service, |view| {
-            if let OrderResult::NotSent = result {
-                view.lead.renewal_not_sent(&range, now);
-            }
-            view.lead.renewal_failed(&range, failed_at, RENEW_AGAIN);
-        });
-        break;
     }
     server.end_order_turn();
 }
 
+/// What to do after one renewal.
+enum RenewalStep {
+    Next,
+    Stop,
+}
+
+async fn renew_once(
+    node: &GatewayNode,
+    service: &str,
+    server: &ServerRuntime,
+    range: &KeyRange,
+) -> RenewalStep {
+    let Some(connection) = connect(node, service, server, range).await else {
+        return RenewalStep::Stop;
+    };
+    // Booked once nothing but the sending is left: the hold counts from there.
+    let now = node.now();
+    if !node.with_keys(service, |view| view.lead.begin_renewal(range, now)) {
+        server.grants.keep(connection, now);
+        return RenewalStep::Next;
+    }
+    match grant_over(node, service, server, connection, range, None).await {
+        OrderResult::Answered(OrderAnswer::Taken(_)) => RenewalStep::Next,
+        OrderResult::NotSent => {
+            node.with_keys(service, |view| view.lead.renewal_not_sent(range, now));
+            RenewalStep::Stop
+        }
+        OrderResult::Answered(_) | OrderResult::Unanswered => RenewalStep::Stop,
+    }
+}
+
 /// Carries one step of a move out.
 pub(crate) async fn step(node: Arc<GatewayNode>, service: String, step: MoveStep) {
     match step {
@@ -62,7 +84,8 @@
         MoveStep::Grant { range, handover } => {
             let result = match node.server(&range.owner) {
                 Some(server) => {
-                    grant_once(&node, &service, &server, &range, handover.as_deref()).await
+                    let handover = handover.as_deref();
+                    grant_moved(&node, &service, &server, &range, handover).await
                 }
                 None => OrderResult::NotSent,
             };
@@ -81,12 +104,65 @@
     node.lead_due.notify(usize::MAX);
 }
 
-async fn grant_once(
+/// Grants a range that moved to its new owner.
+async fn grant_moved(
     node: &GatewayNode,
     service: &str,
     server: &ServerRuntime,
     range: &KeyRange,
     handover: Option<&str>,
+) -> OrderResult {
+    let Some(connection) = connect(node, service, server, range).await else {
+        return OrderResult::NotSent;
+    };
+    let now = node.now();
+    if !node.with_keys(service, |view| view.lead.begin_grant(range, now)) {
+        server.grants.keep(connection, now);
+        return OrderResult::NotSent;
+    }
+    grant_over(node, service, server, connection, range, handover).await
+}
+
+/// A connection to the server, none without a word on why.
+async fn connect(
+    node: &GatewayNode,
+    service: &str,
+    server: &ServerRuntime,
+    range: &KeyRange,
+) -> Option<HttpConnection> {
+    let cause = match server.grants.take(node, server).await {
+        Ok(connection) => return Some(connection),
+        Err(LinkFault::Unreached(error)) => {
+            note(node, service, server, range, "grant", &Err(error));
+            return None;
+        }
+        Err(LinkFault::Unproven(cause)) => cause,
+    };
+    metrics::counter!(ORDERS, "kind" => "grant", "result" => "unproven").increment(1);
+    if node.log.admit("order", node.now()) {
+        log::info!(
+            service,
+            server = server.mark().id.as_str(),
+            born = server.mark().born,
+            order = "grant",
+            result = "unproven",
+            cause,
+            first = range.first,
+            last = range.last,
+            fence = range.fence;
+            "order"
+        );
+    }
+    None
+}
+
+async fn grant_over(
+    node: &GatewayNode,
+    service: &str,
+    server: &ServerRuntime,
+    mut connection: HttpConnection,
+    range: &KeyRange,
+    handover: Option<&str>,
 ) -> OrderResult {
     let order = GrantOrder {
         server_id: &server.mark().id,
@@ -96,13 +172,19 @@
         hold: node.hold(),
         handover,
     };
-    let response = server
-        .orders
-        .exchange(order.to_request().map(Full::new), GRANT_TIMEOUT)
-        .await;
+    let request = order.to_request().map(Full::new);
+    let exchange = connection.exchange(request, HttpClient::MAX_ANSWER_BYTES);
+    let late = async {
+        Timer::after(GRANT_TIMEOUT).await;
+        Err(ExchangeError::TimedOut)
+    };
+    let response = future::or(exchange, late).await;
     note(node, service, server, range, "grant", &response);
     match response {
-        Ok(response) => OrderResult::Answered(OrderAnswer::from(&response)),
+        Ok(response) => {
+            server.grants.keep(connection, node.now());
+            OrderResult::Answered(OrderAnswer::from(&response))
+        }
         Err(ExchangeError::Refused(_) | ExchangeError::NotSent(_)) => OrderResult::NotSent,
         Err(_) => OrderResult::Unanswered,
     }
@@ -122,7 +204,7 @@
         fence: range.fence,
     };
     let response = server
-        .orders
+        .releases
         .exchange(order.to_request().map(Full::new), RELEASE_TIMEOUT)
         .await;
     note(node, service, server, range, "release", &response);
--- a/crates/gateway/src/lead_worker.rs
+++ b/crates/gateway/src/lead_worker.rs
@@ -145,25 +145,19 @@
         marks
     });
     for mark in holders {
-        let is_replaced = {
-            let roster = node.roster.lock().unwrap();
-            let address = node.server(&mark).map(|server| server.entry.address);
-            roster.entries().any(|entry| {
-                let is_later = entry.mark.born > mark.born;
-                is_later && (entry.mark.id == mark.id || Some(entry.address) == address)
-            })
-        };
-        let has_ended = node.server(&mark).is_some_and(|server| server.has_ended());
-        if !is_replaced && !has_ended {
-            continue;
-        }
+        let end = end_of(node, &mark);
         let is_new = node.with_keys(service, |view| {
-            let is_new = !view.lead.is_dead(&mark);
-            view.lead.died(&mark, now);
+            let is_new = !view.lead.has_ended(&mark);
+            match end {
+                LifeEnd::Lives => return false,
+                LifeEnd::Succeeded => view.lead.succeeded(&mark),
+                LifeEnd::Died => view.lead.died(&mark, now),
+            }
             is_new
         });
         if is_new {
-            log::info!(service, server = mark.to_string().as_str(), is_replaced; "server has ended");
+            let mark = mark.to_string();
+            log::info!(service, server = mark.as_str(), end = end.label(); "server has ended");
         }
     }
     let former = node.with_keys(service, |view| {
@@ -183,6 +177,17 @@
     }
 }
 
+/// How a holder's life ended, as far as this instance can tell.
+fn end_of(node: &GatewayNode, mark: &ServerMark) -> LifeEnd {
+    let server = node.server(mark);
+    let address = server.as_ref().map(|server| server.entry.address);
+    let end = node.roster.lock().unwrap().end_of(mark, address);
+    match server.is_some_and(|server| server.has_ended()) {
+        true if end == LifeEnd::Lives => LifeEnd::Died,
+        _ => end,
+    }
+}
+
 /// Sends what is due.
 fn order(node: &Arc<GatewayNode>, service: &str) {
     let now = node.now();
@@ -201,10 +206,6 @@
         let Some(server) = node.server(&owner) else {
             continue;
         };
-        // While the store is away nothing else can be decided than to go on.
-        if server.is_unsure(now) && !node.store.health.is_lost() {
-            continue;
-        }
         if server.take_order_turn() {
             let work = lead_orders::renew(node.clone(), service.into(), server, ranges);
             node.workers.spawn(work);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
+mod grant_links;
 mod hop_headers;
 mod instance_record;
 mod key_view;
@@ -64,6 +65,7 @@
             caller_call::{CallOutcome, CallerCall, FailureReason, LoadView, RefusalReason},
             event_log::EventLog,
             gateway_node::GatewayNode,
+            grant_links::GrantLinks,
             instance_record::InstanceRecord,
             key_view::KeyView,
             metric_names::*,
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -10,8 +10,10 @@
     pub(crate) load: Mutex<LoadTracker>,
     /// Connections for callers' requests.
     pub(crate) pool: ServerPool,
-    /// Connection for orders.
-    pub(crate) orders: HttpClient,
+    /// Connections for grants.
+    pub(crate) grants: GrantLinks,
+    /// Connections for releases, which any life of the server may answer.
+    pub(crate) releases: HttpClient,
     /// Until when it stays slow after its start.
     pub(crate) cold_until: MonoTime,
     state: Mutex<RuntimeState>,
@@ -34,7 +36,7 @@
     const MAX_ORDER_FAILURES: u32 = 2;
     /// Least time over which they must fail.
     const FAILING_TIME: Duration = Duration::from_millis(600);
-    /// Time in which keys are taken from a server whose connection broke.
+    /// Time in which keys are taken from a server whose connection broke, unless it answers.
     const UNSURE_TIME: Duration = Duration::from_millis(1_000);
     /// Refused connections in a row after which nothing can run there.
     const MAX_REFUSALS: u32 = 3;
@@ -49,7 +51,8 @@
         Self {
             load: Mutex::new(LoadTracker::new(entry.slots, service_time)),
             pool: ServerPool::new(workers.clone(), entry.address),
-            orders: HttpClient::new(workers.clone(), Dialer::direct(), entry.address),
+            grants: GrantLinks::new(),
+            releases: HttpClient::new(workers.clone(), Dialer::direct(), entry.address),
             cold_until: now.after(entry.warmup_left),
             state: Mutex::default(),
             entry,
@@ -98,6 +101,7 @@
         let mut state = self.state.lock().unwrap();
         state.order_failures = 0;
         state.order_refusals = 0;
+        state.broken_at = None;
     }
 
     /// Notes an order without an answer, and whether its connection broke or was refused.
@@ -133,8 +137,7 @@
         self.state.lock().unwrap().is_replaced = true;
     }
 
-    /// Whether a connection to it broke lately: another life of the server may have begun, which
-    /// must not be given keys under a fence of the life before.
+    /// Whether a connection to it broke lately and it has answered no order since.
     pub(crate) fn is_unsure(&self, now: MonoTime) -> bool {
         let state = self.state.lock().unwrap();
         state
--- a/crates/routing/src/key_lead.rs
+++ b/crates/routing/src/key_lead.rs
@@ -20,6 +20,7 @@
     pub(crate) renewed: IndexMap<RangeKey, MonoTime>,
     pub(crate) works: IndexMap<RangeKey, MoveWork>,
     pub(crate) dead: IndexMap<ServerMark, ()>,
+    pub(crate) succeeded: IndexMap<ServerMark, ()>,
 }
 
 /// First key and fence, which name a range for as long as it exists.
@@ -44,6 +45,7 @@
             renewed: IndexMap::new(),
             works: IndexMap::new(),
             dead: IndexMap::new(),
+            succeeded: IndexMap::new(),
         }
     }
 
@@ -123,14 +125,9 @@
 
     /// Notes that a life of a server has ended for certain.
     pub fn died(&mut self, mark: &ServerMark, now: MonoTime) {
-        /// Ended lives remembered.
-        const MAX_DEAD: usize = 512;
-        if self.dead.insert(mark.clone(), ()).is_some() {
+        if !note_end(&mut self.dead, mark) {
             return;
         }
-        if self.dead.len() > MAX_DEAD {
-            self.dead.shift_remove_index(0);
-        }
         let Some(held) = &self.held else { return };
         for range in &held.record.ranges {
             let is_holder = matches!(&range.state, RangeState::Moving { previous: Some(holder) } if holder == mark);
@@ -141,11 +138,22 @@
         }
     }
 
+    /// Notes that a later life of the server answers in its place. An order that was on its way may
+    /// have reached that one, so it is asked for a release like any holder.
+    pub fn succeeded(&mut self, mark: &ServerMark) {
+        note_end(&mut self.succeeded, mark);
+    }
+
     /// Whether a life of a server has ended for certain.
     pub fn is_dead(&self, mark: &ServerMark) -> bool {
         self.dead.contains_key(mark)
     }
 
+    /// Whether a life of a server has ended, and with it all renewals.
+    pub fn has_ended(&self, mark: &ServerMark) -> bool {
+        self.is_dead(mark) || self.succeeded.contains_key(mark)
+    }
+
     /// Whether a server can hold nothing any more under a fence.
     pub fn is_free(&self, mark: &ServerMark, fence: u64, now: MonoTime) -> bool {
         self.is_dead(mark) || now >= self.book.until(fence)
@@ -166,7 +174,7 @@
                 let key = (range.first, range.fence);
                 let last = self.renewed.get(&key);
                 self.is_held(range)
-                    && !self.is_dead(&range.owner)
+                    && !self.has_ended(&range.owner)
                     && last.is_none_or(|at| now.since(*at) >= self.timing.renew_every)
             })
             .cloned()
@@ -200,9 +208,7 @@
     /// Lets a renewal that failed be sent again `soon`.
     pub fn renewal_failed(&mut self, range: &KeyRange, now: MonoTime, soon: Duration) {
         let again = now.before(self.timing.renew_every.saturating_sub(soon));
-        if let Some(at) = self.renewed.get_mut(&(range.first, range.fence)) {
-            *at = again;
-        }
+        self.renewed.insert((range.first, range.fence), again);
     }
 
     /// Whether the owner holds the range, as far as this leader knows.
@@ -228,3 +234,14 @@
         self.renewed.clear();
     }
 }
+
+/// Remembers the end of a life; false when it was known.
+fn note_end(ends: &mut IndexMap<ServerMark, ()>, mark: &ServerMark) -> bool {
+    /// Ended lives remembered.
+    const MAX_ENDS: usize = 512;
+    let is_new = ends.insert(mark.clone(), ()).is_none();
+    if ends.len() > MAX_ENDS {
+        ends.shift_remove_index(0);
+    }
+    is_new
+}
--- a/crates/routing/src/lead_moves.rs
+++ b/crates/routing/src/lead_moves.rs
@@ -19,6 +19,8 @@
             let RangeState::Moving { previous } = &range.state else {
                 continue;
             };
+            // A later life of the owner needs a fence of its own.
+            let owner_has_ended = self.has_ended(&range.owner);
             let Some(work) = self.works.get_mut(&(range.first, range.fence)) else {
                 continue;
             };
@@ -33,7 +35,7 @@
                         holder: holder.clone(),
                     });
                 }
-                (MoveStage::ToGrant { not_before }, _) if now >= not_before => {
+                (MoveStage::ToGrant { not_before }, _) if now >= not_before && !owner_has_ended => {
                     work.stage = MoveStage::Granting;
                     self.book.sent(range.fence, now);
                     steps.push(MoveStep::Grant {
@@ -62,6 +64,17 @@
         };
     }
 
+    /// Books a moved range's grant that is about to be sent; false when it must not be.
+    pub fn begin_grant(&mut self, range: &KeyRange, now: MonoTime) -> bool {
+        let work = self.works.get(&(range.first, range.fence));
+        let is_due = work.is_some_and(|work| work.stage == MoveStage::Granting);
+        if !is_due || !self.may_order(now) || self.has_ended(&range.owner) {
+            return false;
+        }
+        self.book.sent(range.fence, now);
+        true
+    }
+
     /// Notes what became of a grant that ended a move.
     pub fn granted(&mut self, range: &KeyRange, taken: bool, now: MonoTime) {
         let again = now.after(self.timing.release_again);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_takeover;
 mod lead_moves;
 mod lead_timing;
+mod life_end;
 mod load_sums;
 mod load_tracker;
 mod move_work;
@@ -41,6 +42,7 @@
     key_record::{KeyRecord, LeaderMark, ServerMark},
     key_takeover::{LeaderView, TakeoverStep},
     lead_timing::LeadTiming,
+    life_end::LifeEnd,
     load_tracker::{LoadTracker, ReportedLoad},
     move_work::MoveStep,
     order_book::OrderBook,
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -58,6 +58,11 @@
         &self.services
     }
 
+    /// Routes by host, those with the longest prefix first.
+    pub fn hosts(&self) -> &IndexMap<String, Vec<RouteRule>> {
+        &self.hosts
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/routing/src/server_roster.rs
+++ b/crates/routing/src/server_roster.rs
@@ -77,9 +77,19 @@
         self.servers.len() != before
     }
 
-    /// Entry of an identifier.
-    pub fn get(&self, id: &str) -> Option<&ServerEntry> {
-        self.servers.get(id).map(|row| &row.entry)
+    /// What the entries tell of a life that was known at `address`.
+    pub fn end_of(&self, mark: &ServerMark, address: Option<SocketAddr>) -> LifeEnd {
+        let later: Vec<&ServerEntry> = self
+            .entries()
+            .filter(|entry| entry.mark.born > mark.born)
+            .collect();
+        let is_here = |entry: &&ServerEntry| Some(entry.address) == address;
+        match later.iter().find(|entry| entry.mark.id == mark.id) {
+            Some(entry) if is_here(entry) => LifeEnd::Succeeded,
+            Some(_) => LifeEnd::Died,
+            None if later.iter().any(is_here) => LifeEnd::Died,
+            None => LifeEnd::Lives,
+        }
     }
 
     /// All entries.
@@ -87,12 +97,6 @@
         self.servers.values().map(|row| &row.entry)
     }
 
-    /// Entries of a service that take new work.
-    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerEntry> {
-        self.entries()
-            .filter(move |entry| entry.service == service && entry.state == ServerState::Ready)
-    }
-
     fn put(&mut self, entry: ServerEntry, revision: u64) -> bool {
         let id = entry.mark.id.clone();
         let removed = self.removed.get(&id).copied().unwrap_or_default();
--- a/crates/routing/tests/key_history/flying_order.rs
+++ b/crates/routing/tests/key_history/flying_order.rs
@@ -1,6 +1,9 @@
 //! Orders between instances and servers: on their way, lost, or carried out late.
 
-use crate::history_world::{HOLD_MS, HistoryWorld};
+use crate::{
+    fake_server::FakeServer,
+    history_world::{HOLD_MS, HistoryWorld},
+};
 use geraniummast_model::MonoTime;
 use geraniummast_routing::*;
 use std::time::Duration;
@@ -11,7 +14,9 @@
     arrived: u64,
     instance: usize,
     incarnation: u64,
-    server: ServerMark,
+    /// Server, and the life of it that the connection leads to.
+    server: usize,
+    life: u64,
     kind: OrderKind,
     range: KeyRange,
     answer_lost: bool,
@@ -29,36 +34,69 @@
     pub(crate) fn order(&mut self, number: usize) {
         let now = MonoTime(self.now * 1_000);
         for server in 0..self.servers.len() {
-            let (id, born) = (self.servers[server].id.clone(), self.servers[server].born);
-            for life in 1..born {
+            // Discovery tells of a new life after a moment.
+            if self.chance(150) {
+                self.instances[number].known_born[server] = self.servers[server].born;
+            }
+            for life in 1..self.instances[number].known_born[server] {
                 let mark = ServerMark {
-                    id: id.clone(),
+                    id: self.servers[server].id.clone(),
                     born: life,
                 };
-                self.instances[number].lead.died(&mark, now);
+                self.instances[number].lead.succeeded(&mark);
             }
         }
         let steps = self.instances[number].lead.move_steps(now);
         for step in steps {
             match step {
                 MoveStep::Release { range, holder } => {
-                    self.send(number, OrderKind::Release, holder, range);
+                    self.send(number, OrderKind::Release, &holder, range);
                 }
                 MoveStep::Grant { range, .. } => {
                     let owner = range.owner.clone();
-                    self.send(number, OrderKind::Grant, owner, range);
+                    let is_sound = self.is_link_sound(number, &owner);
+                    let lead = &mut self.instances[number].lead;
+                    match is_sound && lead.begin_grant(&range, now) {
+                        true => self.send(number, OrderKind::Grant, &owner, range),
+                        false => lead.granted(&range, false, now),
+                    }
                 }
             }
         }
         for range in self.instances[number].lead.due_renewals(now) {
+            if !self.is_link_sound(number, &range.owner) {
+                continue;
+            }
             if self.instances[number].lead.begin_renewal(&range, now) {
                 let owner = range.owner.clone();
-                self.send(number, OrderKind::Renew, owner, range);
+                self.send(number, OrderKind::Renew, &owner, range);
             }
         }
     }
 
-    fn send(&mut self, instance: usize, kind: OrderKind, server: ServerMark, range: KeyRange) {
+    /// Whether keys may be granted to an owner: over a connection that was made in its life, or,
+    /// over a new one, once the store has named that life.
+    fn is_link_sound(&mut self, number: usize, owner: &ServerMark) -> bool {
+        let server = self.position_of(owner);
+        let born = self.servers[server].born;
+        if !self.plan.proves_lives || self.instances[number].links[server] == owner.born {
+            // A broken connection is noticed by the sender.
+            return !self.plan.proves_lives || born == owner.born;
+        }
+        let is_proven = born == owner.born && self.reaches_store(number);
+        if is_proven {
+            self.instances[number].links[server] = born;
+        }
+        is_proven
+    }
+
+    fn position_of(&self, mark: &ServerMark) -> usize {
+        let is_it = |server: &FakeServer| server.id == mark.id;
+        self.servers.iter().position(is_it).unwrap()
+    }
+
+    fn send(&mut self, instance: usize, kind: OrderKind, mark: &ServerMark, range: KeyRange) {
+        let server = self.position_of(mark);
         let arrived = self.now + self.span(0, 40);
         let is_late = !self.is_calm && self.chance(60);
         let is_lost = !self.is_calm && self.chance(40);
@@ -74,6 +112,7 @@
             instance,
             incarnation: self.instances[instance].lead.me().incarnation,
             server,
+            life: self.servers[server].born,
             kind,
             range,
             answer_lost: is_late || is_lost || is_unheard,
@@ -88,11 +127,9 @@
             .extract_if(.., |order| order.at <= now)
             .collect();
         for order in due {
-            let server = self
-                .servers
-                .iter_mut()
-                .find(|server| server.mark() == order.server);
-            let answer = server.filter(|server| server.is_up).map(|server| {
+            let server = &mut self.servers[order.server];
+            let is_reached = server.is_up && server.born == order.life;
+            let answer = is_reached.then(|| {
                 let KeyRange {
                     first, last, fence, ..
                 } = order.range;
--- a/crates/routing/tests/key_history/history_plan.rs
+++ b/crates/routing/tests/key_history/history_plan.rs
@@ -13,6 +13,8 @@
     pub(crate) assumed_authority_ms: u64,
     /// Whether servers reject orders under a lower fence than they have seen.
     pub(crate) servers_check_fences: bool,
+    /// Whether leaders have the store name a server's life before they renew over a new connection.
+    pub(crate) proves_lives: bool,
 }
 
 impl Default for HistoryPlan {
@@ -22,6 +24,7 @@
             authority_ms: 6_000,
             assumed_authority_ms: 6_000,
             servers_check_fences: true,
+            proves_lives: true,
         }
     }
 }
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -15,6 +15,8 @@
 pub(crate) const HOLD_MS: u64 = 3_000;
 /// Step of simulated time.
 const STEP_MS: u64 = 20;
+/// Identifiers of the servers.
+const SERVERS: [&str; 4] = ["s0", "s1", "s2", "s3"];
 /// Steps of one run.
 const STEPS: u64 = 1_500;
 
@@ -27,6 +29,10 @@
     pub(crate) planned_at: u64,
     pub(crate) confirmed_at: u64,
     pub(crate) started_at: u64,
+    /// Lives of the servers that discovery has told of.
+    pub(crate) known_born: Vec<u64>,
+    /// Lives that the connections for renewals lead to, 0 without one.
+    pub(crate) links: Vec<u64>,
 }
 
 /// One history.
@@ -56,10 +62,12 @@
             planned_at: 0,
             confirmed_at: 0,
             started_at: 0,
+            known_born: vec![1; SERVERS.len()],
+            links: vec![0; SERVERS.len()],
         };
         Self {
             instances: (0..3).map(instance).collect(),
-            servers: ["s0", "s1", "s2", "s3"]
+            servers: SERVERS
                 .iter()
                 .map(|id| FakeServer::new(id, plan.servers_check_fences))
                 .collect(),
@@ -156,6 +164,8 @@
                     planned_at: 0,
                     confirmed_at: 0,
                     started_at: self.now,
+                    known_born: self.servers.iter().map(|server| server.born).collect(),
+                    links: vec![0; SERVERS.len()],
                 };
             }
         }
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -81,3 +81,12 @@
     };
     assert!(!violations(&plan, 60).is_empty());
 }
+
+#[test]
+fn renewals_over_new_connections_to_lives_that_nobody_named_give_a_fence_out_twice() {
+    let plan = HistoryPlan {
+        proves_lives: false,
+        ..HistoryPlan::default()
+    };
+    assert!(!violations(&plan, 120).is_empty());
+}
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -19,9 +19,13 @@
         let servers: Vec<PlannedServer> = self
             .servers
             .iter()
-            .filter(|server| server.is_up)
-            .map(|server| PlannedServer {
-                mark: server.mark(),
+            .zip(&self.instances[number].known_born)
+            .filter(|(server, _)| server.is_up)
+            .map(|(server, born)| PlannedServer {
+                mark: ServerMark {
+                    id: server.id.clone(),
+                    born: *born,
+                },
                 capacity: 10.0,
             })
             .collect();
--- a/crates/routing/tests/server_roster.rs
+++ b/crates/routing/tests/server_roster.rs
@@ -31,12 +31,17 @@
         .collect()
 }
 
+fn ready_count(roster: &ServerRoster) -> usize {
+    let is_ready = |entry: &&ServerEntry| entry.state == ServerState::Ready;
+    roster.entries().filter(is_ready).count()
+}
+
 #[test]
 fn an_older_entry_never_replaces_a_newer_one() {
     let mut roster = ServerRoster::default();
     put(&mut roster, "s1", ServerState::Draining, 7);
     assert!(!put(&mut roster, "s1", ServerState::Ready, 6));
-    assert_eq!(roster.usable("reports").count(), 0);
+    assert_eq!(ready_count(&roster), 0);
 }
 
 #[test]
@@ -69,7 +74,7 @@
     let change = RosterChange::Gone("s1".into(), 5);
     roster.apply(change, MonoTime(1_000_000), hold);
     assert!(!roster.expire(MonoTime(2_900_000)));
-    assert_eq!(roster.usable("reports").count(), 1);
+    assert_eq!(ready_count(&roster), 1);
     assert!(roster.expire(MonoTime(3_000_000)));
     assert!(ids(&roster).is_empty());
 }
@@ -93,3 +98,21 @@
     roster.apply(RosterChange::Gone("s1".into(), 5), MonoTime(0), hold);
     assert!(ids(&roster).is_empty());
 }
+
+#[test]
+fn a_later_life_at_the_same_address_succeeds_the_one_before() {
+    let mut roster = ServerRoster::default();
+    let change = RosterChange::Entry(Box::new(entry("s1", 5, ServerState::Ready)), 3);
+    roster.apply(change, MonoTime(0), Duration::ZERO);
+    let mark = |id: &str, born| ServerMark {
+        id: id.into(),
+        born,
+    };
+    let here = "127.0.0.1:9".parse().ok();
+    let elsewhere = "127.0.0.1:8".parse().ok();
+    assert_eq!(roster.end_of(&mark("s1", 5), here), LifeEnd::Lives);
+    assert_eq!(roster.end_of(&mark("s1", 4), here), LifeEnd::Succeeded);
+    assert_eq!(roster.end_of(&mark("s1", 4), elsewhere), LifeEnd::Died);
+    assert_eq!(roster.end_of(&mark("s2", 4), here), LifeEnd::Died);
+    assert_eq!(roster.end_of(&mark("s2", 4), elsewhere), LifeEnd::Lives);
+}
