Go on granting without the store's word while other instances are heard

The store was silent for all from 19.3 to 26.0 s, the leader's connections broke at 20.4 s, and no new one could be proven: instances without the duty to watch make no calls, so they do not know that the store is lost, and the leader waited for all to say so. Change: a leader without the store goes on while any other instance is heard; another leader, whose record alone could have moved the keys, would be told of by the same heartbeats. One that hears nobody waits for the store's word.

--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -252,10 +252,10 @@
         self.peers.lock().unwrap().instance_count()
     }
 
-    /// Whether the store answers neither this instance nor any other that is heard.
-    pub(crate) fn is_store_lost_for_all(&self) -> bool {
+    /// Whether the store is lost and others are heard: they would tell of another leader.
+    pub(crate) fn is_store_lost_in_touch(&self) -> bool {
         let now = self.now();
-        self.store.health.is_lost() && self.peers.lock().unwrap().all_lost_store(now)
+        self.store.health.is_lost() && self.peers.lock().unwrap().hears_any(now)
     }
 
     /// Whether this instance leads the keys of a service.
--- a/crates/gateway/src/grant_links.rs
+++ b/crates/gateway/src/grant_links.rs
@@ -65,11 +65,13 @@
             HttpConnection::open(&node.workers, &dialer, address, Self::CONNECT_TIMEOUT)
                 .await
                 .map_err(LinkFault::Unreached)?;
+        // Without the store this leader changes no record, and of another one its peers would tell.
+        if node.is_store_lost_in_touch() {
+            return Ok(connection);
+        }
         match prove(node, server.mark()).await {
             LifeProof::Same => Ok(connection),
             LifeProof::Other => Err(LinkFault::Unproven("another life of the server")),
-            // Without the store no record changes, so nobody else was given the keys.
-            LifeProof::Unknown if node.is_store_lost_for_all() => Ok(connection),
             LifeProof::Unknown => Err(LinkFault::Unproven("no word on the server's life")),
         }
     }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -176,16 +176,10 @@
         heard.count() as u32 + 1
     }
 
-    /// Whether all instances that are heard, one at least unless there are none, have lost the
-    /// store.
-    pub(crate) fn all_lost_store(&self, now: MonoTime) -> bool {
-        let mut heard = self
-            .peers
-            .values()
-            .filter(|peer| peer.is_heard(now, Self::LOST_TIME))
-            .peekable();
-        let hears_any = self.peers.is_empty() || heard.peek().is_some();
-        hears_any && heard.all(|peer| peer.beat.store_lost)
+    /// Whether any other instance is heard now; also true when there is none.
+    pub(crate) fn hears_any(&self, now: MonoTime) -> bool {
+        let mut peers = self.peers.values();
+        self.peers.is_empty() || peers.any(|peer| peer.is_heard(now, Self::MUSTER_TIME))
     }
 
     /// Addresses of all other instances.
