--- /dev/null
+++ b/crates/soak/src/backend_fault.rs
@@ -0,0 +1,27 @@
+//! What a server does wrong.
+
+use crate::prelude::*;
+
+/// What a server does to answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum BackendFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Breaks each fourth one off midway.
+    Cutting,
+    /// Never gives each fourth one.
+    Hanging,
+    /// Fails each fourth request.
+    Failing,
+    /// Works four times as long.
+    Slow,
+}
+
+impl BackendFault {
+    /// One at random.
+    pub(crate) fn draw(rng: &mut StdRng) -> Self {
+        let all = [Self::Cutting, Self::Hanging, Self::Failing, Self::Slow];
+        all[rng.random_range(0..all.len())]
+    }
+}
--- /dev/null
+++ b/crates/soak/src/call_record.rs
@@ -0,0 +1,81 @@
+//! One attempt of a caller.
+
+use crate::prelude::*;
+
+/// Kinds of requests, by the route that they take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallerKind {
+    Lookup,
+    Order,
+    KeyedLookup,
+    KeyedOrder,
+    Probe,
+}
+
+/// What a caller saw of one attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRecord {
+    pub(crate) id: String,
+    pub(crate) kind: CallerKind,
+    /// Number of the instance, and how often it had been started.
+    pub(crate) instance: usize,
+    pub(crate) start: u64,
+    pub(crate) sent: MonoTime,
+    pub(crate) patience: Duration,
+    pub(crate) ended: MonoTime,
+    pub(crate) end: CallEnd,
+}
+
+/// How an attempt ended for its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum CallEnd {
+    /// An answer with a status, and what is wrong with it, if anything.
+    Answered(StatusCode, Option<&'static str>),
+    /// The connection ended without an answer.
+    Closed(String),
+    /// The caller gave up at its deadline.
+    TimedOut,
+    /// The caller left early on purpose.
+    Left,
+}
+
+impl CallerKind {
+    /// All kinds that callers send.
+    pub(crate) const CALLED: [Self; 4] = [
+        Self::Lookup,
+        Self::Order,
+        Self::KeyedLookup,
+        Self::KeyedOrder,
+    ];
+
+    /// Whether a request may run more than once.
+    pub(crate) fn is_idempotent(self) -> bool {
+        !matches!(self, Self::Order | Self::KeyedOrder)
+    }
+
+    /// Whether a request carries a key.
+    pub(crate) fn is_keyed(self) -> bool {
+        matches!(self, Self::KeyedLookup | Self::KeyedOrder)
+    }
+}
+
+impl CallRecord {
+    /// Whether the caller was told that the request has not run and will not.
+    pub(crate) fn is_promised_not_run(&self) -> bool {
+        matches!(
+            self.end,
+            CallEnd::Answered(
+                StatusCode::SERVICE_UNAVAILABLE
+                    | StatusCode::TOO_MANY_REQUESTS
+                    | StatusCode::REQUEST_TIMEOUT
+                    | StatusCode::MISDIRECTED_REQUEST,
+                _
+            )
+        )
+    }
+
+    /// Whether the caller got what it wanted.
+    pub(crate) fn is_served(&self) -> bool {
+        matches!(&self.end, CallEnd::Answered(status, None) if status.is_success())
+    }
+}
--- /dev/null
+++ b/crates/soak/src/caller_session.rs
@@ -0,0 +1,202 @@
+//! Callers: kept connections, retries as they were told, some that leave early.
+
+use crate::{answer_body, prelude::*, soak_routes};
+
+/// Time for which a caller thinks between two requests, in milliseconds.
+const THINK_MS: std::ops::Range<u64> = 10..120;
+/// Requests on one connection.
+const KEPT: std::ops::Range<u32> = 1..12;
+/// Time that callers wait for an answer, in milliseconds.
+const PATIENCE_MS: std::ops::Range<u64> = 800..4_000;
+/// Attempts of one request, by the caller.
+const MAX_TRIES: u32 = 3;
+/// One in so many callers leaves early.
+const LEAVE_EACH: u32 = 25;
+/// Keys that most keyed requests are about.
+const HOT_KEYS: std::ops::Range<u16> = 12_000..12_100;
+/// Time between two probes of one instance.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// Longest time until a new connection is open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A kept connection to an instance.
+struct KeptConnection {
+    connection: HttpConnection,
+    instance: usize,
+    start: u64,
+    left: u32,
+}
+
+/// Sends requests until the world stops calling.
+pub(crate) async fn run(world: Arc<SoakWorld>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut kept = None;
+    while world.is_calling.load(Ordering::SeqCst) {
+        Timer::after(Duration::from_millis(rng.random_range(THINK_MS))).await;
+        let kind = CallerKind::CALLED[rng.random_range(0..CallerKind::CALLED.len())];
+        request(&world, kind, &mut kept, &mut rng).await;
+    }
+}
+
+/// Asks one instance which service serves the probed route.
+pub(crate) async fn probe(world: Arc<SoakWorld>, instance: usize) {
+    let mut rng = StdRng::seed_from_u64(world.plan.seed ^ instance as u64);
+    while world.is_calling.load(Ordering::SeqCst) {
+        Timer::after(PROBE_INTERVAL).await;
+        let patience = Duration::from_secs(1);
+        if let Some(mut kept) = connect(&world, instance, 1).await {
+            attempt(&world, CallerKind::Probe, &mut kept, patience, &mut rng).await;
+        }
+    }
+}
+
+/// Leads one request through the caller's tries.
+async fn request(
+    world: &SoakWorld,
+    kind: CallerKind,
+    kept: &mut Option<KeptConnection>,
+    rng: &mut StdRng,
+) {
+    let until = SteadyClock
+        .now()
+        .after(Duration::from_millis(rng.random_range(PATIENCE_MS)));
+    for _ in 0..MAX_TRIES {
+        let left = until.since(SteadyClock.now());
+        if left < Duration::from_millis(50) {
+            return;
+        }
+        if kept
+            .as_ref()
+            .is_none_or(|kept| kept.left == 0 || !kept.connection.is_open())
+        {
+            let instance = world.balancer.choose();
+            *kept = connect(world, instance, rng.random_range(KEPT)).await;
+        }
+        let Some(connection) = kept.as_mut() else {
+            continue;
+        };
+        let (end, pause) = attempt(world, kind, connection, left, rng).await;
+        if !matches!(end, CallEnd::Answered(..)) {
+            *kept = None;
+        }
+        let again = match &end {
+            CallEnd::Answered(status, _) => {
+                let is_promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+                is_promise || status.is_server_error() && kind.is_idempotent()
+            }
+            CallEnd::Closed(_) => kind.is_idempotent(),
+            CallEnd::TimedOut | CallEnd::Left => false,
+        };
+        if !again {
+            return;
+        }
+        // Each try is made on a new connection.
+        *kept = None;
+        Timer::after(pause.min(left / 3)).await;
+    }
+}
+
+async fn connect(world: &SoakWorld, instance: usize, left: u32) -> Option<KeptConnection> {
+    let process = &world.instances[instance];
+    let start = process.starts();
+    let address = process.caller_address();
+    let dialer = Dialer::direct();
+    let connection = HttpConnection::open(&world.pool, &dialer, address, CONNECT_TIMEOUT).await;
+    Some(KeptConnection {
+        connection: connection.ok()?,
+        instance,
+        start,
+        left,
+    })
+}
+
+/// One attempt: what came of it, and when the instance said to come back.
+async fn attempt(
+    world: &SoakWorld,
+    kind: CallerKind,
+    kept: &mut KeptConnection,
+    patience: Duration,
+    rng: &mut StdRng,
+) -> (CallEnd, Duration) {
+    let id = world.next_id();
+    kept.left = kept.left.saturating_sub(1);
+    let key = kind.is_keyed().then(|| match rng.random_bool(0.4) {
+        true => rng.random_range(HOT_KEYS),
+        false => rng.random(),
+    });
+    let request = build(kind, &id, key, patience, rng);
+    let leaves = kind.is_idempotent() && rng.random_range(0..LEAVE_EACH) == 0;
+    let stay = match leaves {
+        true => Duration::from_millis(rng.random_range(1..60)),
+        false => patience + Duration::from_millis(300),
+    };
+    let sent = SteadyClock.now();
+    let exchange = async { Some(kept.connection.exchange(request, 1 << 20).await) };
+    let gone = async {
+        Timer::after(stay).await;
+        None
+    };
+    let mut pause = Duration::from_millis(20);
+    let end = match future::or(exchange, gone).await {
+        None if leaves => CallEnd::Left,
+        None => CallEnd::TimedOut,
+        Some(Ok(response)) => {
+            let retry_after = response.headers().get("retry-after");
+            let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+            pause = seconds.map_or(pause, Duration::from_secs_f64);
+            CallEnd::Answered(response.status(), fault_of(&id, &response))
+        }
+        Some(Err(error)) => CallEnd::Closed(error.to_string()),
+    };
+    world.ledger.called(CallRecord {
+        id,
+        kind,
+        instance: kept.instance,
+        start: kept.start,
+        sent,
+        patience,
+        ended: SteadyClock.now(),
+        end: end.clone(),
+    });
+    (end, pause)
+}
+
+fn build(
+    kind: CallerKind,
+    id: &str,
+    key: Option<u16>,
+    patience: Duration,
+    rng: &mut StdRng,
+) -> Request<Full<Bytes>> {
+    let body = match kind.is_idempotent() {
+        true => String::new(),
+        false => "b".repeat(rng.random_range(1..8_000)),
+    };
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    if !kind.is_idempotent() {
+        *request.method_mut() = http::Method::POST;
+    }
+    let target = format!("{}{id}", soak_routes::path(kind));
+    *request.uri_mut() = target.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    headers.insert("host", http::HeaderValue::from_static(soak_routes::HOST));
+    let facts = RequestHeaders {
+        request_id: http::HeaderValue::from_str(id).ok(),
+        patience: Some(patience),
+        key,
+    };
+    facts.set(headers);
+    request
+}
+
+/// What is wrong with an answer.
+fn fault_of(id: &str, response: &Response<Bytes>) -> Option<&'static str> {
+    let headers = ServerHeaders::from(response.headers());
+    let is_own = headers.request_id.is_some_and(|own| own == id);
+    match (is_own, response.status().is_success(), headers.signed) {
+        (false, _, _) => Some("the identifier of another request"),
+        (true, true, false) => Some("a success without a signature"),
+        (true, true, true) => answer_body::body_fault(id, response.body()),
+        (true, false, _) => None,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fault_event.rs
@@ -0,0 +1,98 @@
+//! Faults of a run, drawn from its seed.
+
+use crate::prelude::*;
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) enum StoreFault {
+    /// As it should.
+    #[default]
+    None,
+    /// Not at all.
+    Silent,
+    /// That it does nothing.
+    Refusing,
+    /// Late by this time.
+    Slow(Duration),
+    /// Some writes take effect without an answer.
+    LosingAnswers,
+}
+
+/// One fault. Instances and servers are numbers, taken modulo how many there are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum FaultEvent {
+    /// SIGKILL, and a start after a while.
+    Kill(usize, Duration),
+    /// SIGKILL of all instances at once.
+    KillAll(Duration),
+    /// SIGSTOP, and SIGCONT after a while.
+    Pause(usize, Duration),
+    /// SIGTERM, and a start once it has ended.
+    Terminate(usize),
+    /// SIGTERM of one instance after the other.
+    TerminateInTurn,
+    /// SIGHUP.
+    HangUp(usize),
+    /// The store fails for a while.
+    Store(StoreFault, Duration),
+    /// The store drops its history.
+    Compact,
+    /// One instance's link to the store fails for a while.
+    StoreLink(usize, ProxyMode, Duration),
+    /// A server's link fails for a while.
+    ServerLink(usize, ProxyMode, Duration),
+    /// A server ends and starts again under its identifier.
+    Restart(usize, Duration),
+    /// A server ends for good; another one joins.
+    Replace(usize),
+    /// A server says that it leaves, serves on for a while and ends; another one joins.
+    Drain(usize),
+    /// A server spoils answers for a while.
+    Server(usize, BackendFault, Duration),
+    /// The operator moves the probed route.
+    Configure,
+}
+
+impl FaultEvent {
+    /// Shortest and longest pause between two faults, in milliseconds.
+    const PAUSE_MS: std::ops::Range<u64> = 100..2_200;
+
+    /// Faults of a seed, each with its time after the first.
+    pub(crate) fn schedule(rng: &mut StdRng, span: Duration) -> Vec<(Duration, Self)> {
+        let mut at = Duration::ZERO;
+        let mut events = Vec::new();
+        loop {
+            at += Duration::from_millis(rng.random_range(Self::PAUSE_MS));
+            if at >= span {
+                return events;
+            }
+            events.push((at, Self::draw(rng)));
+        }
+    }
+
+    fn draw(rng: &mut StdRng) -> Self {
+        let number = rng.random_range(0..1_000);
+        let time = Duration::from_millis(rng.random_range(200..4_000));
+        let short = Duration::from_millis(rng.random_range(50..1_500));
+        match rng.random_range(0..23) {
+            0 | 1 => Self::Kill(number, short),
+            2 => Self::KillAll(short),
+            3 | 4 => Self::Pause(number, time),
+            5 | 6 => Self::Terminate(number),
+            7 => Self::TerminateInTurn,
+            8 => Self::HangUp(number),
+            9 => Self::Store(StoreFault::Silent, time),
+            10 => Self::Store(StoreFault::Refusing, time),
+            11 => Self::Store(StoreFault::Slow(Duration::from_millis(200)), time),
+            12 => Self::Store(StoreFault::LosingAnswers, time),
+            13 => Self::Compact,
+            14 | 15 => Self::StoreLink(number, ProxyMode::draw(rng), time),
+            16 => Self::ServerLink(number, ProxyMode::draw(rng), time),
+            17 | 18 => Self::Restart(number, short),
+            19 => Self::Replace(number),
+            20 => Self::Drain(number),
+            21 => Self::Server(number, BackendFault::draw(rng), time),
+            _ => Self::Configure,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,5 @@
+//! Randomized faults over instances that run as separate processes.
+
+fn main() -> std::process::ExitCode {
+    geraniummast_soak::run()
+}
--- /dev/null
+++ b/crates/soak/src/object_shelf.rs
@@ -0,0 +1,134 @@
+//! Objects of the store stand-in and their latest changes.
+
+use crate::prelude::*;
+use std::collections::VecDeque;
+
+/// Objects by kind and name.
+#[derive(Default)]
+pub(crate) struct ObjectShelf {
+    revision: u64,
+    objects: IndexMap<(&'static str, String), PlatformObject>,
+    history: VecDeque<(&'static str, ObjectEvent)>,
+    /// Revision after which the history is whole.
+    floor: u64,
+}
+
+/// Why a write was not made.
+#[derive(Debug, PartialEq)]
+pub(crate) enum ShelfFault {
+    Conflict,
+    Missing,
+}
+
+impl ObjectShelf {
+    /// Changes kept.
+    const MAX_HISTORY: usize = 4_096;
+
+    /// All objects of a kind.
+    pub(crate) fn list(&self, kind: ObjectKind) -> ObjectPage {
+        let matching = |((label, _), object): (&(&str, String), &PlatformObject)| {
+            (*label == kind.label()).then(|| object.clone())
+        };
+        ObjectPage {
+            objects: self.objects.iter().filter_map(matching).collect(),
+            has_more: false,
+            revision: self.revision,
+        }
+    }
+
+    /// Changes of a kind after a revision, none when its history is gone.
+    pub(crate) fn changes(&self, kind: ObjectKind, after: u64) -> Option<ObjectChanges> {
+        (after >= self.floor).then(|| ObjectChanges {
+            events: self
+                .history
+                .iter()
+                .filter(|(label, event)| *label == kind.label() && event.object.revision > after)
+                .map(|(_, event)| event.clone())
+                .collect(),
+            revision: self.revision,
+        })
+    }
+
+    /// One object.
+    pub(crate) fn get(&self, kind: ObjectKind, name: &str) -> Option<&PlatformObject> {
+        self.objects.get(&(kind.label(), name.into()))
+    }
+
+    /// Writes an object's value, if it is at `revision`.
+    pub(crate) fn write(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        revision: Option<u64>,
+        spec: serde_json::Value,
+    ) -> Result<PlatformObject, ShelfFault> {
+        let known = self.get(kind, name).ok_or(ShelfFault::Missing)?.clone();
+        if revision.is_some_and(|revision| revision != known.revision) {
+            return Err(ShelfFault::Conflict);
+        }
+        if known.spec == spec {
+            return Ok(known);
+        }
+        Ok(self.put(kind, name, spec, known.status))
+    }
+
+    /// Creates an object.
+    pub(crate) fn create(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        spec: serde_json::Value,
+    ) -> Result<PlatformObject, ShelfFault> {
+        match self.get(kind, name) {
+            Some(_) => Err(ShelfFault::Conflict),
+            None => Ok(self.put(kind, name, spec, serde_json::Value::Null)),
+        }
+    }
+
+    /// Writes an object, whatever it was.
+    pub(crate) fn put(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        spec: serde_json::Value,
+        status: serde_json::Value,
+    ) -> PlatformObject {
+        self.revision += 1;
+        let object = PlatformObject {
+            name: name.into(),
+            revision: self.revision,
+            spec,
+            status,
+        };
+        let key = (kind.label(), name.to_string());
+        self.objects.insert(key, object.clone());
+        self.note(kind, object.clone(), false);
+        object
+    }
+
+    /// Removes an object.
+    pub(crate) fn remove(&mut self, kind: ObjectKind, name: &str) -> Option<PlatformObject> {
+        let key = (kind.label(), name.to_string());
+        let mut object = self.objects.shift_remove(&key)?;
+        self.revision += 1;
+        object.revision = self.revision;
+        self.note(kind, object.clone(), true);
+        Some(object)
+    }
+
+    /// Drops the history.
+    pub(crate) fn compact(&mut self) {
+        self.history.clear();
+        self.floor = self.revision;
+    }
+
+    fn note(&mut self, kind: ObjectKind, object: PlatformObject, is_removed: bool) {
+        let event = ObjectEvent { object, is_removed };
+        self.history.push_back((kind.label(), event));
+        if self.history.len() > Self::MAX_HISTORY
+            && let Some((_, dropped)) = self.history.pop_front()
+        {
+            self.floor = dropped.object.revision;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/promise_checks_tests.rs
@@ -0,0 +1,219 @@
+//! Each check finds the broken promise that is planted for it, and nothing in sound records.
+
+use crate::{prelude::*, promise_checks};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A time well after the run's begin, `millis` after it.
+fn at(millis: u64) -> MonoTime {
+    MonoTime(1_000_000_000 + millis * 1_000)
+}
+
+fn call(id: &str, kind: CallerKind, end: CallEnd) -> CallRecord {
+    CallRecord {
+        id: id.into(),
+        kind,
+        instance: 0,
+        start: 1,
+        sent: at(1_000),
+        patience: SECOND,
+        ended: at(1_050),
+        end,
+    }
+}
+
+fn run(id: &str, service: &'static str) -> RunRecord {
+    RunRecord {
+        id: id.into(),
+        service,
+        server: mark("s1"),
+        arrived: at(1_010),
+        patience: Some(SECOND),
+        began: Some(at(1_011)),
+        ended: Some(at(1_040)),
+        end: RunEnd::Answered,
+        leaving_since: None,
+    }
+}
+
+fn mark(id: &str) -> ServerMark {
+    ServerMark {
+        id: id.into(),
+        born: 1,
+    }
+}
+
+fn answered(status: u16) -> CallEnd {
+    CallEnd::Answered(StatusCode::from_u16(status).unwrap(), None)
+}
+
+/// Rules that records break, with a served call of each kind at the end.
+fn broken(calls: Vec<CallRecord>, runs: Vec<RunRecord>, revisions: &[(u64, u64)]) -> Vec<String> {
+    let ledger = SoakLedger::default();
+    for kind in CallerKind::CALLED {
+        let id = format!("last-{kind:?}");
+        ledger.called(CallRecord {
+            sent: at(90_000),
+            ended: at(90_010),
+            ..call(&id, kind, answered(200))
+        });
+    }
+    calls.into_iter().for_each(|call| ledger.called(call));
+    for run in runs {
+        ledger.arrived(run);
+    }
+    let taken = revisions
+        .iter()
+        .map(|(revision, millis)| (*revision, at(*millis)));
+    ledger.revisions.lock().unwrap().extend(taken);
+    let faults = promise_checks::check(&ledger, at(89_000));
+    let rule = |fault: String| fault.split(':').next().unwrap_or_default().to_string();
+    faults.into_iter().map(rule).collect()
+}
+
+#[test]
+fn sound_records_break_nothing() {
+    let calls = vec![
+        call("a", CallerKind::Order, answered(200)),
+        call("b", CallerKind::Order, answered(503)),
+        call("c", CallerKind::Lookup, answered(504)),
+    ];
+    let runs = vec![run("a", "plain"), run("c", "plain")];
+    assert_eq!(broken(calls, runs, &[]), Vec::<String>::new());
+}
+
+#[test]
+fn a_refused_order_that_has_run_is_found() {
+    let calls = vec![call("a", CallerKind::Order, answered(503))];
+    assert_eq!(broken(calls, vec![run("a", "plain")], &[]), ["REFUSED"]);
+}
+
+#[test]
+fn an_order_that_ran_twice_is_found() {
+    let calls = vec![call("a", CallerKind::KeyedOrder, answered(200))];
+    let runs = vec![run("a", "keyed"), run("a", "keyed")];
+    assert_eq!(broken(calls, runs, &[]), ["TWICE"]);
+}
+
+#[test]
+fn a_lookup_at_three_servers_is_found() {
+    let calls = vec![call("a", CallerKind::Lookup, answered(200))];
+    let runs = vec![run("a", "plain"), run("a", "plain"), run("a", "plain")];
+    assert_eq!(broken(calls, runs, &[]), ["BUDGET"]);
+}
+
+#[test]
+fn a_server_that_was_given_too_much_time_is_found() {
+    let calls = vec![call("a", CallerKind::Lookup, answered(200))];
+    let runs = vec![RunRecord {
+        patience: Some(SECOND * 2),
+        ..run("a", "plain")
+    }];
+    assert_eq!(broken(calls, runs, &[]), ["BUDGET"]);
+}
+
+#[test]
+fn a_request_that_nobody_sent_is_found() {
+    assert_eq!(
+        broken(Vec::new(), vec![run("x", "plain")], &[]),
+        ["UNASKED"]
+    );
+}
+
+#[test]
+fn a_wrong_answer_and_a_denied_request_are_found() {
+    let ok = StatusCode::OK;
+    let calls = vec![
+        call("a", CallerKind::Lookup, CallEnd::Answered(ok, Some("torn"))),
+        call("b", CallerKind::Lookup, answered(404)),
+    ];
+    let runs = vec![run("a", "plain")];
+    assert_eq!(broken(calls, runs, &[]), ["MIXED", "DENIED"]);
+}
+
+#[test]
+fn a_connection_that_ends_under_a_passed_on_request_is_found() {
+    let calls = vec![call(
+        "a",
+        CallerKind::Lookup,
+        CallEnd::Closed("reset".into()),
+    )];
+    assert_eq!(broken(calls, vec![run("a", "plain")], &[]), ["LOST"]);
+}
+
+#[test]
+fn a_request_after_a_servers_notice_has_run_out_is_found() {
+    let calls = vec![call("a", CallerKind::Lookup, answered(200))];
+    let runs = vec![RunRecord {
+        leaving_since: Some(at(1_010).before(SECOND * 3)),
+        ..run("a", "plain")
+    }];
+    assert_eq!(broken(calls, runs, &[]), ["DRAIN"]);
+}
+
+#[test]
+fn a_caller_kept_beyond_the_routes_time_is_found() {
+    let calls = vec![CallRecord {
+        ended: at(6_000),
+        ..call("a", CallerKind::Lookup, answered(200))
+    }];
+    assert_eq!(broken(calls, vec![run("a", "plain")], &[]), ["CONFIG"]);
+}
+
+#[test]
+fn a_configuration_that_is_late_or_goes_back_is_found() {
+    let probe = |id: &str, millis: u64| CallRecord {
+        sent: at(millis),
+        ended: at(millis + 20),
+        ..call(id, CallerKind::Probe, answered(200))
+    };
+    let seen = |id: &str, service, millis: u64| RunRecord {
+        arrived: at(millis + 5),
+        ..run(id, service)
+    };
+    let revisions = [(1, 0), (2, 10_000)];
+    let late = broken(
+        vec![probe("a", 13_000)],
+        vec![seen("a", "probe-b", 13_000)],
+        &revisions,
+    );
+    assert_eq!(late, ["CONFIG"]);
+    let back = broken(
+        vec![probe("a", 10_500), probe("b", 11_500)],
+        vec![seen("a", "probe-a", 10_500), seen("b", "probe-b", 11_500)],
+        &revisions,
+    );
+    assert_eq!(back, ["CONFIG"]);
+}
+
+#[test]
+fn requests_that_are_not_served_at_the_end_are_found() {
+    let refused = |number: usize| CallRecord {
+        sent: at(91_000),
+        ended: at(91_010),
+        ..call(&number.to_string(), CallerKind::Lookup, answered(503))
+    };
+    assert_eq!(
+        broken((0..3).map(refused).collect(), Vec::new(), &[]),
+        ["RECOVER"]
+    );
+}
+
+#[test]
+fn two_holders_of_a_key_and_a_stale_fence_are_found() {
+    let ledger = SoakLedger::default();
+    let order = |fence| KeyOrder {
+        first: 5,
+        last: 9,
+        fence,
+        hold: 2.0,
+        handover: None,
+    };
+    ledger.granted(&mark("s1"), &order(4), false);
+    ledger.granted(&mark("s1"), &order(4), false);
+    assert!(ledger.faults.lock().unwrap().is_empty(), "a renewal");
+    ledger.granted(&mark("s2"), &order(4), false);
+    assert_eq!(ledger.faults.lock().unwrap().len(), 1);
+    ledger.granted(&mark("s2"), &order(5), false);
+    assert_eq!(ledger.faults.lock().unwrap().len(), 1);
+}
--- /dev/null
+++ b/crates/soak/src/run_record.rs
@@ -0,0 +1,34 @@
+//! One run of a request at a server.
+
+use crate::prelude::*;
+
+/// What a server saw of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct RunRecord {
+    /// Identifier of the request.
+    pub(crate) id: String,
+    /// Service and life of the server.
+    pub(crate) service: &'static str,
+    pub(crate) server: ServerMark,
+    pub(crate) arrived: MonoTime,
+    /// Time that the request allowed the server, none when it named none.
+    pub(crate) patience: Option<Duration>,
+    pub(crate) began: Option<MonoTime>,
+    pub(crate) ended: Option<MonoTime>,
+    pub(crate) end: RunEnd,
+    /// Whether the server had said that it leaves, and since when.
+    pub(crate) leaving_since: Option<MonoTime>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum RunEnd {
+    /// It has not.
+    Open,
+    /// The server did not run it, and said so.
+    Rejected,
+    /// It ran, and its answer was sent.
+    Answered,
+    /// It ran, and was broken off or has no answer.
+    Broken,
+}
--- /dev/null
+++ b/crates/soak/src/soak_plan.rs
@@ -0,0 +1,55 @@
+//! What one run plays.
+
+use crate::prelude::*;
+
+/// Size, times and seed of a run.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// Seed of the faults and of the load.
+    pub seed: u64,
+    /// Program of the instances.
+    pub daemon: PathBuf,
+    /// Folder of the instances' logs.
+    pub folder: PathBuf,
+    /// Instances.
+    pub instances: usize,
+    /// Servers of each of the two main services.
+    pub servers: usize,
+    /// Callers that send at the same time.
+    pub callers: usize,
+    /// Time in which faults come.
+    pub fault_time: Duration,
+}
+
+impl SoakPlan {
+    /// Time before the first fault.
+    pub(crate) const CALM_TIME: Duration = Duration::from_secs(3);
+    /// Time after the last fault within which requests must be served again (page on settings:
+    /// `recover_s` is 15; the soak asks for less).
+    pub(crate) const RECOVER_TIME: Duration = Duration::from_secs(8);
+    /// Time after that in which they are counted.
+    pub(crate) const LAST_TIME: Duration = Duration::from_secs(3);
+    /// Time after a disturbance from which an instance counts as in touch.
+    pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
+    /// Time within which a change of the configuration is in force.
+    pub(crate) const APPLY_TIME: Duration = Duration::from_secs(2);
+    /// Time after its notice from which a leaving server gets nothing new.
+    pub(crate) const DRAIN_TIME: Duration = Duration::from_secs(2);
+    /// Longest time of a graceful stop.
+    pub(crate) const GRACE_TIME: Duration = Duration::from_secs(6);
+    /// Time after a thaw or the healing of a link in which late grants are excused.
+    pub(crate) const THAW_TIME: Duration = Duration::from_millis(300);
+
+    /// Plan of a seed in its usual size.
+    pub fn new(seed: u64, daemon: &Path, folder: &Path) -> Self {
+        Self {
+            seed,
+            daemon: daemon.into(),
+            folder: folder.into(),
+            instances: 4,
+            servers: 6,
+            callers: 24,
+            fault_time: Duration::from_secs(12),
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/soak_routes.rs
@@ -0,0 +1,76 @@
+//! Routes and services of a run.
+
+use crate::prelude::*;
+
+/// Host of all routes.
+pub(crate) const HOST: &str = "soak.example";
+/// Service without keys.
+pub(crate) const PLAIN: &str = "plain";
+/// Service whose servers hold keys.
+pub(crate) const KEYED: &str = "keyed";
+/// Services between which the probed route moves.
+pub(crate) const PROBED: [&str; 2] = ["probe-a", "probe-b"];
+/// Most servers that one request may be sent to.
+pub(crate) const MAX_ATTEMPTS: u32 = 2;
+/// Longest time that a caller is kept waiting.
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Configuration of a revision; each revision moves the probed route to the other service.
+pub(crate) fn table(revision: u64) -> RouteTable {
+    let route = |name: &str, service: &str, idempotent: bool| RouteRule {
+        name: name.into(),
+        prefix: format!("/{name}/"),
+        idempotent,
+        timeout: TIMEOUT,
+        target: Duration::from_millis(500),
+        priority: u32::from(!idempotent),
+        parts: vec![SplitPart {
+            service: service.into(),
+            weight: 1.0,
+        }],
+        max_attempts: MAX_ATTEMPTS,
+    };
+    let rules = vec![
+        route("lookup", PLAIN, true),
+        route("order", PLAIN, false),
+        route("keyed-lookup", KEYED, true),
+        route("keyed-order", KEYED, false),
+        route("probe", probed(revision), true),
+    ];
+    let service = |name: &str| ServiceRule {
+        name: name.into(),
+        health_path: "/health".into(),
+        max_connections: 64,
+        keyed: name == KEYED,
+        warmup: Duration::ZERO,
+    };
+    let names = [PLAIN, KEYED, PROBED[0], PROBED[1]];
+    let limits = RequestLimits {
+        max_head_bytes: 16 << 10,
+        max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(10),
+        idle_timeout: Duration::from_secs(20),
+    };
+    RouteTable::new(
+        revision,
+        IndexMap::from([(HOST.into(), rules)]),
+        names.map(|name| (name.into(), service(name))).into(),
+        limits,
+    )
+}
+
+/// Service of the probed route in a revision.
+pub(crate) fn probed(revision: u64) -> &'static str {
+    PROBED[(revision % 2) as usize]
+}
+
+/// Path prefix of a kind.
+pub(crate) fn path(kind: CallerKind) -> &'static str {
+    match kind {
+        CallerKind::Lookup => "/lookup/",
+        CallerKind::Order => "/order/",
+        CallerKind::KeyedLookup => "/keyed-lookup/",
+        CallerKind::KeyedOrder => "/keyed-order/",
+        CallerKind::Probe => "/probe/",
+    }
+}
--- /dev/null
+++ b/crates/soak/src/soak_run.rs
@@ -0,0 +1,172 @@
+//! One run from its start to its verdict.
+
+use crate::{
+    caller_session, fault_player, prelude::*, promise_checks, soak_arguments::SoakArguments,
+};
+use std::process::ExitCode;
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct SoakReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Attempts of callers.
+    pub calls: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Faults that were played.
+    pub events: usize,
+    /// Broken promises.
+    pub faults: Vec<String>,
+    /// What was played when, for a finding.
+    pub schedule: Vec<String>,
+}
+
+/// Longest time until all instances are ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Broken promises printed for one run.
+const MAX_PRINTED: usize = 12;
+
+/// Plays all seeds, one after the other.
+pub(crate) fn run_all(arguments: &SoakArguments) -> ExitCode {
+    let mut broken = Vec::new();
+    for seed in &arguments.seeds {
+        let folder = arguments.folder.join(format!("seed-{seed}"));
+        let plan = SoakPlan {
+            instances: arguments.instances,
+            servers: arguments.servers,
+            fault_time: Duration::from_secs(arguments.fault_seconds),
+            ..SoakPlan::new(*seed, &arguments.daemon, &folder)
+        };
+        let report = match future::block_on(play(&plan)) {
+            Ok(report) => report,
+            Err(error) => {
+                eprintln!("seed {seed}: not played: {error:#}");
+                return ExitCode::from(2);
+            }
+        };
+        println!("{}", report.line());
+        if report.faults.is_empty() {
+            // Logs are kept for findings only.
+            let _ = std::fs::remove_dir_all(&folder);
+            continue;
+        }
+        for fault in report.faults.iter().take(MAX_PRINTED) {
+            println!("  {fault}");
+        }
+        for event in &report.schedule {
+            println!("  played {event}");
+        }
+        println!("  logs in {}", folder.display());
+        broken.push(*seed);
+    }
+    println!(
+        "{} seeds, {} with a broken promise: {broken:?}",
+        arguments.seeds.len(),
+        broken.len()
+    );
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
+
+/// Plays one seed.
+pub(crate) async fn play(plan: &SoakPlan) -> eyre::Result<SoakReport> {
+    let _ = std::fs::remove_dir_all(&plan.folder);
+    std::fs::create_dir_all(&plan.folder)?;
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let events = FaultEvent::schedule(&mut rng, plan.fault_time);
+    let world = SoakWorld::build(plan).await?;
+    let report = play_world(&world, &events).await;
+    world.is_calling.store(false, Ordering::SeqCst);
+    for instance in &world.instances {
+        instance.kill();
+    }
+    world.pool.stop();
+    report
+}
+
+async fn play_world(
+    world: &Arc<SoakWorld>,
+    events: &[(Duration, FaultEvent)],
+) -> eyre::Result<SoakReport> {
+    let plan = &world.plan;
+    for number in 0..plan.instances {
+        world
+            .ledger
+            .disturbed(Disturbed::Instance(number), Duration::ZERO);
+        world.start_instance(number)?;
+    }
+    BalancerView::run(world.clone()).await;
+    wait_ready(world).await?;
+    let mut callers = Vec::new();
+    for number in 0..plan.callers {
+        let seed = plan.seed.wrapping_mul(1_000).wrapping_add(number as u64);
+        callers.push(world.pool.task(caller_session::run(world.clone(), seed)));
+    }
+    for number in 0..plan.instances {
+        callers.push(
+            world
+                .pool
+                .task(caller_session::probe(world.clone(), number)),
+        );
+    }
+    Timer::after(SoakPlan::CALM_TIME).await;
+    let began = SteadyClock.now();
+    fault_player::play(world, events).await;
+    note_own_ends(world);
+    fault_player::heal(world).await?;
+    Timer::after(SoakPlan::RECOVER_TIME).await;
+    let last_from = SteadyClock.now();
+    Timer::after(SoakPlan::LAST_TIME).await;
+    world.is_calling.store(false, Ordering::SeqCst);
+    for caller in callers {
+        caller.await;
+    }
+    let faults = promise_checks::check(&world.ledger, last_from);
+    let calls = world.ledger.calls.lock().unwrap();
+    let describe = |(at, event): &(Duration, FaultEvent)| {
+        format!("at {} ms: {event:?}", began.after(*at).0 / 1_000)
+    };
+    Ok(SoakReport {
+        seed: plan.seed,
+        calls: calls.len(),
+        served: calls.iter().filter(|call| call.is_served()).count(),
+        events: events.len(),
+        faults,
+        schedule: events.iter().map(describe).collect(),
+    })
+}
+
+async fn wait_ready(world: &SoakWorld) -> eyre::Result<()> {
+    let until = SteadyClock.now().after(START_TIMEOUT);
+    loop {
+        Timer::after(Duration::from_millis(600)).await;
+        if world.balancer.is_whole() {
+            return Ok(());
+        }
+        eyre::ensure!(SteadyClock.now() < until, "the instances are not ready");
+    }
+}
+
+/// Processes must not end by themselves.
+fn note_own_ends(world: &SoakWorld) {
+    for instance in &world.instances {
+        if let Some(status) = instance.own_end() {
+            let what = format!("instance {} ended by itself: {status}", instance.number);
+            world.ledger.broke("FAULT", &what);
+        }
+    }
+}
+
+impl SoakReport {
+    /// Verdict on one line.
+    pub fn line(&self) -> String {
+        format!(
+            "seed {}: {} faults played, {} of {} calls served, {} promises broken",
+            self.seed,
+            self.events,
+            self.served,
+            self.calls,
+            self.faults.len()
+        )
+    }
+}
--- /dev/null
+++ b/crates/soak/src/soak_world.rs
@@ -0,0 +1,115 @@
+//! All parts of one run.
+
+use crate::{prelude::*, soak_routes};
+
+/// Instances, servers, store and what is seen of them.
+pub(crate) struct SoakWorld {
+    pub(crate) plan: SoakPlan,
+    pub(crate) pool: Arc<WorkerPool>,
+    pub(crate) ledger: Arc<SoakLedger>,
+    pub(crate) store: Arc<ObjectStandin>,
+    pub(crate) instances: Vec<Arc<InstanceProcess>>,
+    pub(crate) servers: Mutex<Vec<Arc<BackendStandin>>>,
+    pub(crate) balancer: BalancerView,
+    /// Whether callers and probes go on.
+    pub(crate) is_calling: AtomicBool,
+    revision: AtomicU64,
+    joined: AtomicU64,
+    requests: AtomicU64,
+}
+
+impl SoakWorld {
+    /// Instances that others ask at their start.
+    const SEEDS: usize = 2;
+
+    /// Builds a world with its servers; no instance runs yet.
+    pub(crate) async fn build(plan: &SoakPlan) -> eyre::Result<Arc<Self>> {
+        let pool = WorkerPool::start("soak", 2)?;
+        let ledger: Arc<SoakLedger> = Arc::default();
+        let store = ObjectStandin::start(&pool).await?;
+        let mut instances = Vec::new();
+        for number in 0..plan.instances {
+            instances.push(InstanceProcess::new(&pool, plan, number, store.address).await?);
+        }
+        let world = Arc::new(Self {
+            plan: plan.clone(),
+            pool,
+            ledger,
+            store,
+            instances,
+            servers: Mutex::default(),
+            balancer: BalancerView::default(),
+            is_calling: AtomicBool::new(true),
+            revision: AtomicU64::new(0),
+            joined: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+        });
+        world.configure();
+        for service in [soak_routes::PLAIN, soak_routes::KEYED] {
+            for _ in 0..plan.servers {
+                world.join(service).await?;
+            }
+        }
+        for service in soak_routes::PROBED {
+            world.join(service).await?;
+        }
+        Ok(world)
+    }
+
+    /// Starts an instance.
+    pub(crate) fn start_instance(&self, number: usize) -> eyre::Result<()> {
+        let seeds: Vec<String> = self
+            .instances
+            .iter()
+            .take(Self::SEEDS)
+            .map(|instance| instance.feed_address().to_string())
+            .collect();
+        self.instances[number].start(&seeds.join(","))
+    }
+
+    /// Puts the next revision of the configuration into the store.
+    pub(crate) fn configure(&self) {
+        let revision = self.revision.fetch_add(1, Ordering::SeqCst) + 1;
+        let spec = match ConfigurationBody::write(&soak_routes::table(revision)) {
+            Ok(spec) => spec,
+            Err(fault) => return self.ledger.broke("SOAK", &fault.to_string()),
+        };
+        let (kind, name) = (ObjectKind::Configuration, ObjectKind::CONFIGURATION_NAME);
+        self.store
+            .change(|shelf| shelf.put(kind, name, spec, serde_json::Value::Null));
+        let taken = (revision, SteadyClock.now());
+        self.ledger.revisions.lock().unwrap().push(taken);
+    }
+
+    /// Adds a server to a service.
+    pub(crate) async fn join(&self, service: &'static str) -> eyre::Result<()> {
+        let number = self.joined.fetch_add(1, Ordering::SeqCst);
+        let id = format!("{service}-{number}");
+        let server =
+            BackendStandin::start(&self.pool, &self.store, &self.ledger, service, &id).await?;
+        self.servers.lock().unwrap().push(server);
+        Ok(())
+    }
+
+    /// A server of the two main services, by a number modulo how many there are.
+    pub(crate) fn server(&self, number: usize) -> Arc<BackendStandin> {
+        let servers = self.servers.lock().unwrap();
+        let main: Vec<&Arc<BackendStandin>> = servers
+            .iter()
+            .filter(|server| !soak_routes::PROBED.contains(&server.service))
+            .collect();
+        main[number % main.len()].clone()
+    }
+
+    /// Whether a service has any server.
+    pub(crate) fn is_provided(&self, service: &str) -> bool {
+        let servers = self.servers.lock().unwrap();
+        servers.iter().any(|server| server.service == service)
+    }
+
+    /// Identifier for the next request.
+    pub(crate) fn next_id(&self) -> String {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        format!("{:08x}{number:08x}", self.plan.seed as u32)
+    }
+}
