Join and merge ranges that hot stretches leave behind

Cause: a record's ranges only ever grew. Forty hot stretches of 200 keys, one after the other over 12 servers, left 401 ranges (test `hot_stretches_that_come_and_go_leave_few_ranges_behind`, which failed first): at 400 the planner stops levelling load, and each range costs the leader a renewal every 0.55 s. Change: small ranges without load go to the owner of a neighbour, and neighbouring ranges of one owner become one under the next fence. The owner keeps its keys all the while; its next renewal raises their fence, and until then the grants under the earlier fences count as sent under the new one. Ruled out: merging alone (401 ranges still, the pieces lie between ranges of other owners). Figures: under 150 ranges in that test.

--- a/crates/gateway/src/delta_wire.rs
+++ b/crates/gateway/src/delta_wire.rs
@@ -17,6 +17,8 @@
     settles: Vec<SettleWire>,
     #[prost(bool, tag = "6")]
     forgets_former: bool,
+    #[prost(uint32, repeated, tag = "7")]
+    merges: Vec<u32>,
 }
 
 #[derive(prost::Message)]
@@ -65,6 +67,7 @@
             moves: moves.collect(),
             settles: settles.collect(),
             forgets_former: beat.delta.forgets_former,
+            merges: beat.delta.merges.into_iter().map(u32::from).collect(),
         }
     }
 }
@@ -73,7 +76,9 @@
     type Error = std::num::TryFromIntError;
 
     fn try_from(wire: DeltaWire) -> Result<Self, Self::Error> {
+        let merges: Result<Vec<u16>, _> = wire.merges.into_iter().map(u16::try_from).collect();
         let mut delta = RecordDelta {
+            merges: merges?,
             forgets_former: wire.forgets_former,
             ..RecordDelta::default()
         };
--- a/crates/gateway/src/lead_plan.rs
+++ b/crates/gateway/src/lead_plan.rs
@@ -41,7 +41,10 @@
         delta.forgets_former = !record.former.is_empty() && now >= view.lead.inherited_until();
         match plan {
             Some(KeyPlan::Deal(dealt)) => return Some((dealt, revision, None)),
-            Some(KeyPlan::Change(moves)) => delta.moves = moves.moves,
+            Some(KeyPlan::Change(change)) => {
+                delta.moves = change.moves;
+                delta.merges = change.merges;
+            }
             None => {}
         }
         (!delta.is_empty()).then(|| (delta.apply(record), revision, Some(delta)))
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -169,7 +169,7 @@
     let fitting = view
         .told_deltas
         .iter()
-        .filter(|told| told.delta.moves.len() + told.delta.settles.len() <= MAX_TOLD_RANGES);
+        .filter(|told| told.delta.len() <= MAX_TOLD_RANGES);
     let deltas = fitting.map(|told| DeltaBeat {
         service: service.into(),
         base: told.base,
--- a/crates/routing/src/key_record.rs
+++ b/crates/routing/src/key_record.rs
@@ -163,6 +163,38 @@
         }
     }
 
+    /// Makes one range of the settled ones from `first` on that follow each other at one owner,
+    /// under the next fence. The owner keeps its keys all the while: its next renewal raises their
+    /// fence.
+    pub fn merge(&mut self, first: u16) {
+        let Some(start) = self.ranges.iter().position(|range| range.first == first) else {
+            return;
+        };
+        let length = Self::run_length(&self.ranges[start..]);
+        if length < 2 {
+            return;
+        }
+        self.last_fence += 1;
+        let merged = KeyRange {
+            last: self.ranges[start + length - 1].last,
+            fence: self.last_fence,
+            ..self.ranges[start].clone()
+        };
+        self.ranges.splice(start..start + length, [merged]);
+    }
+
+    /// Number of settled ranges at the beginning that follow each other at one owner.
+    pub(crate) fn run_length(ranges: &[KeyRange]) -> usize {
+        let Some(first) = ranges.first().filter(|range| range.is_settled()) else {
+            return 0;
+        };
+        let joins = |pair: &&[KeyRange]| {
+            let is_next = u32::from(pair[0].last) + 1 == u32::from(pair[1].first);
+            is_next && pair[1].is_settled() && pair[1].owner == first.owner
+        };
+        1 + ranges.windows(2).take_while(joins).count()
+    }
+
     /// What is wrong with a record that was read; a sound one has ordered, disjoint ranges.
     pub fn fault(&self) -> Option<&'static str> {
         let pairs = self.ranges.windows(2);
--- a/crates/routing/src/lead_moves.rs
+++ b/crates/routing/src/lead_moves.rs
@@ -159,6 +159,13 @@
         }
         self.works = works;
         let ranges = &held.record.ranges;
+        for old in before.iter().flat_map(|record| &record.ranges) {
+            // A merged range is held by the grants of those that it was made of.
+            let now = held.record.range_of(old.first);
+            if let Some(merged) = now.filter(|now| now.is_settled() && now.fence != old.fence) {
+                self.book.succeed(merged.fence, old.fence);
+            }
+        }
         self.renewed.retain(|(first, fence), _| {
             ranges
                 .iter()
--- a/crates/routing/src/order_book.rs
+++ b/crates/routing/src/order_book.rs
@@ -48,6 +48,15 @@
         self.sent.insert(fence, SentTimes { last: now, before });
     }
 
+    /// Notes that keys granted under `old` are held under `fence` from now on.
+    pub fn succeed(&mut self, fence: u64, old: u64) {
+        let Some(times) = self.sent.get(&old).copied() else {
+            return;
+        };
+        let known = self.sent.entry(fence).or_insert(times);
+        known.last = known.last.max(times.last);
+    }
+
     /// Takes back a grant that was booked at `at` and of which no byte left.
     pub fn not_sent(&mut self, fence: u64, at: MonoTime) {
         if let Some(times) = self.sent.get_mut(&fence)
--- a/crates/routing/src/record_delta.rs
+++ b/crates/routing/src/record_delta.rs
@@ -12,6 +12,8 @@
     pub moves: Vec<RangeMove>,
     /// Ranges that their owners hold now, by first key and fence.
     pub settles: Vec<(u16, u64)>,
+    /// Neighbouring ranges that become one, by the first key of each run of them.
+    pub merges: Vec<u16>,
     /// Whether former leaders are forgotten.
     pub forgets_former: bool,
 }
@@ -39,14 +41,25 @@
         for step in &self.moves {
             next.assign(step.first, step.last, &step.owner, step.released);
         }
+        for first in &self.merges {
+            next.merge(*first);
+        }
         if self.forgets_former {
             next.former.clear();
         }
         next
     }
 
+    /// Number of single changes.
+    pub fn len(&self) -> usize {
+        self.moves.len() + self.settles.len() + self.merges.len()
+    }
+
     /// Whether it changes nothing.
     pub fn is_empty(&self) -> bool {
-        self.moves.is_empty() && self.settles.is_empty() && !self.forgets_former
+        self.moves.is_empty()
+            && self.settles.is_empty()
+            && self.merges.is_empty()
+            && !self.forgets_former
     }
 }
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -70,7 +70,7 @@
         assumed_authority_ms: 1_000,
         ..HistoryPlan::default()
     };
-    assert!(!violations(&plan, 120).is_empty());
+    assert!(!violations(&plan, SEEDS).is_empty());
 }
 
 #[test]
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -40,11 +40,16 @@
         let mut delta = lead.settled().unwrap_or_default();
         let settled = delta.apply(record);
         let is_free = |mark: &ServerMark, fence| lead.is_free(mark, fence, now);
-        let planned = KeyPlanner::default().plan(&settled, &servers, &weights, is_free);
+        let planner = KeyPlanner {
+            merged_from: 1,
+            ..KeyPlanner::default()
+        };
+        let planned = planner.plan(&settled, &servers, &weights, is_free);
         let next = match planned {
             Some(KeyPlan::Deal(dealt)) => dealt,
-            Some(KeyPlan::Change(moves)) => {
-                delta.moves = moves.moves;
+            Some(KeyPlan::Change(change)) => {
+                delta.moves = change.moves;
+                delta.merges = change.merges;
                 delta.apply(record)
             }
             None => settled,
--- a/crates/routing/tests/key_planner.rs
+++ b/crates/routing/tests/key_planner.rs
@@ -189,3 +189,48 @@
     let relieved = share(&after, "s1", rest);
     assert!(relieved <= 0.45, "{relieved}");
 }
+
+#[test]
+fn neighbours_at_one_owner_become_one_range_under_a_higher_fence() {
+    let servers = [server("s1", 1.0), server("s2", 1.0)];
+    let mut record = dealt(&servers);
+    let last = record.last_fence;
+    for key in (0..30_000).step_by(1_000) {
+        record.assign(key, key + 499, &servers[0].mark, true);
+    }
+    let record = settled(record);
+    assert!(record.ranges.len() > 60);
+    let mut merged = record.clone();
+    for _ in 0..4 {
+        match KeyPlanner::default().plan(&merged, &servers, &[], |_, _| false) {
+            Some(plan) => merged = plan.apply(&merged),
+            None => break,
+        }
+        assert!(is_whole(&merged));
+    }
+    assert_eq!(merged.ranges.len(), 2, "{:?}", merged.ranges);
+    assert!(merged.ranges[0].fence > last);
+    assert!(merged.ranges.iter().all(KeyRange::is_settled));
+}
+
+#[test]
+fn hot_stretches_that_come_and_go_leave_few_ranges_behind() {
+    // Pattern: 200 neighbouring keys with 40% of the requests, elsewhere every few seconds.
+    let servers: Vec<_> = (0..12).map(|n| server(&format!("s{n}"), 25.0)).collect();
+    let mut record = dealt(&servers);
+    for hot in 0..40_u16 {
+        let mut weights: Vec<(u16, f64)> = (0..600).map(|n| (n * 109, 0.6)).collect();
+        weights.extend((0..200).map(|n| (hot * 1_500 + n, 1.2)));
+        weights.sort_by_key(|(key, _)| *key);
+        weights.dedup_by_key(|(key, _)| *key);
+        for _ in 0..10 {
+            if let Some(plan) =
+                KeyPlanner::default().plan(&record, &servers, &weights, |_, _| false)
+            {
+                record = settled(plan.apply(&record));
+            }
+        }
+    }
+    let count = record.ranges.len();
+    assert!(count < 150, "{count} ranges after 40 hot stretches");
+}
