Leave leading the keys to an instance with more of a processor

Cause: machines of the grown sites have 0.1 to 0.5 cores, and whichever instance started first led the keys for good. Found while reading: the time since when a record names its leader was never set, so a leader that was not heard yet counted as silent since this instance's start.

--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -40,6 +40,8 @@
     pub retry_window: Duration,
     /// Connections open at once from callers.
     pub max_connections: usize,
+    /// Share of a core that the process may use.
+    pub processor_share: f64,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -165,6 +167,13 @@
         "Connections open at once from callers",
         |to, text| number(&mut to.max_connections, text, 1..=100_000),
     ),
+    SettingSpec::optional(
+        "processor-share",
+        "1",
+        "a number of cores, 0.01 to 1024",
+        "Share of a core that the process may use; the instances with most lead the keys",
+        |to, text| number(&mut to.processor_share, text, 0.01..=1_024.0),
+    ),
     SettingSpec::optional(
         "log-level",
         "info",
@@ -222,6 +231,7 @@
             retry_slack: 0.0,
             retry_window: Duration::ZERO,
             max_connections: 0,
+            processor_share: 0.0,
             log_level: log::LevelFilter::Info,
         }
     }
--- a/crates/gateway/src/instance_record.rs
+++ b/crates/gateway/src/instance_record.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 
 /// One instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct InstanceRecord {
     /// Name of the instance.
     pub(crate) name: String,
@@ -15,6 +15,8 @@
     pub(crate) feed_address: SocketAddr,
     /// Data centre that it runs in.
     pub(crate) data_centre: String,
+    /// Share of a core that it may use.
+    pub(crate) processor_share: f64,
 }
 
 impl InstanceRecord {
--- a/crates/gateway/src/lead_worker.rs
+++ b/crates/gateway/src/lead_worker.rs
@@ -108,7 +108,7 @@
         silence_ms = view.silence.as_millis() as u64,
         confirmed_age_ms = view.confirmed_age.as_millis() as u64,
         rank = view.rank,
-        is_stopping = view.is_stopping;
+        is_leaving = view.is_leaving;
         "taking over the keys"
     );
     match held {
--- a/crates/gateway/src/peer_beat.rs
+++ b/crates/gateway/src/peer_beat.rs
@@ -11,6 +11,8 @@
     pub(crate) incarnation: u64,
     /// Whether it is about to end.
     pub(crate) is_stopping: bool,
+    /// Of a leader: whether its first successor should take over, though nothing is wrong.
+    pub(crate) yields: bool,
     /// Newest revision it knows of servers, configuration and records.
     pub(crate) revisions: [u64; 3],
     /// Instances that it hears, itself included.
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -138,9 +138,19 @@
     }
 
     /// Instances that this one, as a leader, wants to watch the store; none when all should.
-    pub(crate) fn choose_watchers(&self, data_centre: &str, now: MonoTime) -> Vec<String> {
-        let live = self
-            .peers
+    pub(crate) fn choose_watchers(&self, me: WatchCandidate<'_>, now: MonoTime) -> Vec<String> {
+        let helpers = WatchDuty::helpers(me, self.candidates(now));
+        helpers.into_iter().map(String::from).collect()
+    }
+
+    /// Whether this instance, as a leader, should leave its work to a stronger one.
+    pub(crate) fn should_yield(&self, me: WatchCandidate<'_>, now: MonoTime) -> bool {
+        WatchDuty::is_weak(me, &self.candidates(now))
+    }
+
+    /// Instances heard just now that could watch or lead.
+    fn candidates(&self, now: MonoTime) -> Vec<WatchCandidate<'_>> {
+        self.peers
             .values()
             .filter(|peer| {
                 peer.is_heard(now, Self::MUSTER_TIME)
@@ -150,14 +160,9 @@
             .map(|peer| WatchCandidate {
                 name: &peer.record.name,
                 data_centre: &peer.record.data_centre,
+                processor_share: peer.record.processor_share,
             })
-            .collect();
-        let me = WatchCandidate {
-            name: &self.me,
-            data_centre,
-        };
-        let helpers = WatchDuty::helpers(me, live);
-        helpers.into_iter().map(String::from).collect()
+            .collect()
     }
 
     /// Instances that share budgets, this one included: those that a leader hears, and all that
@@ -221,7 +226,7 @@
                 .filter(|lead| lead.leads)
                 .map_or(Duration::ZERO, |lead| lead.confirmed_age),
             hears_peers: self.peers.is_empty() || self.live_count(now) > 1,
-            is_stopping: current.is_some_and(|peer| peer.beat.is_stopping),
+            is_leaving: current.is_some_and(|peer| peer.beat.is_stopping || peer.beat.yields),
             rank: self.rank(service, leader, now),
         }
     }
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -17,6 +17,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 10 + number as u16)),
             feed_address: SocketAddr::from(([127, 0, 0, 1], 20 + number as u16)),
             data_centre: "a".into(),
+            processor_share: 1.0,
         };
         table.put(record, 1 + number as u64, MonoTime(0));
     }
--- a/crates/gateway/src/peer_wire.rs
+++ b/crates/gateway/src/peer_wire.rs
@@ -32,6 +32,8 @@
     deltas: Vec<DeltaWire>,
     #[prost(message, repeated, tag = "12")]
     granted: Vec<GrantedWire>,
+    #[prost(bool, tag = "13")]
+    yields: bool,
 }
 
 #[derive(prost::Message)]
@@ -99,6 +101,7 @@
             instance: beat.instance,
             incarnation: beat.incarnation,
             is_stopping: beat.is_stopping,
+            yields: beat.yields,
             revisions: beat.revisions.to_vec(),
             heard: beat.heard,
             store_lost: beat.store_lost,
@@ -177,6 +180,7 @@
             instance: wire.instance,
             incarnation: wire.incarnation,
             is_stopping: wire.is_stopping,
+            yields: wire.yields,
             heard: wire.heard,
             store_lost: wire.store_lost,
             watchers: wire.watchers,
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -110,7 +110,7 @@
 }
 
 /// Sends one heartbeat to all that need it.
-pub(crate) async fn beat(node: &GatewayNode, socket: &UdpSocket, turn: usize) {
+async fn beat(node: &GatewayNode, socket: &UdpSocket, turn: usize) {
     let now = node.now();
     let mut beat = PeerBeat {
         instance: node.settings.name.clone(),
@@ -152,7 +152,13 @@
     let targets = {
         let peers = node.peers.lock().unwrap();
         if beat.leads.iter().any(|lead| lead.leads) && !beat.store_lost {
-            beat.watchers = peers.choose_watchers(&node.settings.data_centre, now);
+            let me = WatchCandidate {
+                name: &node.settings.name,
+                data_centre: &node.settings.data_centre,
+                processor_share: node.settings.processor_share,
+            };
+            beat.watchers = peers.choose_watchers(me, now);
+            beat.yields = is_settled_leader(node, now) && peers.should_yield(me, now);
         }
         beat.heard = peers.live_count(now);
         targets(node, &peers, &beat, &leaders, now)
@@ -164,6 +170,18 @@
     }
 }
 
+/// Whether this instance has led all that it leads for a while.
+fn is_settled_leader(node: &GatewayNode, now: MonoTime) -> bool {
+    /// Time after which a weak leader leaves its work to a stronger instance: long enough for all
+    /// to be heard, and for a record's first ranges to be granted.
+    const YIELD_AFTER: Duration = Duration::from_secs(3);
+    node.keyed_services().iter().all(|service| {
+        node.with_keys(service, |view| {
+            !view.lead.leads() || now.since(view.led_since) >= YIELD_AFTER
+        })
+    })
+}
+
 /// Adds what a leader has changed lately.
 fn tell_changes(beat: &mut PeerBeat, service: &str, view: &KeyView) {
     let fitting = view
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -74,7 +74,11 @@
         .count();
     let adopted = node.with_keys(service, |view| {
         let before = view.lead.record().map_or(0, |(record, _)| record.term);
-        view.lead.adopt(record, revision, now).then_some(before)
+        let is_new = view.lead.adopt(record, revision, now);
+        if is_new && before != term {
+            view.led_since = now;
+        }
+        is_new.then_some(before)
     });
     let Some(before) = adopted else { return };
     if before != term {
@@ -107,6 +111,7 @@
         address: node.settings.peer_address,
         feed_address: node.settings.feed_address,
         data_centre: node.settings.data_centre.clone(),
+        processor_share: node.settings.processor_share,
     };
     let name = format!("{}{}", InstanceRecord::PREFIX, record.name);
     let Ok(spec) = RecordBody::write(&record) else {
--- a/crates/routing/src/key_takeover.rs
+++ b/crates/routing/src/key_takeover.rs
@@ -13,8 +13,8 @@
     pub confirmed_age: Duration,
     /// Whether this instance has heard from any other one lately.
     pub hears_peers: bool,
-    /// Whether the leader says that it stops.
-    pub is_stopping: bool,
+    /// Whether the leader says that it stops, or leaves its work to a stronger instance.
+    pub is_leaving: bool,
     /// Position among the instances that could take over, 0 for the first.
     pub rank: usize,
 }
@@ -54,7 +54,7 @@
         };
         let lost = self.silence >= Self::SUSPICION + Self::MUSTER + wait + alone;
         let unconfirmed = self.confirmed_age >= Self::MAX_CONFIRMED_AGE + wait;
-        let leaving = self.is_stopping && self.rank == 0;
+        let leaving = self.is_leaving && self.rank == 0;
         match lost || unconfirmed || leaving {
             true => TakeoverStep::TakeOver,
             false => TakeoverStep::Follow,
--- a/crates/routing/src/watch_duty.rs
+++ b/crates/routing/src/watch_duty.rs
@@ -7,12 +7,14 @@
 use crate::prelude::*;
 
 /// An instance that could watch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WatchCandidate<'a> {
     /// Name of the instance.
     pub name: &'a str,
     /// Data centre that it runs in.
     pub data_centre: &'a str,
+    /// Share of a core that it may use.
+    pub processor_share: f64,
 }
 
 /// Rules of the duty.
@@ -25,14 +27,28 @@
     /// Silence of the leader after which an instance watches by itself.
     pub const LEADER_SILENCE: Duration = Duration::from_millis(1_100);
 
-    /// Names of those that watch beside the leader, in other data centres first.
+    /// Share of the strongest one's processor below which an instance leaves leading to it.
+    const WEAK_SHARE: f64 = 0.75;
+
+    /// Whether a leader should leave its work to one of `live`, which has much more of a processor.
+    pub fn is_weak(leader: WatchCandidate<'_>, live: &[WatchCandidate<'_>]) -> bool {
+        let shares = live.iter().map(|candidate| candidate.processor_share);
+        let strongest = shares.fold(0.0, f64::max);
+        leader.processor_share < strongest * Self::WEAK_SHARE
+    }
+
+    /// Names of those that watch beside the leader, the strongest ones, and in other data centres
+    /// first. The first of them would lead next.
     pub fn helpers<'a>(
         leader: WatchCandidate<'a>,
         mut live: Vec<WatchCandidate<'a>>,
     ) -> Vec<&'a str> {
         let hash = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
         live.retain(|candidate| candidate.name != leader.name);
-        live.sort_by_key(|candidate| hash(candidate.name));
+        live.sort_by(|one, other| {
+            let by_share = other.processor_share.total_cmp(&one.processor_share);
+            by_share.then_with(|| hash(one.name).cmp(&hash(other.name)))
+        });
         let mut taken: Vec<WatchCandidate<'a>> = Vec::new();
         while taken.len() < Self::HELPERS && !live.is_empty() {
             let is_new = |candidate: &WatchCandidate<'_>| {
--- a/crates/routing/tests/key_takeover.rs
+++ b/crates/routing/tests/key_takeover.rs
@@ -9,7 +9,7 @@
     silence: Duration::from_millis(300),
     confirmed_age: Duration::from_millis(2_000),
     hears_peers: true,
-    is_stopping: false,
+    is_leaving: false,
     rank: 0,
 };
 
@@ -57,7 +57,7 @@
 #[test]
 fn a_leader_that_stops_is_replaced_by_the_first_rank_only() {
     let view = LeaderView {
-        is_stopping: true,
+        is_leaving: true,
         ..CALM
     };
     assert_eq!(view.step(), TakeoverStep::TakeOver);
--- a/crates/routing/tests/watch_duty.rs
+++ b/crates/routing/tests/watch_duty.rs
@@ -3,7 +3,28 @@
 use geraniummast_routing::{WatchCandidate, WatchDuty};
 
 fn candidate<'a>(name: &'a str, data_centre: &'a str) -> WatchCandidate<'a> {
-    WatchCandidate { name, data_centre }
+    WatchCandidate {
+        name,
+        data_centre,
+        processor_share: 0.2,
+    }
+}
+
+fn strong<'a>(name: &'a str, data_centre: &'a str) -> WatchCandidate<'a> {
+    WatchCandidate {
+        processor_share: 0.5,
+        ..candidate(name, data_centre)
+    }
+}
+
+#[test]
+fn a_weak_leader_leaves_its_work_to_a_strong_instance() {
+    let live = [candidate("a2", "a"), strong("b1", "b")];
+    assert!(WatchDuty::is_weak(candidate("a1", "a"), &live));
+    assert!(!WatchDuty::is_weak(strong("a1", "a"), &live));
+    assert!(!WatchDuty::is_weak(candidate("a1", "a"), &live[..1]));
+    let helpers = WatchDuty::helpers(candidate("a1", "a"), live.to_vec());
+    assert_eq!(helpers[0], "b1", "the strongest one would lead next");
 }
 
 #[test]
