Answer what is left before a stopping instance ends

Requests that outlast a stop were never answered. Ruled out: the server at work in the last sixth of the grace time, which the rule lets go: it had not run the request. Change: from the last sixth of the stop's time on, 0.3 s before it ends, requests that still wait get 504, or a refusal if they were never sent.

--- a/crates/gateway/src/caller_call.rs
+++ b/crates/gateway/src/caller_call.rs
@@ -98,6 +98,8 @@
     NoAnswer,
     /// The deadline or the route's timeout passed.
     TimedOut,
+    /// The instance ends.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -122,6 +124,7 @@
         match self {
             Self::NoAnswer => "no-answer",
             Self::TimedOut => "timed-out",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -129,7 +132,7 @@
     pub(crate) fn status(self) -> StatusCode {
         match self {
             Self::NoAnswer => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Stopping => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -41,7 +41,11 @@
     pub(crate) started_at: MonoTime,
     /// Whether a seed answered the last question.
     pub(crate) seeds_answer: AtomicBool,
-    stopping_since: Mutex<Option<MonoTime>>,
+    pub(crate) stopping_since: Mutex<Option<MonoTime>>,
+    /// Whether requests that wait are to be answered as they stand.
+    pub(crate) waits_ended: AtomicBool,
+    /// Notified when they are.
+    pub(crate) waits_end: Event,
 }
 
 impl GatewayNode {
@@ -105,6 +109,8 @@
             started_at: SteadyClock.now(),
             seeds_answer: AtomicBool::new(false),
             stopping_since: Mutex::default(),
+            waits_ended: AtomicBool::new(false),
+            waits_end: Event::new(),
             settings,
         }
     }
@@ -276,23 +282,4 @@
             && self.route_table().is_some()
             && !self.servers.lock().unwrap().is_empty()
     }
-
-    /// Begins to stop.
-    pub(crate) fn begin_stop(&self) {
-        *self.stopping_since.lock().unwrap() = Some(self.now());
-    }
-
-    /// Whether the instance stops.
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping_since.lock().unwrap().is_some()
-    }
-
-    /// Whether a request of a caller who will wait for `patience` can be finished before the
-    /// instance ends, or has a right to the rest of its time.
-    pub(crate) fn can_finish(&self, patience: Duration) -> bool {
-        self.stopping_since.lock().unwrap().is_none_or(|since| {
-            let spent = self.now().since(since);
-            spent < self.settings.close_time() || spent + patience < self.settings.stop_limit()
-        })
-    }
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -140,12 +140,16 @@
     log::info!(connections = connections.count(); "stopping; a second signal ends at once");
     let limit = node.settings.stop_limit();
     let close_at = node.settings.close_time();
+    let answer_at = node.settings.answer_time();
     let finished = async {
         loop {
             let spent = node.now().since(began);
             if spent >= close_at {
                 connections.close();
             }
+            if spent >= answer_at {
+                node.end_waits();
+            }
             // A leader without a successor goes on renewing: while the store is away none can follow.
             let is_idle = connections.count() == 0 && !node.is_leading();
             if is_idle && spent >= LEAST_STOP_TIME.min(limit) || spent >= limit {
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -200,6 +200,18 @@
         self.stop_timeout.saturating_sub(Self::STOP_MARGIN)
     }
 
+    /// Time after the begin of a stop at which requests that still wait for a server are answered.
+    pub(crate) fn answer_time(&self) -> Duration {
+        /// Share of a stop's time before which a server at work is waited for (rule on shutdown:
+        /// until the last sixth).
+        const WAIT_SHARE: f64 = 5.0 / 6.0;
+        /// Time that the answers take to arrive.
+        const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+        let last = self.stop_limit().saturating_sub(ANSWER_MARGIN);
+        last.max(self.stop_timeout.mul_f64(WAIT_SHARE))
+            .min(self.stop_limit())
+    }
+
     /// Time after the begin of a stop at which idle connections are closed.
     pub(crate) fn close_time(&self) -> Duration {
         self.stop_timeout.mul_f64(Self::CLOSE_SHARE)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod metric_names;
 mod news_router;
 mod node_servers;
+mod node_stop;
 mod object_client;
 mod object_mirror;
 mod object_watcher;
--- /dev/null
+++ b/crates/gateway/src/node_stop.rs
@@ -0,0 +1,42 @@
+//! How an instance stops: what it still takes, and when it answers what is left.
+
+use crate::prelude::*;
+
+impl GatewayNode {
+    /// Begins to stop.
+    pub(crate) fn begin_stop(&self) {
+        *self.stopping_since.lock().unwrap() = Some(self.now());
+    }
+
+    /// Whether the instance stops.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping_since.lock().unwrap().is_some()
+    }
+
+    /// Whether a request of a caller who will wait for `patience` can be finished before the
+    /// instance ends, or has a right to the rest of its time.
+    pub(crate) fn can_finish(&self, patience: Duration) -> bool {
+        self.stopping_since.lock().unwrap().is_none_or(|since| {
+            let spent = self.now().since(since);
+            spent < self.settings.close_time() || spent + patience < self.settings.stop_limit()
+        })
+    }
+
+    /// Has requests that wait for a server answered as they stand.
+    pub(crate) fn end_waits(&self) {
+        if !self.waits_ended.swap(true, Ordering::SeqCst) {
+            self.waits_end.notify(usize::MAX);
+        }
+    }
+
+    /// Ends when requests that wait are to be answered.
+    pub(crate) async fn wait_for_end(&self) {
+        loop {
+            let ended = self.waits_end.listen();
+            if self.waits_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -124,7 +124,15 @@
             false => CallOutcome::Refused(RefusalReason::NoRoom, START_PAUSE, LoadView::default()),
         }
     };
-    future::or(request_dispatch::run(node, call), late).await
+    let stopped = async {
+        node.wait_for_end().await;
+        match call.progress.may_have_run() {
+            true => CallOutcome::Failed(FailureReason::Stopping),
+            false => CallOutcome::Refused(RefusalReason::Stopping, STOP_PAUSE, LoadView::default()),
+        }
+    };
+    let ended = future::or(late, stopped);
+    future::or(request_dispatch::run(node, call), ended).await
 }
 
 fn finish(node: &GatewayNode, call: &CallerCall, outcome: CallOutcome) -> Response<Full<Bytes>> {
--- a/crates/soak/src/backend_fault.rs
+++ b/crates/soak/src/backend_fault.rs
@@ -12,6 +12,8 @@
     Cutting,
     /// Never gives each fourth one.
     Hanging,
+    /// Never gives any.
+    Silent,
     /// Fails each fourth request.
     Failing,
     /// Works four times as long.
--- a/crates/soak/src/backend_life.rs
+++ b/crates/soak/src/backend_life.rs
@@ -206,7 +206,8 @@
             work *= 4;
         }
         Timer::after(work).await;
-        if fault == BackendFault::Hanging {
+        let is_silent = *self.fault.lock().unwrap() == BackendFault::Silent;
+        if is_silent || fault == BackendFault::Hanging {
             std::future::pending::<()>().await;
         }
         let signature = format!("{}.{number}", self.mark.id);
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -57,7 +57,26 @@
     /// Shortest and longest pause between two faults, in milliseconds.
     const PAUSE_MS: std::ops::Range<u64> = 100..2_200;
 
-    /// Faults of a seed, each with its time after the first.
+    /// Faults of a plan, each with its time after the first.
+    pub(crate) fn of_plan(plan: &SoakPlan) -> Vec<(Duration, Self)> {
+        match plan.script {
+            SoakScript::Drawn => {
+                let mut rng = StdRng::seed_from_u64(plan.seed);
+                Self::schedule(&mut rng, plan.fault_time)
+            }
+            SoakScript::StopAtSilentServers => {
+                let silent = |number| {
+                    let fault = BackendFault::Silent;
+                    (Duration::ZERO, Self::Server(number, fault, plan.fault_time))
+                };
+                let mut events: Vec<_> = (0..plan.servers).map(silent).collect();
+                events.push((Duration::from_millis(500), Self::TerminateInTurn));
+                events
+            }
+        }
+    }
+
+    /// Faults of a seed.
     pub(crate) fn schedule(rng: &mut StdRng, span: Duration) -> Vec<(Duration, Self)> {
         let mut at = Duration::ZERO;
         let mut events = Vec::new();
--- a/crates/soak/src/fault_player.rs
+++ b/crates/soak/src/fault_player.rs
@@ -141,7 +141,7 @@
         return Ok(());
     }
     let began = SteadyClock.now();
-    let span = SoakPlan::GRACE_TIME + Duration::from_secs(1);
+    let span = world.plan.grace_time + Duration::from_secs(1);
     world.ledger.disturbed(Disturbed::Planned(number), span);
     let start = instance.starts();
     let ended = instance.wait_end(start, span).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -30,7 +30,10 @@
 mod soak_run;
 mod soak_world;
 
-pub use {soak_plan::SoakPlan, soak_run::SoakReport};
+pub use {
+    soak_plan::{SoakPlan, SoakScript},
+    soak_run::SoakReport,
+};
 
 /// Imports used throughout the crate.
 mod prelude {
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -19,6 +19,19 @@
     pub callers: usize,
     /// Time in which faults come.
     pub fault_time: Duration,
+    /// Longest time of a graceful stop.
+    pub grace_time: Duration,
+    /// Which faults come.
+    pub script: SoakScript,
+}
+
+/// Where a run's faults come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakScript {
+    /// From the seed.
+    Drawn,
+    /// One instance after the other stops while servers leave requests unanswered.
+    StopAtSilentServers,
 }
 
 impl SoakPlan {
@@ -35,8 +48,6 @@
     pub(crate) const APPLY_TIME: Duration = Duration::from_secs(2);
     /// Time after its notice from which a leaving server gets nothing new.
     pub(crate) const DRAIN_TIME: Duration = Duration::from_secs(2);
-    /// Longest time of a graceful stop.
-    pub(crate) const GRACE_TIME: Duration = Duration::from_secs(6);
     /// Time after a thaw or the healing of a link in which late grants are excused.
     pub(crate) const THAW_TIME: Duration = Duration::from_millis(300);
 
@@ -50,6 +61,8 @@
             servers: 6,
             callers: 24,
             fault_time: Duration::from_secs(12),
+            grace_time: Duration::from_secs(6),
+            script: SoakScript::Drawn,
         }
     }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -72,8 +72,7 @@
 pub(crate) async fn play(plan: &SoakPlan) -> eyre::Result<SoakReport> {
     let _ = std::fs::remove_dir_all(&plan.folder);
     std::fs::create_dir_all(&plan.folder)?;
-    let mut rng = StdRng::seed_from_u64(plan.seed);
-    let events = FaultEvent::schedule(&mut rng, plan.fault_time);
+    let events = FaultEvent::of_plan(plan);
     let world = SoakWorld::build(plan).await?;
     let report = play_world(&world, &events).await;
     world.is_calling.store(false, Ordering::SeqCst);
