Wait 200 ms between two watches of the servers

Each change is also handed on to 60 instances with the names of all 254 servers. Change: changes of 200 ms come together, instead of 60 ms. A server that leaves is known that much later, of the 2 s and more that it still serves.

--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -26,7 +26,7 @@
 /// Time that the first answer of a seed is waited for.
 const FIRST_SEED_TIME: Duration = Duration::from_millis(150);
 /// Pause before the next watch of servers, so that entries written together come together.
-const SERVERS_PAUSE: Duration = Duration::from_millis(60);
+const SERVERS_PAUSE: Duration = Duration::from_millis(200);
 
 /// What to do after a watch.
 enum NextWatch {
