Take servers without a fresh report for as full as they usually are

Change: an old report gives way to the mean of what the service's servers report (`UsualFill`), no longer to zero. Ruled out: a longer half-life, which would hold full servers for full long after they were relieved.

--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -125,6 +125,10 @@
 ) -> CallOutcome {
     let now = node.now();
     let servers = node.usable_servers(&call.service);
+    let choice = ServerChoice {
+        usual_fill: state.usual_fill(),
+        ..node.choice
+    };
     let mut view = LoadView {
         servers: servers.len(),
         waiting: state.waiting(),
@@ -134,8 +138,8 @@
     for server in servers.iter() {
         let load = server.load.lock().unwrap();
         view.resting += usize::from(load.is_resting(now));
-        view.with_room += usize::from(node.choice.has_room(&load, now));
-        let expected = Duration::from_secs_f64(load.expected(now));
+        view.with_room += usize::from(choice.has_room(&load, now));
+        let expected = Duration::from_secs_f64(load.expected(now, choice.usual_fill));
         view.least_expected = view.least_expected.min(expected);
     }
     CallOutcome::Refused(reason, pause_of(node, state, reason), view)
@@ -201,6 +205,11 @@
     load.heard(now);
     if let Some(report) = headers.load {
         load.reported(report, now);
+        state
+            .fill
+            .lock()
+            .unwrap()
+            .reported(load.foreign_fill(), now);
     }
     let facts = AnswerFacts {
         status: response.status().as_u16(),
--- a/crates/gateway/src/search_look.rs
+++ b/crates/gateway/src/search_look.rs
@@ -17,6 +17,7 @@
     tried: &'a TriedServers,
     ticket: Option<QueueTicket>,
     servers: ServerList,
+    usual: f64,
     pub(crate) rank: QueueRank,
     pub(crate) now: MonoTime,
 }
@@ -31,9 +32,10 @@
     ) -> Self {
         let now = node.now();
         let servers = node.usable_servers(&call.service);
+        let usual = state.usual_fill();
         let least = servers
             .iter()
-            .map(|server| server.load.lock().unwrap().expected(now))
+            .map(|server| server.load.lock().unwrap().expected(now, usual))
             .fold(f64::INFINITY, f64::min);
         let rank = QueueRank {
             is_late: least > call.target_left(now).as_secs_f64(),
@@ -46,6 +48,7 @@
             tried,
             ticket,
             servers,
+            usual,
             rank,
             now,
         }
@@ -113,9 +116,11 @@
                 cold: self.now < server.cold_until,
             })
             .collect();
-        self.node
-            .choice
-            .choose(&inputs, self.now, rand::random::<f64>)
+        let choice = ServerChoice {
+            usual_fill: self.usual,
+            ..self.node.choice
+        };
+        choice.choose(&inputs, self.now, rand::random::<f64>)
     }
 
     fn look_for_owner(&self) -> LookStep {
@@ -127,7 +132,11 @@
         };
         let (resting, has_room) = {
             let load = server.load.lock().unwrap();
-            let has_room = self.node.owner_choice.has_room(&load, self.now);
+            let choice = ServerChoice {
+                usual_fill: self.usual,
+                ..self.node.owner_choice
+            };
+            let has_room = choice.has_room(&load, self.now);
             (load.is_resting(self.now), has_room)
         };
         match (resting, has_room) {
@@ -157,8 +166,8 @@
     fn take(&self, server: &Arc<ServerRuntime>, key_revision: Option<u64>) -> LookStep {
         let now = self.now;
         let mut load = server.load.lock().unwrap();
-        let expected = load.expected(now);
-        let was_full = load.estimate(now) >= f64::from(load.slots());
+        let expected = load.expected(now, self.usual);
+        let was_full = load.estimate(now, self.usual) >= f64::from(load.slots());
         if expected > self.call.left(now).as_secs_f64() {
             return LookStep::Refuse(RefusalReason::Hopeless);
         }
--- a/crates/gateway/src/service_state.rs
+++ b/crates/gateway/src/service_state.rs
@@ -10,6 +10,8 @@
     pub(crate) drain: Mutex<DrainMeter>,
     /// Notified when a slot may have become free.
     pub(crate) freed: Event,
+    /// How full its servers usually are.
+    pub(crate) fill: Mutex<UsualFill>,
     queue: Mutex<WaitingQueue>,
     pace: Mutex<f64>,
 }
@@ -30,6 +32,7 @@
             )),
             drain: Mutex::default(),
             freed: Event::new(),
+            fill: Mutex::default(),
             queue: Mutex::default(),
             pace: Mutex::new(Self::FIRST_PACE),
         }
@@ -46,6 +49,11 @@
         *self.pace.lock().unwrap()
     }
 
+    /// Requests of other instances that a server usually has, for each of its slots.
+    pub(crate) fn usual_fill(&self) -> f64 {
+        self.fill.lock().unwrap().mean()
+    }
+
     /// Works on the queue of requests that wait.
     pub(crate) fn queue<T>(&self, work: impl FnOnce(&mut WaitingQueue) -> T) -> T {
         work(&mut self.queue.lock().unwrap())
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -31,6 +31,7 @@
 mod server_subset;
 mod service_rule;
 mod split_cursor;
+mod usual_fill;
 mod waiting_queue;
 mod watch_duty;
 
@@ -59,6 +60,7 @@
     server_subset::{InstancePlace, ServerSubset},
     service_rule::ServiceRule,
     split_cursor::SplitCursor,
+    usual_fill::UsualFill,
     waiting_queue::{QueueRank, QueueTicket, WaitingQueue},
     watch_duty::{WatchCandidate, WatchDuty},
 };
--- a/crates/routing/src/load_tracker.rs
+++ b/crates/routing/src/load_tracker.rs
@@ -1,7 +1,8 @@
 //! What one instance knows of a server's load.
 //!
 //! The server's own report counts the requests of all instances but ages; this instance's requests
-//! are counted exactly. The estimate adds the requests of others, as of the last report, to its own.
+//! are counted exactly. The estimate adds the requests of others to its own: those of the last
+//! report, and the older that is, the more what servers of the service usually have.
 
 use crate::prelude::*;
 
@@ -142,18 +143,26 @@
         is_failing || self.is_silent(now)
     }
 
-    /// Requests there, of all instances.
-    pub fn estimate(&self, now: MonoTime) -> f64 {
+    /// Requests there, of all instances; `usual` are those of other instances that a server of the
+    /// service has, for each of its slots.
+    pub fn estimate(&self, now: MonoTime, usual: f64) -> f64 {
         let age = now.since(self.reported_at).as_secs_f64();
-        f64::from(self.own) + self.foreign * 0.5_f64.powf(age / Self::REPORT_HALF_LIFE)
+        let weight = 0.5_f64.powf(age / Self::REPORT_HALF_LIFE);
+        let usual = usual * f64::from(self.slots);
+        f64::from(self.own) + self.foreign * weight + usual * (1.0 - weight)
     }
 
     /// Time until another request would be done there, in seconds.
-    pub fn expected(&self, now: MonoTime) -> f64 {
-        let excess = (self.estimate(now) + 1.0 - f64::from(self.slots)).max(0.0);
+    pub fn expected(&self, now: MonoTime, usual: f64) -> f64 {
+        let excess = (self.estimate(now, usual) + 1.0 - f64::from(self.slots)).max(0.0);
         self.service_time * (1.0 + excess / f64::from(self.slots))
     }
 
+    /// Requests of other instances for each slot, as of the last report.
+    pub fn foreign_fill(&self) -> f64 {
+        self.foreign / f64::from(self.slots)
+    }
+
     /// Requests in flight of this instance.
     pub fn own(&self) -> u32 {
         self.own
--- a/crates/routing/tests/server_choice.rs
+++ b/crates/routing/tests/server_choice.rs
@@ -7,7 +7,6 @@
 
 const SPEEDS: [f64; 6] = [0.5, 1.0, 1.0, 1.5, 0.5, 1.0];
 const SLOTS: usize = 3;
-const INSTANCES: usize = 8;
 /// Time that a request runs on a server of speed 1, in seconds.
 const WORK: f64 = 0.16;
 
@@ -27,10 +26,37 @@
     LeastOwn,
 }
 
-/// Time in the system of each request, in seconds, at `rate` requests a second.
-fn play(policy: Policy, rate: f64, seed: u64) -> Vec<f64> {
+/// A load of the model.
+#[derive(Clone, Copy)]
+struct ModelLoad {
+    policy: Policy,
+    /// Requests a second.
+    rate: f64,
+    instances: usize,
+    servers: usize,
+    /// Whether instances know how full servers usually are.
+    knows_usual: bool,
+}
+
+impl ModelLoad {
+    /// Few instances and servers, at `rate` requests a second.
+    fn small(policy: Policy, rate: f64) -> Self {
+        Self {
+            policy,
+            rate,
+            instances: 8,
+            servers: SPEEDS.len(),
+            knows_usual: true,
+        }
+    }
+}
+
+/// Time in the system of each request, in seconds.
+fn play(load: ModelLoad, seed: u64) -> Vec<f64> {
+    let ModelLoad { policy, rate, .. } = load;
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut servers: Vec<ModelServer> = SPEEDS
+    let speeds: Vec<f64> = SPEEDS.into_iter().cycle().take(load.servers).collect();
+    let mut servers: Vec<ModelServer> = speeds
         .iter()
         .map(|&speed| ModelServer {
             speed,
@@ -38,9 +64,9 @@
             queue: Vec::new(),
         })
         .collect();
-    let mut loads = vec![vec![LoadTracker::new(SLOTS as u32, WORK); SPEEDS.len()]; INSTANCES];
-    let choice = ServerChoice::default();
-    let mut turns = [0_usize; INSTANCES];
+    let mut loads = vec![vec![LoadTracker::new(SLOTS as u32, WORK); load.servers]; load.instances];
+    let mut fills = vec![UsualFill::default(); load.instances];
+    let mut turns = vec![0_usize; load.instances];
     let mut flying: Vec<(u64, usize, usize, u64)> = Vec::new();
     let mut times = Vec::new();
     let mut next_arrival = 0_u64;
@@ -66,11 +92,19 @@
                 slots: SLOTS as u32,
             };
             load.reported(report, MonoTime(now));
+            fills[instance].reported(load.foreign_fill(), MonoTime(now));
             load.served(Duration::from_micros(end - began), false);
         }
         while next_arrival <= now {
             next_arrival += (-rng.random::<f64>().ln() / rate * 1e6) as u64;
-            let instance = rng.random_range(0..INSTANCES);
+            let instance = rng.random_range(0..loads.len());
+            let choice = ServerChoice {
+                usual_fill: match load.knows_usual {
+                    true => fills[instance].mean(),
+                    false => 0.0,
+                },
+                ..ServerChoice::default()
+            };
             let inputs: Vec<ChoiceInput<'_>> = loads[instance]
                 .iter()
                 .map(|load| ChoiceInput {
@@ -87,10 +121,10 @@
                 },
                 Policy::RoundRobin => {
                     turns[instance] += 1;
-                    turns[instance] % SPEEDS.len()
+                    turns[instance] % servers.len()
                 }
-                Policy::Random => rng.random_range(0..SPEEDS.len()),
-                Policy::LeastOwn => (0..SPEEDS.len())
+                Policy::Random => rng.random_range(0..servers.len()),
+                Policy::LeastOwn => (0..servers.len())
                     .min_by_key(|&server| loads[instance][server].own())
                     .unwrap(),
             };
@@ -118,15 +152,44 @@
 fn unequal_servers_at_three_quarters_of_their_capacity_answer_in_time() {
     // Capacity: 5.5 speeds x 3 slots / 0.16 s = 103 requests a second.
     for seed in 0..3 {
-        let expected = in_target(&play(Policy::Expected, 77.0, seed));
+        let expected = in_target(&play(ModelLoad::small(Policy::Expected, 77.0), seed));
         assert!(expected > 0.97, "seed {seed}: {expected}");
         for naive in [Policy::RoundRobin, Policy::Random, Policy::LeastOwn] {
-            let other = in_target(&play(naive, 77.0, seed));
+            let other = in_target(&play(ModelLoad::small(naive, 77.0), seed));
             assert!(expected > other, "seed {seed}: {expected} against {other}");
         }
     }
 }
 
+#[test]
+fn many_instances_that_seldom_meet_a_server_do_not_overfill_it() {
+    // Pattern: 40 instances before 18 servers at 96% of their capacity, so that an instance sends a
+    // server a request each 2.4 s and has but old reports of it.
+    let many = ModelLoad {
+        rate: 297.0,
+        instances: 40,
+        servers: 18,
+        ..ModelLoad::small(Policy::Expected, 0.0)
+    };
+    for seed in 0..3 {
+        let blind = ModelLoad {
+            knows_usual: false,
+            ..many
+        };
+        // Of what was offered, so that a request that found no room counts as missed.
+        let in_time = |load: ModelLoad| {
+            let times = play(load, seed);
+            let met = times.iter().filter(|time| **time <= 0.5).count();
+            met as f64 / (30.0 * load.rate)
+        };
+        let (knowing, blind) = (in_time(many), in_time(blind));
+        assert!(
+            knowing > blind + 0.1,
+            "seed {seed}: {knowing} against {blind}"
+        );
+    }
+}
+
 #[test]
 fn a_server_that_fails_three_times_rests_and_is_tried_by_one_request() {
     let mut load = LoadTracker::new(3, 0.1);
@@ -155,8 +218,11 @@
         slots: 3,
     };
     load.reported(report, MonoTime(0));
-    assert!((load.estimate(MonoTime(0)) - 5.0).abs() < 1e-9);
-    assert!((load.estimate(MonoTime(500_000)) - 3.0).abs() < 1e-9);
+    assert!((load.estimate(MonoTime(0), 0.0) - 5.0).abs() < 1e-9);
+    assert!((load.estimate(MonoTime(500_000), 0.0) - 3.0).abs() < 1e-9);
+    // Of an old report, what servers usually have takes the place.
+    assert!((load.estimate(MonoTime(500_000), 0.5) - 3.75).abs() < 1e-9);
+    assert!((load.estimate(MonoTime(60_000_000), 0.5) - 2.5).abs() < 1e-9);
 }
 
 #[test]
