--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -142,15 +142,24 @@
         let expected = Duration::from_secs_f64(load.expected(now, choice.usual_fill));
         view.least_expected = view.least_expected.min(expected);
     }
-    CallOutcome::Refused(reason, pause_of(node, state, reason), view)
+    CallOutcome::Refused(reason, pause_of(node, state, reason, view.with_room), view)
 }
 
 /// When a refused caller should come back.
-fn pause_of(node: &GatewayNode, state: &ServiceState, reason: RefusalReason) -> Duration {
+fn pause_of(
+    node: &GatewayNode,
+    state: &ServiceState,
+    reason: RefusalReason,
+    with_room: usize,
+) -> Duration {
     /// Time in which a range on its way usually arrives.
     const MOVE_PAUSE: Duration = Duration::from_millis(300);
+    /// Longest pause after servers rejected a request though some have room: a new attempt may
+    /// succeed at once.
+    const REJECTED_PAUSE: Duration = Duration::from_millis(60);
     match reason {
         RefusalReason::NoOwner => MOVE_PAUSE,
+        RefusalReason::NotRun if with_room > 0 => REJECTED_PAUSE.mul_f64(rand::random()),
         _ => {
             let waiting = state.waiting();
             let mut drain = state.drain.lock().unwrap();
