Hand on which objects are gone instead of the names of all

Cause: each change of the servers was handed on to each instance with the names of all objects, 254 of them on the grown sites (some 3 KB, 12,500 names at the size of two years), and each instance read its whole list again. Change: one that has asked before is told what changed and what was removed since, and takes them as changes; all names follow only where the removals are not known any more. 200 seeded sequences of changes make the same objects on both sides, over the wire.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -4,7 +4,7 @@
     feed_server::{FeedFrames, frames},
     feed_wire::{AskWire, FeedAsk, ReplyWire},
     news_router,
-    object_mirror::{DeltaList, MirrorDelta},
+    object_mirror::{DeltaNews, MirrorDelta},
     prelude::*,
 };
 use futures_lite::StreamExt;
@@ -106,21 +106,21 @@
     let (mut changed, mut is_partial) = (false, false);
     for delta in deltas {
         let (kind, newest) = (delta.kind, delta.newest);
-        let page = {
+        let news = {
             let mut mirror = node.mirror.lock().unwrap();
-            let page = mirror.list_of(delta);
-            if let DeltaList::Whole(_) | DeltaList::Known = page {
+            let news = mirror.news_of(delta);
+            if let DeltaNews::Whole(_) | DeltaNews::Known = news {
                 mirror.saw_newest(kind, newest);
             }
-            page
+            news
         };
-        match page {
-            DeltaList::Whole(page) => {
+        match news {
+            DeltaNews::Whole(news) => {
                 changed = true;
-                news_router::apply(node, kind, WatchNews::List(page));
+                news_router::apply(node, kind, news);
             }
-            DeltaList::Known => {}
-            DeltaList::Partial => is_partial = true,
+            DeltaNews::Known => {}
+            DeltaNews::Partial => is_partial = true,
         }
     }
     // The other one left out what it took for known here: its next answer may be whole.
--- a/crates/gateway/src/feed_wire.rs
+++ b/crates/gateway/src/feed_wire.rs
@@ -1,7 +1,7 @@
 //! Frames in which instances hand the store's objects on to each other.
 
 use crate::{
-    object_mirror::{KINDS, MirrorDelta, position_of},
+    object_mirror::{DeltaRest, KINDS, MirrorDelta, position_of},
     prelude::*,
 };
 
@@ -40,6 +40,46 @@
     names: Vec<String>,
     #[prost(message, repeated, tag = "5")]
     changed: Vec<ObjectWire>,
+    /// Whether `removed` tells what is no longer there, instead of `names` what is.
+    #[prost(bool, tag = "6")]
+    is_partial: bool,
+    #[prost(message, repeated, tag = "7")]
+    removed: Vec<RemovedWire>,
+}
+
+#[derive(prost::Message)]
+struct RemovedWire {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(string, tag = "2")]
+    name: String,
+}
+
+impl DeltaWire {
+    fn set_rest(&mut self, rest: DeltaRest) {
+        match rest {
+            DeltaRest::Named(names) => self.names = names,
+            DeltaRest::Without(removed) => {
+                self.is_partial = true;
+                let wires = removed
+                    .into_iter()
+                    .map(|(revision, name)| RemovedWire { revision, name });
+                self.removed = wires.collect();
+            }
+        }
+    }
+
+    fn take_rest(&mut self) -> DeltaRest {
+        match self.is_partial {
+            false => DeltaRest::Named(std::mem::take(&mut self.names)),
+            true => DeltaRest::Without(
+                std::mem::take(&mut self.removed)
+                    .into_iter()
+                    .map(|wire| (wire.revision, wire.name))
+                    .collect(),
+            ),
+        }
+    }
 }
 
 #[derive(prost::Message)]
@@ -85,12 +125,16 @@
         Self {
             deltas: deltas
                 .into_iter()
-                .map(|delta| DeltaWire {
-                    kind: position_of(delta.kind) as u32,
-                    complete: delta.complete,
-                    newest: delta.newest,
-                    names: delta.names,
-                    changed: delta.changed.into_iter().map(object).collect(),
+                .map(|delta| {
+                    let mut wire = DeltaWire {
+                        kind: position_of(delta.kind) as u32,
+                        complete: delta.complete,
+                        newest: delta.newest,
+                        changed: delta.changed.into_iter().map(object).collect(),
+                        ..DeltaWire::default()
+                    };
+                    wire.set_rest(delta.rest);
+                    wire
                 })
                 .collect(),
         }
@@ -102,10 +146,11 @@
 
     fn try_from(wire: ReplyWire) -> Result<Self, serde_json::Error> {
         let mut deltas = Vec::with_capacity(wire.deltas.len());
-        for delta in wire.deltas {
+        for mut delta in wire.deltas {
             let Some(kind) = KINDS.get(delta.kind as usize) else {
                 continue;
             };
+            let rest = delta.take_rest();
             let mut changed = Vec::with_capacity(delta.changed.len());
             for object in delta.changed {
                 changed.push(PlatformObject {
@@ -119,7 +164,7 @@
                 kind: *kind,
                 complete: delta.complete,
                 newest: delta.newest,
-                names: delta.names,
+                rest,
                 changed,
             });
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,8 @@
 mod node_stop;
 mod object_client;
 mod object_mirror;
+#[cfg(test)]
+mod object_mirror_tests;
 mod object_watcher;
 mod operator_page;
 mod own_answer;
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -1,6 +1,7 @@
 //! The store's objects as this instance knows them, to be handed on to others.
 
 use crate::prelude::*;
+use std::collections::VecDeque;
 
 /// Objects of all kinds.
 #[derive(Default)]
@@ -16,6 +17,10 @@
     /// Revision of the last batch that brought a change.
     newest: u64,
     objects: IndexMap<String, PlatformObject>,
+    /// Objects that were removed, by the revision of that, oldest first.
+    removed: VecDeque<(u64, String)>,
+    /// Revision after which all removals are listed.
+    removed_after: u64,
 }
 
 /// What an instance has to learn of one kind.
@@ -23,16 +28,25 @@
     pub(crate) kind: ObjectKind,
     pub(crate) complete: u64,
     pub(crate) newest: u64,
-    /// Names of all objects.
-    pub(crate) names: Vec<String>,
-    /// Those that changed after what the other knows.
+    /// What is left of the objects that the other knows.
+    pub(crate) rest: DeltaRest,
+    /// Objects that changed after what the other knows.
     pub(crate) changed: Vec<PlatformObject>,
 }
 
+/// What became of the objects that did not change.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum DeltaRest {
+    /// Only those of these names are left.
+    Named(Vec<String>),
+    /// All are left but these, with the revisions of their removal.
+    Without(Vec<(u64, String)>),
+}
+
 /// What a delta from another instance makes.
-pub(crate) enum DeltaList {
-    /// All objects, newer than what is known.
-    Whole(ObjectPage),
+pub(crate) enum DeltaNews {
+    /// All that is new.
+    Whole(WatchNews),
     /// Nothing new.
     Known,
     /// It names an object that neither side has told of.
@@ -55,34 +69,77 @@
     }
 }
 
+impl KindMirror {
+    /// Removals remembered.
+    const MAX_REMOVED: usize = 1_024;
+
+    fn note_removed(&mut self, revision: u64, name: String) {
+        self.removed.push_back((revision, name));
+        if self.removed.len() > Self::MAX_REMOVED
+            && let Some((dropped, _)) = self.removed.pop_front()
+        {
+            self.removed_after = dropped;
+        }
+    }
+
+    fn take_list(&mut self, page: &ObjectPage) {
+        let objects: IndexMap<String, PlatformObject> = page
+            .objects
+            .iter()
+            .map(|object| (object.name.clone(), object.clone()))
+            .collect();
+        if self.complete.is_none() {
+            self.removed_after = page.revision;
+        }
+        let before = std::mem::replace(&mut self.objects, objects);
+        for name in before.into_keys() {
+            if !self.objects.contains_key(&name) {
+                self.note_removed(page.revision, name);
+            }
+        }
+        self.complete = Some(page.revision);
+        self.newest = self.newest.max(page.revision);
+    }
+
+    fn take_changes(&mut self, changes: &ObjectChanges) {
+        for event in &changes.events {
+            let object = &event.object;
+            match event.is_removed {
+                true => {
+                    self.objects.shift_remove(&object.name);
+                    self.note_removed(object.revision, object.name.clone());
+                }
+                false => {
+                    self.objects.insert(object.name.clone(), object.clone());
+                }
+            }
+        }
+        self.complete = self.complete.max(Some(changes.revision));
+        if !changes.events.is_empty() {
+            self.newest = self.newest.max(changes.revision);
+        }
+    }
+
+    /// What is left of the objects that one knows who knows all up to `known`.
+    fn rest(&self, known: u64) -> DeltaRest {
+        if known == 0 || known < self.removed_after {
+            return DeltaRest::Named(self.objects.keys().cloned().collect());
+        }
+        let later = self
+            .removed
+            .iter()
+            .filter(|(revision, name)| *revision > known && !self.objects.contains_key(name));
+        DeltaRest::Without(later.cloned().collect())
+    }
+}
+
 impl ObjectMirror {
     /// Takes news from the store in.
     pub(crate) fn apply(&mut self, kind: ObjectKind, news: &WatchNews) {
         let mirror = &mut self.kinds[position_of(kind)];
         match news {
-            WatchNews::List(page) => {
-                mirror.objects = page
-                    .objects
-                    .iter()
-                    .map(|object| (object.name.clone(), object.clone()))
-                    .collect();
-                mirror.complete = Some(page.revision);
-                mirror.newest = mirror.newest.max(page.revision);
-            }
-            WatchNews::Changes(changes) => {
-                for event in &changes.events {
-                    match event.is_removed {
-                        true => mirror.objects.shift_remove(&event.object.name),
-                        false => mirror
-                            .objects
-                            .insert(event.object.name.clone(), event.object.clone()),
-                    };
-                }
-                mirror.complete = mirror.complete.max(Some(changes.revision));
-                if !changes.events.is_empty() {
-                    mirror.newest = mirror.newest.max(changes.revision);
-                }
-            }
+            WatchNews::List(page) => mirror.take_list(page),
+            WatchNews::Changes(changes) => mirror.take_changes(changes),
         }
     }
 
@@ -113,7 +170,7 @@
                 kind,
                 complete,
                 newest: mirror.newest,
-                names: mirror.objects.keys().cloned().collect(),
+                rest: mirror.rest(known[position]),
                 changed: mirror
                     .objects
                     .values()
@@ -126,34 +183,40 @@
     }
 
     /// What a delta from another instance makes of what is known here.
-    pub(crate) fn list_of(&self, delta: MirrorDelta) -> DeltaList {
+    pub(crate) fn news_of(&self, delta: MirrorDelta) -> DeltaNews {
         let mirror = &self.kinds[position_of(delta.kind)];
         if mirror
             .complete
             .is_some_and(|complete| complete >= delta.complete)
         {
-            return DeltaList::Known;
+            return DeltaNews::Known;
         }
+        let names = match delta.rest {
+            DeltaRest::Named(names) => names,
+            DeltaRest::Without(removed) => {
+                return changes_of(delta.changed, removed, delta.complete);
+            }
+        };
         let mut changed: IndexMap<String, PlatformObject> = delta
             .changed
             .into_iter()
             .map(|object| (object.name.clone(), object))
             .collect();
-        let mut objects = Vec::with_capacity(delta.names.len());
-        for name in &delta.names {
+        let mut objects = Vec::with_capacity(names.len());
+        for name in &names {
             let object = changed
                 .swap_remove(name)
                 .or_else(|| mirror.objects.get(name).cloned());
             match object {
                 Some(object) => objects.push(object),
-                None => return DeltaList::Partial,
+                None => return DeltaNews::Partial,
             }
         }
-        DeltaList::Whole(ObjectPage {
+        DeltaNews::Whole(WatchNews::List(ObjectPage {
             objects,
             has_more: false,
             revision: delta.complete,
-        })
+        }))
     }
 
     /// Takes one object in that another instance told; what else changed is not known by it.
@@ -169,3 +232,26 @@
         mirror.newest = mirror.newest.max(newest);
     }
 }
+
+fn changes_of(
+    changed: Vec<PlatformObject>,
+    removed: Vec<(u64, String)>,
+    revision: u64,
+) -> DeltaNews {
+    let changed = changed.into_iter().map(|object| ObjectEvent {
+        object,
+        is_removed: false,
+    });
+    let removed = removed.into_iter().map(|(revision, name)| ObjectEvent {
+        object: PlatformObject {
+            name,
+            revision,
+            spec: serde_json::Value::Null,
+            status: serde_json::Value::Null,
+        },
+        is_removed: true,
+    });
+    let mut events: Vec<ObjectEvent> = changed.chain(removed).collect();
+    events.sort_by_key(|event| event.object.revision);
+    DeltaNews::Whole(WatchNews::Changes(ObjectChanges { events, revision }))
+}
