Choose by the usual fill, and do not refuse by it

Reports come with answers, so the mean that they give is that of servers with work; as a bound it keeps requests from servers with room. Change: the usual fill ranks servers; whether one has room, and whether a request can make its target there, is judged by what was reported, as before.

--- a/crates/gateway/src/search_look.rs
+++ b/crates/gateway/src/search_look.rs
@@ -32,17 +32,16 @@
     ) -> Self {
         let now = node.now();
         let servers = node.usable_servers(&call.service);
-        let outlook = match node.is_keyed(&call.service) {
-            // Owners of hot keys are no like of the others: what those have says nothing of them.
-            true => LoadOutlook {
-                usual_fill: 0.0,
-                ..state.outlook(&call.route.name)
-            },
-            false => state.outlook(&call.route.name),
-        };
+        let outlook = state.outlook(&call.route.name);
         let least = servers
             .iter()
-            .map(|server| server.load.lock().unwrap().expected(now, outlook))
+            .map(|server| {
+                server
+                    .load
+                    .lock()
+                    .unwrap()
+                    .expected(now, outlook.reported_only())
+            })
             .fold(f64::INFINITY, f64::min);
         let rank = QueueRank {
             is_late: least > call.target_left(now).as_secs_f64(),
@@ -173,8 +172,8 @@
     fn take(&self, server: &Arc<ServerRuntime>, key_revision: Option<u64>) -> LookStep {
         let now = self.now;
         let mut load = server.load.lock().unwrap();
-        let expected = load.expected(now, self.outlook);
-        let was_full = load.estimate(now, self.outlook) >= f64::from(load.slots());
+        let expected = load.expected(now, self.outlook.reported_only());
+        let was_full = load.estimate(now, self.outlook.reported_only()) >= f64::from(load.slots());
         if expected > self.call.left(now).as_secs_f64() {
             return LookStep::Refuse(RefusalReason::Hopeless);
         }
--- a/crates/routing/src/load_outlook.rs
+++ b/crates/routing/src/load_outlook.rs
@@ -9,6 +9,17 @@
     pub run_ratio: f64,
 }
 
+impl LoadOutlook {
+    /// The same, but for what servers usually have: that is good enough to choose by, and not to
+    /// refuse by.
+    pub fn reported_only(self) -> Self {
+        Self {
+            usual_fill: 0.0,
+            ..self
+        }
+    }
+}
+
 impl Default for LoadOutlook {
     fn default() -> Self {
         Self {
--- a/crates/routing/src/server_choice.rs
+++ b/crates/routing/src/server_choice.rs
@@ -91,6 +91,7 @@
 
     /// Whether a server may be sent another request.
     pub fn has_room(&self, load: &LoadTracker, now: MonoTime) -> bool {
-        load.estimate(now, self.outlook) + 1.0 <= (f64::from(load.slots()) * self.max_fill).max(1.0)
+        load.estimate(now, self.outlook.reported_only()) + 1.0
+            <= (f64::from(load.slots()) * self.max_fill).max(1.0)
     }
 }
