Begin all run times with the first sample, and tidy ranges beside moves

A route's run time began with its first sample and the service's with a constant, so their ratio could stand at 3 for dozens of requests; and joining ranges wrote the record each 0.37 s. Change: both begin with the first sample; ranges are joined and merged beside moves, and alone only from six a server on.

--- a/crates/gateway/src/service_state.rs
+++ b/crates/gateway/src/service_state.rs
@@ -18,8 +18,9 @@
 }
 
 /// How long requests run that find a free slot, in seconds.
+#[derive(Default)]
 struct RunTimes {
-    all: f64,
+    all: Option<f64>,
     routes: IndexMap<String, f64>,
 }
 
@@ -44,10 +45,7 @@
             drain: Mutex::default(),
             freed: Event::new(),
             fill: Mutex::default(),
-            runs: Mutex::new(RunTimes {
-                all: Self::FIRST_PACE,
-                routes: IndexMap::new(),
-            }),
+            runs: Mutex::default(),
             queue: Mutex::default(),
             pace: Mutex::new(Self::FIRST_PACE),
         }
@@ -68,7 +66,9 @@
     pub(crate) fn ran(&self, route: &str, took: Duration) {
         let took = took.as_secs_f64();
         let mut runs = self.runs.lock().unwrap();
-        runs.all += (took - runs.all) * Self::PACE_WEIGHT;
+        // Both begin with the first sample, so that a service's only route is its mean.
+        let all = runs.all.get_or_insert(took);
+        *all += (took - *all) * Self::PACE_WEIGHT;
         let known = runs.routes.entry(route.into()).or_insert(took);
         *known += (took - *known) * Self::PACE_WEIGHT;
     }
@@ -76,7 +76,11 @@
     /// What a request of a route may expect of the service's servers.
     pub(crate) fn outlook(&self, route: &str) -> LoadOutlook {
         let runs = self.runs.lock().unwrap();
-        let ratio = runs.routes.get(route).map(|run| run / runs.all);
+        let ratio = runs
+            .routes
+            .get(route)
+            .zip(runs.all)
+            .map(|(run, all)| run / all);
         LoadOutlook {
             usual_fill: self.fill.lock().unwrap().mean(),
             run_ratio: ratio
--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -27,6 +27,8 @@
     pub merged_from: usize,
     /// Ranges for each server from which on small ranges without load go to a neighbour's owner.
     pub joined_from: usize,
+    /// Ranges for each server from which on ranges are joined and merged though nothing else moves.
+    pub tidied_from: usize,
 }
 
 /// A server that may own keys.
@@ -85,6 +87,7 @@
             max_ranges: 400,
             merged_from: 1,
             joined_from: 2,
+            tidied_from: 6,
         }
     }
 }
@@ -122,8 +125,12 @@
         if draft.record.ranges.len() < self.max_ranges {
             self.level(&mut draft, servers, &mut loads, weights);
         }
-        self.join(&mut draft, servers, &loads, weights);
-        let merges = self.merges(&draft.record, servers.len());
+        let is_crowded = record.ranges.len() > self.tidied_from * servers.len();
+        let mut merges = Vec::new();
+        if is_crowded || !draft.moves.is_empty() {
+            self.join(&mut draft, servers, &loads, weights);
+            merges = self.merges(&draft.record, servers.len());
+        }
         let delta = RecordDelta {
             moves: draft.moves,
             merges,
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -42,6 +42,7 @@
         let is_free = |mark: &ServerMark, fence| lead.is_free(mark, fence, now);
         let planner = KeyPlanner {
             merged_from: 1,
+            tidied_from: 1,
             ..KeyPlanner::default()
         };
         let planned = planner.plan(&settled, &servers, &weights, is_free);
--- a/crates/routing/tests/key_planner.rs
+++ b/crates/routing/tests/key_planner.rs
@@ -202,7 +202,11 @@
     assert!(record.ranges.len() > 60);
     let mut merged = record.clone();
     for _ in 0..4 {
-        match KeyPlanner::default().plan(&merged, &servers, &[], |_, _| false) {
+        let planner = KeyPlanner {
+            tidied_from: 1,
+            ..KeyPlanner::default()
+        };
+        match planner.plan(&merged, &servers, &[], |_, _| false) {
             Some(plan) => merged = plan.apply(&merged),
             None => break,
         }
