--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -23,12 +23,9 @@
     pub max_moves: usize,
     /// Most ranges of a record; beyond, only keys of servers that leave move.
     pub max_ranges: usize,
-    /// Ranges for each server from which on neighbours at one owner are made one.
-    pub merged_from: usize,
-    /// Ranges for each server from which on small ranges without load go to a neighbour's owner.
-    pub joined_from: usize,
-    /// Ranges for each server from which on ranges are joined and merged though nothing else moves.
-    pub tidied_from: usize,
+    /// Ranges of a record beyond which small ones without load go to a neighbour's owner, and
+    /// neighbours at one owner are made one.
+    pub crowded_from: usize,
 }
 
 /// A server that may own keys.
@@ -85,9 +82,7 @@
             least_excess: 6.0,
             max_moves: 6,
             max_ranges: 400,
-            merged_from: 1,
-            joined_from: 2,
-            tidied_from: 6,
+            crowded_from: 200,
         }
     }
 }
@@ -125,11 +120,10 @@
         if draft.record.ranges.len() < self.max_ranges {
             self.level(&mut draft, servers, &mut loads, weights);
         }
-        let is_crowded = record.ranges.len() > self.tidied_from * servers.len();
         let mut merges = Vec::new();
-        if is_crowded || !draft.moves.is_empty() {
-            self.join(&mut draft, servers, &loads, weights);
-            merges = self.merges(&draft.record, servers.len());
+        if record.ranges.len() > self.crowded_from {
+            join(&mut draft, servers, &loads, weights);
+            merges = mergeable(&draft.record);
         }
         let delta = RecordDelta {
             moves: draft.moves,
@@ -139,65 +133,6 @@
         (!delta.is_empty()).then_some(KeyPlan::Change(delta))
     }
 
-    /// Gives small ranges that carry next to no load any more to the owner of a neighbour, which
-    /// they become one range with: a stretch that was hot leaves its pieces behind.
-    fn join(
-        &self,
-        draft: &mut PlanDraft,
-        servers: &[PlannedServer],
-        loads: &LoadSums,
-        weights: &[(u16, f64)],
-    ) {
-        /// Most ranges joined at once.
-        const MAX_JOINS: usize = 10;
-        /// Most keys of a range that is joined.
-        const MAX_KEYS: u32 = 512;
-        /// Share of a server's mean load up to which a range counts as without load.
-        const COLD_SHARE: f64 = 0.1;
-        if draft.record.ranges.len() <= self.joined_from * servers.len() {
-            return;
-        }
-        let mean = loads.weight.iter().sum::<f64>() / servers.len() as f64;
-        let is_planned = |mark: &ServerMark| servers.iter().any(|server| server.mark == *mark);
-        let ranges = draft.record.ranges.clone();
-        let mut joined = 0;
-        let mut position = 1;
-        while position < ranges.len() && joined < MAX_JOINS {
-            let (left, range) = (&ranges[position - 1], &ranges[position]);
-            let is_cold = weight_of(weights, range.first, range.last) <= mean * COLD_SHARE;
-            let is_small = range.len() <= MAX_KEYS;
-            let are_settled = left.is_settled() && range.is_settled();
-            if is_cold && is_small && are_settled && left.owner != range.owner {
-                if is_planned(&left.owner) && is_planned(&range.owner) {
-                    draft.assign(range.first, range.last, &left.owner, false);
-                    joined += 1;
-                }
-                // The next one is compared with a range that stays.
-                position += 1;
-            }
-            position += 1;
-        }
-    }
-
-    /// Runs of neighbouring ranges to make one, by their first keys: each range costs a renewal.
-    fn merges(&self, record: &KeyRecord, servers: usize) -> Vec<u16> {
-        /// Most runs made one at once.
-        const MAX_MERGES: usize = 8;
-        let mut firsts = Vec::new();
-        let mut start = 0;
-        if record.ranges.len() <= self.merged_from * servers {
-            return firsts;
-        }
-        while start < record.ranges.len() && firsts.len() < MAX_MERGES {
-            let length = KeyRecord::run_length(&record.ranges[start..]);
-            if length > 1 {
-                firsts.push(record.ranges[start].first);
-            }
-            start += length.max(1);
-        }
-        firsts
-    }
-
     /// Moves each range whose owner may not own keys any more.
     fn evacuate(
         &self,
@@ -286,3 +221,55 @@
             && excess.max(lack) >= self.least_excess
     }
 }
+
+/// Gives small ranges that carry next to no load any more to the owner of a neighbour, which
+/// they become one range with: a stretch that was hot leaves its pieces behind.
+fn join(
+    draft: &mut PlanDraft,
+    servers: &[PlannedServer],
+    loads: &LoadSums,
+    weights: &[(u16, f64)],
+) {
+    /// Most ranges joined at once.
+    const MAX_JOINS: usize = 10;
+    /// Most keys of a range that is joined.
+    const MAX_KEYS: u32 = 512;
+    /// Share of a server's mean load up to which a range counts as without load.
+    const COLD_SHARE: f64 = 0.1;
+    let mean = loads.weight.iter().sum::<f64>() / servers.len() as f64;
+    let is_planned = |mark: &ServerMark| servers.iter().any(|server| server.mark == *mark);
+    let ranges = draft.record.ranges.clone();
+    let mut joined = 0;
+    let mut position = 1;
+    while position < ranges.len() && joined < MAX_JOINS {
+        let (left, range) = (&ranges[position - 1], &ranges[position]);
+        let is_cold = weight_of(weights, range.first, range.last) <= mean * COLD_SHARE;
+        let is_small = range.len() <= MAX_KEYS;
+        let are_settled = left.is_settled() && range.is_settled();
+        if is_cold && is_small && are_settled && left.owner != range.owner {
+            if is_planned(&left.owner) && is_planned(&range.owner) {
+                draft.assign(range.first, range.last, &left.owner, false);
+                joined += 1;
+            }
+            // The next one is compared with a range that stays.
+            position += 1;
+        }
+        position += 1;
+    }
+}
+
+/// Runs of neighbouring ranges to make one, by their first keys: each range costs a renewal.
+fn mergeable(record: &KeyRecord) -> Vec<u16> {
+    /// Most runs made one at once.
+    const MAX_MERGES: usize = 8;
+    let mut firsts = Vec::new();
+    let mut start = 0;
+    while start < record.ranges.len() && firsts.len() < MAX_MERGES {
+        let length = KeyRecord::run_length(&record.ranges[start..]);
+        if length > 1 {
+            firsts.push(record.ranges[start].first);
+        }
+        start += length.max(1);
+    }
+    firsts
+}
