--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -5,7 +5,7 @@
 //! split while few keys change hands.
 
 use crate::{
-    key_piece::{densest, weight_of},
+    key_piece::{KeyPiece, densest, weight_of},
     load_sums::LoadSums,
     prelude::*,
 };
@@ -186,16 +186,18 @@
             }
             let wanted = loads.wanted(servers, most, least);
             let piece = densest(&draft.record, &servers[most].mark, weights, wanted);
-            let Some(piece) =
-                piece.filter(|piece| loads.improves(servers, most, least, piece.weight))
-            else {
+            let best = |piece: &KeyPiece| loads.best_for(servers, most, piece.weight);
+            let taken = piece
+                .map(|piece| (best(&piece), piece))
+                .filter(|(to, piece)| loads.improves(servers, most, *to, piece.weight));
+            let Some((receiver, piece)) = taken else {
                 // Its load is in too few keys to be split; another one may still be relieved.
                 stuck[most] = true;
                 continue;
             };
-            draft.assign(piece.first, piece.last, &servers[least].mark, false);
+            draft.assign(piece.first, piece.last, &servers[receiver].mark, false);
             loads.weight[most] -= piece.weight;
-            loads.weight[least] += piece.weight;
+            loads.weight[receiver] += piece.weight;
             moves += 1;
         }
     }
--- a/crates/routing/src/load_sums.rs
+++ b/crates/routing/src/load_sums.rs
@@ -74,9 +74,26 @@
     ) -> bool {
         /// Share of the giver's load up to which the receiver's may rise.
         const IMPROVED: f64 = 0.9;
+        /// The same for a stretch with much of all load: its requests are held up until those that
+        /// wait at the giver have run, so that a like server is no relief.
+        const IMPROVED_HOT: f64 = 0.7;
+        /// Share of all load from which on a stretch counts as such.
+        const HOT_SHARE: f64 = 0.12;
+        let is_hot = weight > self.weight.iter().sum::<f64>() * HOT_SHARE;
+        let improved = if is_hot { IMPROVED_HOT } else { IMPROVED };
         let before = self.weight[most] / servers[most].capacity;
         let after = (self.weight[least] + weight) / servers[least].capacity;
-        after <= before * IMPROVED
+        after <= before * improved
+    }
+
+    /// Server that would have least load for its capacity with `weight` more.
+    pub(crate) fn best_for(&self, servers: &[PlannedServer], giver: usize, weight: f64) -> usize {
+        let after =
+            |position: &usize| (self.weight[*position] + weight) / servers[*position].capacity;
+        (0..servers.len())
+            .filter(|position| *position != giver)
+            .min_by(|one, other| after(one).total_cmp(&after(other)))
+            .unwrap_or(giver)
     }
 
     pub(crate) fn least(&self, servers: &[PlannedServer]) -> usize {
--- a/crates/routing/tests/key_planner.rs
+++ b/crates/routing/tests/key_planner.rs
@@ -239,3 +239,25 @@
     let count = record.ranges.len();
     assert!(count < 300, "{count} ranges after 40 hot stretches");
 }
+
+#[test]
+fn a_hot_key_goes_to_a_faster_server_and_does_not_wander_between_like_ones() {
+    // Pattern: a third of all requests for one key, and a receiver that has less besides.
+    let weight = |key: u16| match key {
+        3_200 => 100.0,
+        ..=7_281 => 1.8,
+        58_000.. => 0.3,
+        _ => 1.0,
+    };
+    let weights: Vec<(u16, f64)> = (0..200).map(|n| (n * 320, weight(n * 320))).collect();
+    let like: Vec<_> = (0..9).map(|n| server(&format!("s{n}"), 25.0)).collect();
+    let record = dealt(&like);
+    let owner = record.range_of(3_200).unwrap().owner.clone();
+    let after = level(record.clone(), &like, &weights);
+    assert_eq!(after.range_of(3_200).unwrap().owner, owner);
+    let mut unlike = like.clone();
+    unlike[0].capacity = 12.0;
+    unlike[5].capacity = 40.0;
+    let after = level(record, &unlike, &weights);
+    assert_eq!(after.range_of(3_200).unwrap().owner.id, "s5");
+}
