Keep the newer of two objects that are told of, and take longer heads

Cause: found while reading: an instance that had taken a key record from a heartbeat handed an older one on after a watch that was behind it, while its heartbeat told the newer revision; and a request's head was bounded at 16 KB and 64 headers, whatever the operators' configuration allows. Change: an older object does not replace a newer one in the mirror (a test failed first); heads may have 64 KB and 256 headers.

--- a/crates/gateway/src/caller_listeners.rs
+++ b/crates/gateway/src/caller_listeners.rs
@@ -6,6 +6,11 @@
 /// Time after which a connection without a request is closed. Longer than the time for which the
 /// platform's callers reuse one, so that a close and a request do not cross.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// Largest head of a caller's request, in bytes. The configuration's own bound is not known when the
+/// socket is bound, so this one is above what operators set.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Most headers of a caller's request.
+const MAX_HEADERS: usize = 256;
 /// Connections open at once from balancer and operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
 
@@ -24,7 +29,8 @@
     let limits = HttpLimits {
         max_connections: settings.max_connections,
         head_timeout: IDLE_TIMEOUT,
-        ..HttpLimits::default()
+        max_head_bytes: MAX_HEAD_BYTES,
+        max_headers: MAX_HEADERS,
     };
     let callers = HttpListener::bind(settings.caller_address, limits).await?;
     let connections = callers.connections();
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -83,11 +83,17 @@
     }
 
     fn take_list(&mut self, page: &ObjectPage) {
-        let objects: IndexMap<String, PlatformObject> = page
+        let mut objects: IndexMap<String, PlatformObject> = page
             .objects
             .iter()
             .map(|object| (object.name.clone(), object.clone()))
             .collect();
+        // What another instance told of since may be newer than the list.
+        for (name, object) in &self.objects {
+            if object.revision > page.revision {
+                objects.insert(name.clone(), object.clone());
+            }
+        }
         if self.complete.is_none() {
             self.removed_after = page.revision;
         }
@@ -104,6 +110,10 @@
     fn take_changes(&mut self, changes: &ObjectChanges) {
         for event in &changes.events {
             let object = &event.object;
+            let known = self.objects.get(&object.name);
+            if known.is_some_and(|known| known.revision > object.revision) {
+                continue;
+            }
             match event.is_removed {
                 true => {
                     self.objects.shift_remove(&object.name);
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -103,3 +103,21 @@
     assert_eq!(deltas[0].rest, DeltaRest::Without(removed));
     assert!(deltas[0].changed.is_empty());
 }
+
+#[test]
+fn an_object_that_was_told_of_early_is_not_replaced_by_an_older_one() {
+    let mut mirror = ObjectMirror::default();
+    let list = |revision| {
+        WatchNews::List(ObjectPage {
+            objects: vec![object(1, 5)],
+            has_more: false,
+            revision,
+        })
+    };
+    mirror.apply(KIND, &list(6));
+    mirror.put(KIND, object(1, 9));
+    mirror.apply(KIND, &changes(8, vec![(object(1, 8), false)]));
+    assert_eq!(content(&mirror), [("s1".to_string(), 9)]);
+    mirror.apply(KIND, &list(8));
+    assert_eq!(content(&mirror), [("s1".to_string(), 9)]);
+}
