Tell service times in one heartbeat of four, and to leaders only

Up to 24 service times, some 1 KB, went with each heartbeat, also from the leader to all, though only leaders plan with them. Change: instances that do not lead tell them once a second; a leader keeps the last ones that were told.

--- a/crates/gateway/src/peer_state.rs
+++ b/crates/gateway/src/peer_state.rs
@@ -25,3 +25,12 @@
         self.beat.leads.iter().find(|lead| lead.service == service)
     }
 }
+
+/// Which instances a leader wants to watch the store; none when all should.
+#[derive(Default)]
+pub(crate) struct WatchOrder {
+    pub(crate) watchers: Vec<String>,
+    /// The last ones that were named; they take over first.
+    pub(crate) successors: Vec<String>,
+    pub(crate) at: MonoTime,
+}
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -1,6 +1,10 @@
 //! The other instances, as their records and heartbeats tell.
 
-use crate::{peer_beat::PeerBeat, peer_state::PeerState, prelude::*};
+use crate::{
+    peer_beat::PeerBeat,
+    peer_state::{PeerState, WatchOrder},
+    prelude::*,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Other instances by name, and how far this one is behind them.
@@ -17,15 +21,6 @@
     leader_count: Option<u32>,
 }
 
-/// Which instances a leader wants to watch the store; none when all should.
-#[derive(Default)]
-struct WatchOrder {
-    watchers: Vec<String>,
-    /// The last ones that were named; they take over first.
-    successors: Vec<String>,
-    at: MonoTime,
-}
-
 impl PeerTable {
     /// Time after which an instance that is not heard counts as lost.
     const LOST_TIME: Duration = Duration::from_millis(2_000);
@@ -78,7 +73,7 @@
     }
 
     /// Takes a heartbeat in.
-    pub(crate) fn heard(&mut self, beat: PeerBeat, now: MonoTime) {
+    pub(crate) fn heard(&mut self, mut beat: PeerBeat, now: MonoTime) {
         match beat.leads.iter().any(|lead| lead.leads) {
             true => {
                 self.leader_count = Some(beat.heard);
@@ -97,6 +92,9 @@
             && beat.incarnation >= peer.beat.incarnation
         {
             peer.heard_at = Some(now);
+            if beat.paces.is_empty() {
+                beat.paces = std::mem::take(&mut peer.beat.paces);
+            }
             peer.beat = beat;
         }
     }
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -1,7 +1,7 @@
 //! Learning from other instances while some of them are lost.
 
 use crate::{
-    peer_beat::{LeadBeat, PeerBeat},
+    peer_beat::{LeadBeat, PaceBeat, PeerBeat},
     prelude::*,
 };
 
@@ -101,3 +101,24 @@
     assert!(!table.hears_any(at(11_000)));
     assert!(PeerTable::default().hears_any(at(0)), "alone");
 }
+
+#[test]
+fn service_times_are_kept_over_heartbeats_that_tell_none() {
+    let mut table = table();
+    let server = ServerMark {
+        id: "s".into(),
+        born: 1,
+    };
+    let pace = PaceBeat {
+        server: server.clone(),
+        service_time: 0.2,
+        samples: 5,
+    };
+    let telling = PeerBeat {
+        paces: vec![pace],
+        ..beat("p1", 10, false)
+    };
+    table.heard(telling, at(100));
+    table.heard(beat("p1", 10, false), at(350));
+    assert_eq!(table.pace_of(&server), (0.2, 5));
+}
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -18,6 +18,8 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Largest datagram taken, in bytes.
 const MAX_DATAGRAM: usize = 8_192;
+/// Heartbeats of one instance of which one tells service times; only leaders use them.
+const PACES_EACH: usize = 4;
 /// Service times in one heartbeat, which has to fit one datagram.
 const MAX_PACES: usize = 24;
 /// Ranges told of one service, so that a heartbeat fits one datagram; more are asked for.
@@ -148,7 +150,10 @@
             }
         });
     }
-    beat.paces = paces(node, turn);
+    let leads = beat.leads.iter().any(|lead| lead.leads);
+    if !leads && turn.is_multiple_of(PACES_EACH) {
+        beat.paces = paces(node, turn / PACES_EACH);
+    }
     let targets = {
         let peers = node.peers.lock().unwrap();
         if beat.leads.iter().any(|lead| lead.leads) && !beat.store_lost {
