--- a/crates/soak/src/instance_process.rs
+++ b/crates/soak/src/instance_process.rs
@@ -12,6 +12,8 @@
     pub(crate) number: usize,
     pub(crate) link: Arc<LinkProxy>,
     host: Ipv4Addr,
+    /// Added to each port.
+    port_offset: u16,
     daemon: PathBuf,
     log: PathBuf,
     grace_time: Duration,
@@ -37,6 +39,8 @@
     const OPERATOR_PORT: u16 = 19_464;
     const PEER_PORT: u16 = 17_200;
     const FEED_PORT: u16 = 18_382;
+    /// Ports between those of two runs that one process makes at the same time.
+    const RUN_PORTS: u16 = 10;
 
     /// An instance that has not been started, with a link to the store of its own.
     pub(crate) async fn new(
@@ -52,6 +56,7 @@
             number,
             link: LinkProxy::start(pool, store).await?,
             host,
+            port_offset: plan.run_number % 50 * Self::RUN_PORTS,
             daemon: plan.daemon.clone(),
             log: plan.folder.join(format!("instance-{number}.log")),
             grace_time: plan.grace_time,
@@ -61,19 +66,23 @@
         }))
     }
 
+    fn address(&self, port: u16) -> SocketAddr {
+        (self.host, port + self.port_offset).into()
+    }
+
     /// Address for callers.
     pub(crate) fn caller_address(&self) -> SocketAddr {
-        (self.host, Self::CALLER_PORT).into()
+        self.address(Self::CALLER_PORT)
     }
 
     /// Address on which the balancer asks.
     pub(crate) fn readiness_address(&self) -> SocketAddr {
-        (self.host, Self::READINESS_PORT).into()
+        self.address(Self::READINESS_PORT)
     }
 
     /// Address of its feed.
     pub(crate) fn feed_address(&self) -> SocketAddr {
-        (self.host, Self::FEED_PORT).into()
+        self.address(Self::FEED_PORT)
     }
 
     /// How often it has been started.
@@ -91,7 +100,7 @@
             .create(true)
             .append(true)
             .open(&self.log)?;
-        let address = |flag: &str, port: u16| format!("--{flag}={}:{port}", self.host);
+        let address = |flag: &str, port: u16| format!("--{flag}={}", self.address(port));
         let seconds = |flag: &str, time: Duration| format!("--{flag}={}", time.as_secs_f64());
         let started = Command::new(&self.daemon)
             .arg("gateway")
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -2,6 +2,9 @@
 
 use crate::prelude::*;
 
+/// Plans made in this process.
+static PLANS: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
+
 /// Size, times and seed of a run.
 #[derive(Clone, Debug)]
 pub struct SoakPlan {
@@ -23,6 +26,8 @@
     pub grace_time: Duration,
     /// Which faults come.
     pub script: SoakScript,
+    /// Number among the plans of this process, whose runs do not share ports.
+    pub run_number: u16,
 }
 
 /// Where a run's faults come from.
@@ -63,6 +68,7 @@
             fault_time: Duration::from_secs(12),
             grace_time: Duration::from_secs(6),
             script: SoakScript::Drawn,
+            run_number: PLANS.fetch_add(1, Ordering::Relaxed),
         }
     }
 }
