--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! An entry instance on the users' platform: callers' requests go straight to the servers.
 //!
-//! A request enters at `request_handler`, is led through its attempts by `request_dispatch`, and
-//! reaches a server through `server_pool`. `configuration_worker`, `discovery_worker` and
+//! A request enters at `request_handler`, is led through its attempts by `request_dispatch`, finds a
+//! server in `server_finder` and `search_look`, and reaches it through `server_pool`. `configuration_worker`, `discovery_worker` and
 //! `record_worker` learn from the platform's store; `lead_worker` orders servers that hold keys;
 //! `peer_worker` exchanges heartbeats with the other instances. The decisions are in the `routing`
 //! crate, the platform's names in `platform`.
--- a/crates/routing/src/lead_moves.rs
+++ b/crates/routing/src/lead_moves.rs
@@ -161,8 +161,9 @@
         let ranges = &held.record.ranges;
         for old in before.iter().flat_map(|record| &record.ranges) {
             // A merged range is held by the grants of those that it was made of.
-            let now = held.record.range_of(old.first);
-            if let Some(merged) = now.filter(|now| now.is_settled() && now.fence != old.fence) {
+            let current = held.record.range_of(old.first);
+            let is_merged = |range: &&KeyRange| range.is_settled() && range.fence != old.fence;
+            if let Some(merged) = current.filter(is_merged) {
                 self.book.succeed(merged.fence, old.fence);
             }
         }
--- a/justfile
+++ b/justfile
@@ -32,6 +32,11 @@
 measure scenario:
     cargo run --release --locked --bin geraniummast-lab -- measure {{scenario}}
 
+# Play seeds of the fault soak over real processes
+soak *arguments:
+    cargo build --release --locked --package geraniummast-daemon --package geraniummast-soak
+    target/release/geraniummast-soak {{arguments}}
+
 # Print the daemon's settings with their origin
 settings *flags:
     cargo run --locked --bin geraniummastd -- --print-settings {{flags}}
