Keep one list of idle connections, and find an instance's place once

`GrantLinks` and `ServerPool` each had their own list of idle connections with the same taking, keeping and closing; and each request without a key walked all known instances twice, under their lock, to find this instance's place among them, which grows with the fleet. Change: `IdleList` serves both; the places are found when the known instances change (`PeerTable::find_places`). A heartbeat asks once whether its sender leads. Behaviour stays as it is. Left: `HttpClient` in `net` has a third such list, on another clock.

--- a/crates/gateway/src/frame_tests.rs
+++ b/crates/gateway/src/frame_tests.rs
@@ -119,7 +119,7 @@
             assert_eq!(after.fault(), None, "seed {seed}: {:?}", told.delta);
         }
         let mut table = PeerTable::default();
-        table.begin("me", MonoTime(0));
+        table.begin("me", "a", MonoTime(0));
         table.heard(beat, MonoTime(1_000));
     }
     assert!(read > CASES / 20, "{read} of {CASES} could be read");
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -85,7 +85,7 @@
     node.peers
         .lock()
         .unwrap()
-        .begin(&node.settings.name, node.now());
+        .begin(&node.settings.name, &node.settings.data_centre, node.now());
     let socket = UdpSocket::bind(node.settings.peer_address).await?;
     let feed = TcpListener::bind(node.settings.feed_address).await?;
     let connections = caller_listeners::start(&node, metrics).await?;
--- a/crates/gateway/src/grant_links.rs
+++ b/crates/gateway/src/grant_links.rs
@@ -8,12 +8,7 @@
 
 /// Proven connections of a leader to one life of one server.
 pub(crate) struct GrantLinks {
-    idle: Mutex<Vec<IdleGrantLink>>,
-}
-
-struct IdleGrantLink {
-    connection: HttpConnection,
-    until: MonoTime,
+    idle: IdleList<HttpConnection>,
 }
 
 /// Why there is no connection to grant keys over.
@@ -46,7 +41,7 @@
     /// No connection yet.
     pub(crate) fn new() -> Self {
         Self {
-            idle: Mutex::default(),
+            idle: IdleList::new(HttpConnection::is_open),
         }
     }
 
@@ -56,7 +51,7 @@
         node: &GatewayNode,
         server: &ServerRuntime,
     ) -> Result<HttpConnection, LinkFault> {
-        if let Some(connection) = self.take_idle(node.now()) {
+        if let Some(connection) = self.idle.take(node.now()) {
             return Ok(connection);
         }
         let dialer = Dialer::direct();
@@ -78,32 +73,13 @@
 
     /// Keeps a connection after a whole answer.
     pub(crate) fn keep(&self, connection: HttpConnection, now: MonoTime) {
-        let mut idle = self.idle.lock().unwrap();
-        if connection.is_open() && idle.len() < Self::MAX_IDLE {
-            idle.push(IdleGrantLink {
-                connection,
-                until: now.after(Self::IDLE_TIME),
-            });
-        }
+        let until = now.after(Self::IDLE_TIME);
+        self.idle.keep(connection, until, Self::MAX_IDLE);
     }
 
     /// Closes connections that have not been used for a while.
     pub(crate) fn close_idle(&self, now: MonoTime) {
-        let mut idle = self.idle.lock().unwrap();
-        idle.retain(|link| link.is_usable(now));
-    }
-
-    fn take_idle(&self, now: MonoTime) -> Option<HttpConnection> {
-        let mut idle = self.idle.lock().unwrap();
-        std::iter::from_fn(|| idle.pop())
-            .find(|link| link.is_usable(now))
-            .map(|link| link.connection)
-    }
-}
-
-impl IdleGrantLink {
-    fn is_usable(&self, now: MonoTime) -> bool {
-        self.connection.is_open() && now < self.until
+        self.idle.close_old(now);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod gateway_settings;
 mod grant_links;
 mod hop_headers;
+mod idle_list;
 mod instance_record;
 mod key_view;
 mod lead_orders;
@@ -42,6 +43,7 @@
 mod operator_page;
 mod own_answer;
 mod peer_beat;
+mod peer_places;
 mod peer_state;
 mod peer_table;
 #[cfg(test)]
@@ -71,6 +73,7 @@
             event_log::EventLog,
             gateway_node::GatewayNode,
             grant_links::GrantLinks,
+            idle_list::IdleList,
             instance_record::InstanceRecord,
             key_view::KeyView,
             metric_names::*,
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -10,9 +10,12 @@
 /// Other instances by name, and how far this one is behind them.
 #[derive(Default)]
 pub(crate) struct PeerTable {
-    me: String,
+    pub(crate) me: String,
+    pub(crate) data_centre: String,
+    /// Position among the instances of its data centre, and among all.
+    pub(crate) places: InstancePlaces,
     began: MonoTime,
-    peers: IndexMap<String, PeerState>,
+    pub(crate) peers: IndexMap<String, PeerState>,
     /// Since when others tell newer revisions than known here.
     behind_since: Option<MonoTime>,
     /// What leaders said about who watches the store.
@@ -29,9 +32,10 @@
     /// Time in which heartbeats of all are expected once a leader is suspected.
     const MUSTER_TIME: Duration = Duration::from_millis(600);
 
-    /// Starts the table of the instance `me`.
-    pub(crate) fn begin(&mut self, me: &str, now: MonoTime) {
+    /// Starts the table of the instance `me` in a data centre.
+    pub(crate) fn begin(&mut self, me: &str, data_centre: &str, now: MonoTime) {
         self.me = me.into();
+        self.data_centre = data_centre.into();
         self.began = now;
     }
 
@@ -65,11 +69,13 @@
             record,
         };
         self.peers.insert(state.record.name.clone(), state);
+        self.find_places();
     }
 
     /// Forgets an instance whose record was removed.
     pub(crate) fn forget(&mut self, name: &str) {
         self.peers.shift_remove(name);
+        self.find_places();
     }
 
     /// Takes a heartbeat in.
@@ -185,23 +191,6 @@
         self.peers.is_empty() || peers.any(|peer| peer.is_heard(now, Self::MUSTER_TIME))
     }
 
-    /// Position of this instance among all, or among those of its data centre.
-    pub(crate) fn place_in(&self, data_centre: Option<&str>) -> InstancePlace {
-        let others = self
-            .peers
-            .values()
-            .map(|peer| &peer.record)
-            .filter(|record| {
-                data_centre.is_none_or(|data_centre| record.data_centre == data_centre)
-            });
-        let (mut index, mut count) = (0, 1);
-        for record in others {
-            count += 1;
-            index += usize::from(record.name < self.me);
-        }
-        InstancePlace { index, count }
-    }
-
     /// Addresses of all other instances.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.peers
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -9,7 +9,7 @@
 
 fn table() -> PeerTable {
     let mut table = PeerTable::default();
-    table.begin("me", MonoTime(0));
+    table.begin("me", "a", MonoTime(0));
     for (number, name) in ["p1", "p2"].iter().enumerate() {
         let record = InstanceRecord {
             name: (*name).into(),
@@ -122,3 +122,23 @@
     table.heard(beat("p1", 10, false), at(350));
     assert_eq!(table.pace_of(&server), (0.2, 5));
 }
+
+#[test]
+fn places_follow_the_instances_that_are_known() {
+    let mut table = table();
+    let place = |index, count| InstancePlace { index, count };
+    assert_eq!(table.places().all, place(0, 3), "before p1 and p2");
+    let record = InstanceRecord {
+        name: "a1".into(),
+        incarnation: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 30)),
+        feed_address: SocketAddr::from(([127, 0, 0, 1], 31)),
+        data_centre: "b".into(),
+        processor_share: 1.0,
+    };
+    table.put(record, 9, MonoTime(0));
+    assert_eq!(table.places().all, place(1, 4));
+    assert_eq!(table.places().near, place(0, 3));
+    table.forget("p1");
+    assert_eq!(table.places().near, place(0, 2));
+}
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -156,7 +156,7 @@
     }
     let targets = {
         let peers = node.peers.lock().unwrap();
-        if beat.leads.iter().any(|lead| lead.leads) && !beat.store_lost {
+        if leads && !beat.store_lost {
             let me = WatchCandidate {
                 name: &node.settings.name,
                 data_centre: &node.settings.data_centre,
--- a/crates/gateway/src/search_look.rs
+++ b/crates/gateway/src/search_look.rs
@@ -96,12 +96,9 @@
         let centre = &self.node.settings.data_centre;
         let is_near = |server: &&Arc<ServerRuntime>| server.entry.data_centre == *centre;
         let (near, far): (Vec<_>, Vec<_>) = self.servers.iter().partition(is_near);
-        let (near_place, place) = {
-            let peers = self.node.peers.lock().unwrap();
-            (peers.place_in(Some(centre)), peers.place_in(None))
-        };
-        let near_positions = ServerSubset::positions(near.len(), ServerSubset::NEAR, near_place);
-        let far_positions = ServerSubset::positions(far.len(), ServerSubset::FAR, place);
+        let places = self.node.peers.lock().unwrap().places();
+        let near_positions = ServerSubset::positions(near.len(), ServerSubset::NEAR, places.near);
+        let far_positions = ServerSubset::positions(far.len(), ServerSubset::FAR, places.all);
         let mut subset: Vec<_> = near_positions.map(|position| near[position]).collect();
         subset.extend(far_positions.map(|position| far[position]));
         subset
--- a/crates/gateway/src/server_pool.rs
+++ b/crates/gateway/src/server_pool.rs
@@ -10,7 +10,7 @@
     workers: Arc<WorkerPool>,
     dialer: Dialer,
     address: SocketAddr,
-    idle: Mutex<Vec<IdleLink>>,
+    idle: IdleList<ServerLink>,
     open: Arc<AtomicUsize>,
 }
 
@@ -20,11 +20,6 @@
     open: Arc<AtomicUsize>,
 }
 
-struct IdleLink {
-    link: ServerLink,
-    until: MonoTime,
-}
-
 impl Drop for ServerLink {
     fn drop(&mut self) {
         self.open.fetch_sub(1, Ordering::Relaxed);
@@ -49,7 +44,7 @@
             workers,
             dialer: Dialer::direct(),
             address,
-            idle: Mutex::default(),
+            idle: IdleList::new(|link| link.connection.is_open()),
             open: Arc::default(),
         }
     }
@@ -60,7 +55,7 @@
         now: MonoTime,
         left: Duration,
     ) -> Result<ServerLink, ExchangeError> {
-        if let Some(link) = self.take_idle(now) {
+        if let Some(link) = self.idle.take(now) {
             return Ok(link);
         }
         let timeout = left.min(Self::CONNECT_TIMEOUT);
@@ -88,43 +83,25 @@
                 .min(Self::MOST_IDLE_TIME),
             None => Self::IDLE_TIME,
         };
-        let mut idle = self.idle.lock().unwrap();
-        if link.connection.is_open() && idle.len() < limit && !time.is_zero() {
-            idle.push(IdleLink {
-                link,
-                until: now.after(time),
-            });
+        if !time.is_zero() {
+            self.idle.keep(link, now.after(time), limit);
         }
     }
 
     /// Closes connections that were idle too long.
     pub(crate) fn close_idle(&self, now: MonoTime) {
-        let mut idle = self.idle.lock().unwrap();
-        idle.retain(|link| link.is_usable(now));
+        self.idle.close_old(now);
     }
 
     /// Closes all idle connections.
     pub(crate) fn clear(&self) {
-        self.idle.lock().unwrap().clear();
+        self.idle.clear();
     }
 
     /// Connections open now.
     pub(crate) fn open_count(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
-
-    fn take_idle(&self, now: MonoTime) -> Option<ServerLink> {
-        let mut idle = self.idle.lock().unwrap();
-        std::iter::from_fn(|| idle.pop())
-            .find(|link| link.is_usable(now))
-            .map(|link| link.link)
-    }
-}
-
-impl IdleLink {
-    fn is_usable(&self, now: MonoTime) -> bool {
-        self.link.connection.is_open() && now < self.until
-    }
 }
 
 impl ServerLink {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -59,7 +59,7 @@
     server_choice::{ChoiceInput, ChoiceStep, ServerChoice},
     server_entry::{ServerEntry, ServerState},
     server_roster::{RosterChange, ServerRoster},
-    server_subset::{InstancePlace, ServerSubset},
+    server_subset::{InstancePlace, InstancePlaces, ServerSubset},
     service_rule::ServiceRule,
     split_cursor::SplitCursor,
     usual_fill::UsualFill,
--- a/crates/routing/src/server_subset.rs
+++ b/crates/routing/src/server_subset.rs
@@ -14,6 +14,30 @@
     pub count: usize,
 }
 
+/// Positions of an instance among those of its data centre, and among all.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct InstancePlaces {
+    /// Among those of its data centre.
+    pub near: InstancePlace,
+    /// Among all.
+    pub all: InstancePlace,
+}
+
+impl Default for InstancePlace {
+    /// The only instance.
+    fn default() -> Self {
+        Self { index: 0, count: 1 }
+    }
+}
+
+impl InstancePlace {
+    /// Counts another instance in, which comes before this one or after it.
+    pub fn count_other(&mut self, is_before: bool) {
+        self.count += 1;
+        self.index += usize::from(is_before);
+    }
+}
+
 /// Rules of the stretch.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSubset;
