Log and count the limits that servers name

The limit is read and its begin, large changes and end are logged; attempts sent to limited servers are counted, and the dump shows each limit. No decision uses it yet.

--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -8,6 +8,8 @@
 pub(crate) const REFUSALS: &str = "geraniummast_refusals_total";
 /// Attempts to run a request on a server, by result.
 pub(crate) const ATTEMPTS: &str = "geraniummast_attempts_total";
+/// Attempts sent to servers that name a limit.
+pub(crate) const LIMITED_ATTEMPTS: &str = "geraniummast_limited_attempts_total";
 /// Connections opened to servers.
 pub(crate) const SERVER_CONNECTIONS: &str = "geraniummast_server_connections_total";
 /// Calls to the platform's store, by kind and result.
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -38,6 +38,7 @@
     service_time_ms: f64,
     resting: bool,
     connections: usize,
+    limit_per_second: Option<f64>,
 }
 
 #[derive(Serialize)]
@@ -106,6 +107,7 @@
             service_time_ms: load.service_time().0 * 1e3,
             resting: load.is_ejected(now),
             connections: server.pool.open_count(),
+            limit_per_second: server.limit.lock().unwrap().per_second(),
         }
     });
     let keys = node.keys.lock().unwrap();
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -189,6 +189,9 @@
         }
     };
     let sent_at = node.now();
+    if server.limit.lock().unwrap().per_second().is_some() {
+        metrics::counter!(LIMITED_ATTEMPTS).increment(1);
+    }
     call.progress.in_flight.store(true, Ordering::Relaxed);
     call.progress.attempts_sent.fetch_add(1, Ordering::Relaxed);
     let request = forwarded(call, server, call.time_left(sent_at));
@@ -244,6 +247,13 @@
         AnswerVerdict::NotRun | AnswerVerdict::Misdirected => {}
     }
     drop(load);
+    if !matches!(
+        verdict,
+        AnswerVerdict::Unverified | AnswerVerdict::Misdirected
+    ) {
+        let mut limit = server.limit.lock().unwrap();
+        log_limit(server, limit.apply(headers.limit, sent_at, now));
+    }
     if verdict != AnswerVerdict::Unverified && !headers.closes_connection {
         let max = node.max_idle_connections(server);
         server.pool.keep(connection, headers.idle_timeout, max, now);
@@ -257,6 +267,20 @@
     }
 }
 
+fn log_limit(server: &ServerRuntime, change: LimitChange) {
+    let (id, service) = (
+        server.incarnation().id.as_str(),
+        server.entry.service.as_str(),
+    );
+    match change {
+        LimitChange::Named(limit) => {
+            log::info!(server = id, service, per_second = limit; "server names a limit");
+        }
+        LimitChange::Lifted => log::info!(server = id, service; "server names no limit any more"),
+        LimitChange::Unchanged => {}
+    }
+}
+
 fn forwarded(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -8,6 +8,8 @@
     pub(crate) entry: ServerEntry,
     /// Load and failures of callers' requests.
     pub(crate) load: Mutex<LoadTracker>,
+    /// Limit on the rate of requests that the server names in its answers.
+    pub(crate) limit: Mutex<ServerLimit>,
     /// Connections for callers' requests.
     pub(crate) pool: ServerPool,
     /// Connections for grants of keys.
@@ -51,6 +53,7 @@
     ) -> Self {
         Self {
             load: Mutex::new(LoadTracker::new(entry.slots, service_time)),
+            limit: Mutex::default(),
             pool: ServerPool::new(workers.clone(), entry.address),
             grants: GrantConnections::new(),
             releases: HttpClient::new(workers.clone(), TcpDialer::direct(), entry.address),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 mod route_table;
 mod sample_window;
 mod server_entry;
+mod server_limit;
 mod server_loads;
 mod server_roster;
 mod server_selector;
@@ -56,6 +57,7 @@
     route_table::{RequestLimits, RouteTable},
     sample_window::SampleWindow,
     server_entry::{ServerEntry, ServerState},
+    server_limit::{LimitChange, LimitNotice, ServerLimit},
     server_roster::{RosterChange, ServerRoster},
     server_selector::{SelectionOutcome, ServerCandidate, ServerSelector},
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
