--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -170,3 +170,17 @@
     };
     assert_plan_passes(&plan);
 }
+
+// Guards against servers that get more requests than the limit that they name, summed over all
+// instances.
+#[test]
+#[ignore = "known red"]
+fn servers_with_a_named_limit_get_no_more_requests() {
+    let plan = SoakPlan {
+        callers: 30,
+        fault_duration: Duration::from_secs(10),
+        scenario: FaultScenario::NamedLimits,
+        ..plan(8, "limits")
+    };
+    assert_plan_passes(&plan);
+}
--- a/crates/soak/src/backend_process.rs
+++ b/crates/soak/src/backend_process.rs
@@ -15,6 +15,8 @@
     pub(crate) keys: Mutex<BackendKeys>,
     pub(crate) fault: Mutex<BackendFault>,
     pub(crate) draining_since: Mutex<Option<MonoTime>>,
+    /// Requests per second that the server names as its limit.
+    limit: Mutex<Option<f64>>,
     ledger: Arc<SoakLedger>,
     running: AtomicUsize,
     waiting: AtomicUsize,
@@ -70,6 +72,7 @@
             keys: Mutex::new(BackendKeys::new()),
             fault: Mutex::default(),
             draining_since: Mutex::default(),
+            limit: Mutex::default(),
             ledger: ledger.clone(),
             running: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
@@ -171,13 +174,13 @@
             ended_at: None,
             outcome: ExecutionOutcome::Unfinished,
             draining_since: *self.draining_since.lock().unwrap(),
+            names_limit: false,
         });
         let key = request_headers
             .key
             .filter(|_| self.service == crate::soak_routes::KEYED_SERVICE);
         if !self.wait_for_slot().await {
-            self.ledger
-                .record_end(execution, ExecutionOutcome::Rejected);
+            self.record_rejection(execution);
             return self.reply_not_executed(StatusCode::SERVICE_UNAVAILABLE, headers);
         }
         if let Some(key) = key {
@@ -187,8 +190,7 @@
                 drop(keys);
                 self.running.fetch_sub(1, Ordering::SeqCst);
                 self.slot_freed.notify(usize::MAX);
-                self.ledger
-                    .record_end(execution, ExecutionOutcome::Rejected);
+                self.record_rejection(execution);
                 return self.reply_not_executed(StatusCode::MISDIRECTED_REQUEST, headers);
             };
             keys.adjust_running(key, 1);
@@ -223,6 +225,7 @@
             request_id: request_headers.request_id.as_ref(),
             signature: Some(&signature),
             load: Some(self.load()),
+            limit: self.named_limit(execution),
             ..AnswerHeaders::default()
         };
         running.is_answered = fault == BackendFault::None;
@@ -262,6 +265,34 @@
         }
     }
 
+    /// Names a limit of requests per second from now on; returns false if there is one already.
+    pub(crate) fn start_limit(&self, per_second: f64) -> bool {
+        let mut limit = self.limit.lock().unwrap();
+        let is_new = limit.is_none();
+        limit.get_or_insert(per_second);
+        is_new
+    }
+
+    /// Names no limit from now on.
+    pub(crate) fn end_limit(&self) {
+        *self.limit.lock().unwrap() = None;
+    }
+
+    /// Returns the limit for the answer to a request, and records that the answer names it.
+    fn named_limit(&self, execution: usize) -> Option<f64> {
+        let limit = *self.limit.lock().unwrap();
+        if limit.is_some() {
+            self.ledger.record_named_limit(execution);
+        }
+        limit
+    }
+
+    fn record_rejection(&self, execution: usize) {
+        self.named_limit(execution);
+        self.ledger
+            .record_end(execution, ExecutionOutcome::Rejected);
+    }
+
     fn load(&self) -> ReportedLoad {
         ReportedLoad {
             running: self.running.load(Ordering::SeqCst) as u32,
@@ -280,6 +311,7 @@
             request_id: request_headers.request_id.as_ref(),
             not_executed: true,
             load: Some(self.load()),
+            limit: *self.limit.lock().unwrap(),
             ..AnswerHeaders::default()
         };
         self.reply(status, answer)
--- a/crates/soak/src/execution_record.rs
+++ b/crates/soak/src/execution_record.rs
@@ -17,6 +17,8 @@
     pub(crate) outcome: ExecutionOutcome,
     /// Start of the drain of the server, if it was draining when the request arrived.
     pub(crate) draining_since: Option<MonoTime>,
+    /// Whether the answer names a limit on the rate of requests.
+    pub(crate) names_limit: bool,
 }
 
 /// Outcome of a request at a server.
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -57,6 +57,8 @@
     Drain(usize),
     /// Puts a server into a fault state for the given time.
     Server(usize, BackendFault, Duration),
+    /// Has a server name a limit, in requests per second, for the given time.
+    Limit(usize, u32, Duration),
     /// Publishes a configuration that moves the probed route to the other service.
     Configure,
 }
@@ -75,6 +77,15 @@
                 let mut rng = StdRng::seed_from_u64(plan.seed);
                 Self::schedule(&mut rng, plan.fault_duration)
             }
+            FaultScenario::NamedLimits => {
+                // One server without keys and two with keys.
+                let limited = [0, plan.servers, plan.servers + 1];
+                let name_limit = |number| {
+                    let event = Self::Limit(number, 2, plan.fault_duration);
+                    (Duration::ZERO, event)
+                };
+                limited.into_iter().map(name_limit).collect()
+            }
             FaultScenario::StopWithUnresponsiveServers => {
                 let servers = plan.servers;
                 Self::stops_during_fault(plan, servers, BackendFault::Silent, Self::TerminateInTurn)
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -111,6 +111,22 @@
                 *process.fault.lock().unwrap() = BackendFault::None;
             }
         }
+        FaultEvent::Limit(number, per_second, duration) => {
+            let Some(process) = world.main_server(number).process() else {
+                return Ok(());
+            };
+            if process.start_limit(f64::from(per_second)) {
+                let from = SteadyClock.now();
+                Timer::after(duration).await;
+                ledger.limits.lock().unwrap().push(LimitPeriod {
+                    server: process.incarnation.clone(),
+                    per_second: f64::from(per_second),
+                    from,
+                    until: SteadyClock.now(),
+                });
+                process.end_limit();
+            }
+        }
         FaultEvent::Configure => world.publish_configuration(),
     }
     Ok(())
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,6 +22,7 @@
 mod instance_faults;
 mod instance_process;
 mod instance_supervisor;
+mod limit_checker;
 mod link_proxy;
 mod process_exit;
 #[cfg(test)]
@@ -63,7 +64,7 @@
             simulated_backend::SimulatedBackend,
             simulated_balancer::SimulatedBalancer,
             simulated_store::SimulatedStore,
-            soak_ledger::{DisturbanceTarget, SoakLedger},
+            soak_ledger::{DisturbanceTarget, LimitPeriod, SoakLedger},
             soak_world::SoakWorld,
             store_objects::StoreObjects,
             *,
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -11,11 +11,23 @@
     pub(crate) revisions: Mutex<Vec<(u64, MonoTime)>>,
     /// Violations that are detected as they occur.
     pub(crate) violations: Mutex<Vec<String>>,
+    /// Limits that servers named.
+    pub(crate) limits: Mutex<Vec<LimitPeriod>>,
     disturbances: Mutex<Vec<DisturbancePeriod>>,
     backends: Mutex<Vec<Arc<BackendProcess>>>,
     fences: Mutex<FenceHistory>,
 }
 
+/// Time during which a server names a limit.
+#[derive(Clone, Debug)]
+pub(crate) struct LimitPeriod {
+    pub(crate) server: ServerIncarnation,
+    /// Requests per second from all instances together.
+    pub(crate) per_second: f64,
+    pub(crate) from: MonoTime,
+    pub(crate) until: MonoTime,
+}
+
 /// Component that a disturbance affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DisturbanceTarget {
@@ -128,6 +140,11 @@
         executions[execution].outcome = outcome;
     }
 
+    /// Records that the answer to a request names a limit.
+    pub(crate) fn record_named_limit(&self, execution: usize) {
+        self.executions.lock().unwrap()[execution].names_limit = true;
+    }
+
     /// Records an attempt of a caller.
     pub(crate) fn record_call(&self, call: CallRecord) {
         self.calls.lock().unwrap().push(call);
