Share the limits that servers name among all instances

The class is an agreement of many instances that each of them would have to keep: there was no mechanism for a rate that all instances share, beyond the retry budget's equal parts, which starves instances at a few requests a second.

Ruled out: each instance keeping to the whole limit by itself, and a limit passed over by keyed requests only.

Change: each request to such a server takes a token. The leader keeps a token bucket for each limited server and grants tokens that expire after half a second; instances ask it in datagrams, and each other of limits in heartbeats. Servers without keys are passed over without a token, requests for keys are refused at once, and the planner takes the limit as the server's capacity and moves keys away.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -174,7 +174,6 @@
 // Guards against servers that get more requests than the limit that they name, summed over all
 // instances.
 #[test]
-#[ignore = "known red"]
 fn servers_with_a_named_limit_get_no_more_requests() {
     let plan = SoakPlan {
         callers: 30,
--- a/crates/gateway/src/caller_call.rs
+++ b/crates/gateway/src/caller_call.rs
@@ -87,6 +87,8 @@
     DeadlineUnreachable,
     /// The key's range is being moved, has no owner, or its owner is ejected.
     NoOwner,
+    /// The server's limit is used up. Holds the time after which to retry.
+    Limited(Duration),
     /// The service is keyed, but the request carries no key.
     NoKey,
     /// Servers rejected the request, and no further attempt is allowed.
@@ -114,6 +116,7 @@
             Self::NoRoom => "no-room",
             Self::DeadlineUnreachable => "hopeless",
             Self::NoOwner => "no-owner",
+            Self::Limited(_) => "limit",
             Self::NoKey => "no-key",
             Self::NotRun => "not-run",
         }
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -4,6 +4,8 @@
 //! inside a server or a service. No lock is held across an await.
 
 use crate::prelude::*;
+use async_net::UdpSocket;
+use std::sync::OnceLock;
 
 /// Shared state of a gateway instance.
 pub(crate) struct GatewayNode {
@@ -27,6 +29,8 @@
     first_attempt_timeouts: Mutex<IndexMap<String, Duration>>,
     pub(crate) keys: Mutex<IndexMap<String, KeyView>>,
     pub(crate) peers: Mutex<PeerTable>,
+    /// Socket for datagrams to other instances, once it is bound.
+    pub(crate) peer_socket: OnceLock<UdpSocket>,
     /// Notified when a key record, the granted ranges or the configuration change.
     pub(crate) keys_changed: Event,
     /// Notified when an order that this instance sent as leader has finished.
@@ -100,6 +104,7 @@
             first_attempt_timeouts: Mutex::default(),
             keys: Mutex::default(),
             peers: Mutex::default(),
+            peer_socket: OnceLock::new(),
             keys_changed: Event::new(),
             order_finished: Event::new(),
             heartbeat_received: Event::new(),
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -47,6 +47,7 @@
         .unwrap()
         .init(&node.settings.name, &node.settings.data_centre, node.now());
     let socket = UdpSocket::bind(node.settings.peer_address).await?;
+    let _ = node.peer_socket.set(socket.clone());
     let feed = TcpListener::bind(node.settings.feed_address).await?;
     let connections = caller_listeners::start(&node, metrics).await?;
     let workers = &node.workers;
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     peer_heartbeat::{
-        GrantedRange, KeySamples, LeadershipStatus, PeerHeartbeat, RecordUpdate, ServiceTimeReport,
+        GrantedRange, KeySamples, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
+        ServiceTimeReport,
     },
     prelude::*,
+    quota_wire::LimitReportWire,
     record_update_wire::RecordUpdateWire,
 };
 
@@ -36,6 +38,18 @@
     granted_ranges: Vec<GrantedRangeWire>,
     #[prost(bool, tag = "13")]
     yields: bool,
+    #[prost(message, repeated, tag = "14")]
+    limits: Vec<KnownLimitWire>,
+}
+
+#[derive(prost::Message)]
+struct KnownLimitWire {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(uint64, tag = "2")]
+    born: u64,
+    #[prost(message, optional, tag = "3")]
+    report: Option<LimitReportWire>,
 }
 
 #[derive(prost::Message)]
@@ -122,6 +136,15 @@
                     fence: range.fence,
                 })
                 .collect(),
+            limits: heartbeat
+                .limits
+                .into_iter()
+                .map(|known| KnownLimitWire {
+                    server: known.server.id,
+                    born: known.server.born,
+                    report: Some(known.report.into()),
+                })
+                .collect(),
             leaderships: heartbeat
                 .leaderships
                 .into_iter()
@@ -181,7 +204,18 @@
                 fence: range.fence,
             });
         }
+        // A limit that cannot be read is left out; the rest of the heartbeat counts.
+        let limits = wire.limits.into_iter().filter_map(|known| {
+            Some(KnownLimit {
+                server: ServerIncarnation {
+                    id: known.server,
+                    born: known.born,
+                },
+                report: known.report?.try_into().ok()?,
+            })
+        });
         Ok(Self {
+            limits: limits.collect(),
             revisions: [revision(0), revision(1), revision(2)],
             instance: wire.instance,
             incarnation: wire.incarnation,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,8 @@
 #[cfg(test)]
 mod peer_table_tests;
 mod peer_worker;
+mod quota_wire;
+mod quota_worker;
 mod record_update_wire;
 mod record_worker;
 mod record_writer;
@@ -55,6 +57,7 @@
 mod server_finder;
 mod server_lookup;
 mod server_pool;
+mod server_quota;
 mod server_reservation;
 mod server_runtime;
 mod service_state;
@@ -87,6 +90,7 @@
             open_calls::OpenCalls,
             peer_table::PeerTable,
             server_pool::ServerPool,
+            server_quota::ServerQuota,
             server_runtime::ServerRuntime,
             service_state::ServiceState,
             stop_plan::{StopOutcome, StopPlan, StopProgress, StopStep},
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -12,6 +12,9 @@
 /// Share of its capacity that is planned for a server while it warms up.
 const WARMUP_CAPACITY_SHARE: f64 = 0.5;
 
+/// Capacity planned for a server that accepts no requests, in requests per second.
+const MIN_CAPACITY: f64 = 0.1;
+
 /// Writes a key record that settles finished moves and starts those that are due.
 pub(crate) async fn plan(node: &Arc<GatewayNode>, service: &str, state: &mut LeaderLoopState) {
     let now = node.now();
@@ -105,9 +108,12 @@
             } else {
                 1.0
             };
+            let capacity = f64::from(server.entry.slots) / service_time.max(0.001) * share;
+            let limit = server.quota.lock().unwrap().limit.per_second(now);
             PlannedServer {
                 incarnation: server.incarnation().clone(),
-                capacity: f64::from(server.entry.slots) / service_time.max(0.001) * share,
+                capacity: limit.map_or(capacity, |limit| capacity.min(limit.max(MIN_CAPACITY))),
+                is_limited: limit.is_some(),
             }
         })
         .collect()
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -107,7 +107,7 @@
             service_time_ms: load.service_time().0 * 1e3,
             resting: load.is_ejected(now),
             connections: server.pool.open_count(),
-            limit_per_second: server.limit.lock().unwrap().per_second(),
+            limit_per_second: server.quota.lock().unwrap().limit.per_second(now),
         }
     });
     let keys = node.keys.lock().unwrap();
--- a/crates/gateway/src/peer_heartbeat.rs
+++ b/crates/gateway/src/peer_heartbeat.rs
@@ -31,6 +31,8 @@
     pub(crate) key_samples: Vec<KeySamples>,
     /// Service times of servers as measured by the sender.
     pub(crate) service_times: Vec<ServiceTimeReport>,
+    /// Limits that servers name or have lifted.
+    pub(crate) limits: Vec<KnownLimit>,
 }
 
 /// Leadership of a keyed service, as seen by the sender.
@@ -81,3 +83,10 @@
     pub(crate) service_time: f64,
     pub(crate) samples: u32,
 }
+
+/// What the sender knows of a server's limit.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct KnownLimit {
+    pub(crate) server: ServerIncarnation,
+    pub(crate) report: LimitReport,
+}
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -24,6 +24,14 @@
     leader_live_count: Option<u32>,
 }
 
+/// The first live instance by name.
+pub(crate) enum FirstInstance {
+    /// This instance, since the given time.
+    Own(MonoTime),
+    /// The instance with this heartbeat address.
+    Peer(SocketAddr),
+}
+
 impl PeerTable {
     /// Time without a heartbeat after which an instance counts as lost.
     const LOST_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -211,6 +219,29 @@
         self.peers.get(name).map(|peer| peer.record.address)
     }
 
+    /// The first instance by name among those with a recent heartbeat and this one.
+    pub(crate) fn first_instance(&self, now: MonoTime) -> FirstInstance {
+        let mut first_since = self.started_at;
+        let mut first: Option<&PeerState> = None;
+        for peer in self.peers.values() {
+            let is_before = first.map_or(self.own_name.as_str(), |peer| peer.record.name.as_str());
+            if peer.record.name.as_str() >= is_before {
+                continue;
+            }
+            match peer.heard_within(now, Self::RECENT_WINDOW) {
+                true => first = Some(peer),
+                false => {
+                    let silent_since = peer.heard_at.unwrap_or_default();
+                    first_since = first_since.max(silent_since.after(Self::RECENT_WINDOW));
+                }
+            }
+        }
+        match first {
+            Some(peer) => FirstInstance::Peer(peer.record.address),
+            None => FirstInstance::Own(first_since),
+        }
+    }
+
     /// State of a service's leader, from which a takeover is decided.
     pub(crate) fn leader_view(
         &self,
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -5,10 +5,12 @@
 
 use crate::{
     peer_heartbeat::{
-        GrantedRange, KeySamples, LeadershipStatus, PeerHeartbeat, RecordUpdate, ServiceTimeReport,
+        GrantedRange, KeySamples, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
+        ServiceTimeReport,
     },
     prelude::*,
-    record_worker,
+    quota_wire::QuotaMessage,
+    quota_worker, record_worker,
 };
 use async_net::UdpSocket;
 
@@ -27,10 +29,12 @@
 /// Largest number of ranges of one service in a heartbeat, which has to fit one datagram. Larger
 /// changes are fetched over the feed.
 const MAX_RANGES: usize = 60;
+/// Largest number of servers' limits in a heartbeat, which has to fit one datagram.
+const MAX_LIMITS: usize = 40;
 /// Smallest number of samples of a service time that is sent.
 const MIN_SAMPLES: u32 = 3;
 
-/// Receives heartbeats.
+/// Receives heartbeats and messages about rate limits.
 pub(crate) async fn listen(node: Arc<GatewayNode>, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -38,6 +42,10 @@
             Timer::after(INTERVAL).await;
             continue;
         };
+        if let Some(message) = QuotaMessage::decode(&buffer[..length]) {
+            quota_worker::handle(&node, &message, from);
+            continue;
+        }
         match PeerHeartbeat::decode(&buffer[..length]) {
             Some(heartbeat) => handle_heartbeat(&node, heartbeat),
             None if node.log.allow("heartbeat", node.now()) => {
@@ -67,6 +75,11 @@
             node.keys_changed.notify(usize::MAX);
         }
     }
+    for known in std::mem::take(&mut heartbeat.limits) {
+        if let Some(server) = node.server(&known.server) {
+            quota_worker::apply_report(&server, known.report, now);
+        }
+    }
     node.peers.lock().unwrap().apply_heartbeat(heartbeat, now);
     node.heartbeat_received.notify(usize::MAX);
 }
@@ -166,6 +179,7 @@
     if !is_leader && turn.is_multiple_of(SERVICE_TIMES_EVERY) {
         heartbeat.service_times = collect_service_times(node, turn / SERVICE_TIMES_EVERY);
     }
+    heartbeat.limits = known_limits(node, is_leader, now);
     let targets = {
         let peers = node.peers.lock().unwrap();
         if is_leader && !heartbeat.store_lost {
@@ -257,6 +271,19 @@
         .collect()
 }
 
+/// Limits of servers to tell other instances. A leader also passes on what it was told.
+fn known_limits(node: &GatewayNode, is_leader: bool, now: MonoTime) -> Vec<KnownLimit> {
+    let servers = node.servers.lock().unwrap();
+    let known = servers.values().filter_map(|server| {
+        let report = server.quota.lock().unwrap().limit.report(is_leader, now)?;
+        Some(KnownLimit {
+            server: server.incarnation().clone(),
+            report,
+        })
+    });
+    known.take(MAX_LIMITS).collect()
+}
+
 /// Service times of servers that hold keys; each turn sends the next `MAX_SERVICE_TIMES` of them.
 fn collect_service_times(node: &GatewayNode, turn: usize) -> Vec<ServiceTimeReport> {
     let mut service_times = Vec::new();
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -4,7 +4,7 @@
     attempt_history::{AttemptHistory, StaleRecord},
     hop_headers,
     prelude::*,
-    server_finder,
+    quota_worker, server_finder,
     server_reservation::ServerReservation,
 };
 
@@ -156,6 +156,7 @@
     const MAX_REJECTED_RETRY_AFTER: Duration = Duration::from_millis(60);
     match reason {
         RefusalReason::NoOwner => MOVE_RETRY_AFTER,
+        RefusalReason::Limited(pause) => pause,
         RefusalReason::NotRun if with_room > 0 => MAX_REJECTED_RETRY_AFTER.mul_f64(rand::random()),
         _ => {
             let waiting = state.waiting();
@@ -189,7 +190,14 @@
         }
     };
     let sent_at = node.now();
-    if server.limit.lock().unwrap().per_second().is_some() {
+    if server
+        .quota
+        .lock()
+        .unwrap()
+        .limit
+        .per_second(sent_at)
+        .is_some()
+    {
         metrics::counter!(LIMITED_ATTEMPTS).increment(1);
     }
     call.progress.in_flight.store(true, Ordering::Relaxed);
@@ -251,8 +259,7 @@
         verdict,
         AnswerVerdict::Unverified | AnswerVerdict::Misdirected
     ) {
-        let mut limit = server.limit.lock().unwrap();
-        log_limit(server, limit.apply(headers.limit, sent_at, now));
+        apply_limit(node, server, headers.limit, sent_at);
     }
     if verdict != AnswerVerdict::Unverified && !headers.closes_connection {
         let max = node.max_idle_connections(server);
@@ -267,18 +274,21 @@
     }
 }
 
-fn log_limit(server: &ServerRuntime, change: LimitChange) {
-    let (id, service) = (
-        server.incarnation().id.as_str(),
-        server.entry.service.as_str(),
-    );
-    match change {
-        LimitChange::Named(limit) => {
-            log::info!(server = id, service, per_second = limit; "server names a limit");
+/// Applies what an answer says about the server's limit.
+fn apply_limit(node: &GatewayNode, server: &ServerRuntime, notice: LimitNotice, sent_at: MonoTime) {
+    let now = node.now();
+    if notice == LimitNotice::Unreadable {
+        metrics::counter!(UNREADABLE_LIMITS).increment(1);
+        if node.log.allow("limit", now) {
+            let id = server.incarnation().id.as_str();
+            log::warn!(server = id; "limit of a server cannot be read");
         }
-        LimitChange::Lifted => log::info!(server = id, service; "server names no limit any more"),
-        LimitChange::Unchanged => {}
     }
+    let change = {
+        let mut quota = server.quota.lock().unwrap();
+        quota.limit.apply(notice, sent_at, now)
+    };
+    quota_worker::log_change(server, change, "answer");
 }
 
 fn forwarded(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/server_finder.rs
+++ b/crates/gateway/src/server_finder.rs
@@ -16,6 +16,8 @@
 /// Share of the time until the deadline that a request may wait if it can no longer meet its target
 /// latency: after another refusal its caller would have no attempts left.
 const LATE_WAIT_SHARE: f64 = 0.35;
+/// Time that a request waits for an answer to its instance's ask for tokens.
+const TOKEN_WAIT: Duration = Duration::from_millis(80);
 /// Interval at which a waiting request looks for a server again without being notified.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -69,6 +71,7 @@
 fn wait_limit(call: &CallerCall, reason: RefusalReason, rank: QueueRank) -> Duration {
     let left = call.time_left(call.arrived_at);
     let limit = match (reason, rank.is_late) {
+        (RefusalReason::Limited(_), _) => TOKEN_WAIT,
         (RefusalReason::NoOwner, _) => call.route.target_latency.mul_f64(MOVE_WAIT_SHARE),
         (_, true) => left.mul_f64(LATE_WAIT_SHARE),
         (_, false) => call.route.target_latency.mul_f64(WAIT_SHARE),
--- a/crates/gateway/src/server_lookup.rs
+++ b/crates/gateway/src/server_lookup.rs
@@ -1,6 +1,11 @@
 //! A single, non-blocking attempt to select a server for a request.
 
-use crate::{attempt_history::AttemptHistory, prelude::*, server_reservation::ServerReservation};
+use crate::{
+    attempt_history::AttemptHistory,
+    prelude::*,
+    quota_worker::{self, TokenOutcome},
+    server_reservation::ServerReservation,
+};
 
 /// Result of a lookup.
 pub(crate) enum LookupOutcome {
@@ -12,6 +17,22 @@
     Refuse(RefusalReason),
 }
 
+/// Result of a lookup among a group of servers.
+enum GroupOutcome {
+    /// A server was selected, and the result of its reservation counts.
+    Decided(LookupOutcome),
+    /// None of the servers can take the request.
+    Exhausted(LookupOutcome),
+}
+
+impl From<GroupOutcome> for LookupOutcome {
+    fn from(outcome: GroupOutcome) -> Self {
+        match outcome {
+            GroupOutcome::Decided(outcome) | GroupOutcome::Exhausted(outcome) => outcome,
+        }
+    }
+}
+
 /// A lookup of a server for a request, with the state that the decision is based on.
 pub(crate) struct ServerLookup<'a> {
     node: &'a Arc<GatewayNode>,
@@ -79,18 +100,40 @@
             return LookupOutcome::Wait(RefusalReason::NoRoom);
         }
         let subset = self.subset();
-        let mut outcome = self.select(&subset);
-        if subset.len() < self.servers.len() && !matches!(outcome, SelectionOutcome::Send(_)) {
-            let all: Vec<&Arc<ServerRuntime>> = self.servers.iter().collect();
-            outcome = self.select(&all);
-            if let SelectionOutcome::Send(position) = outcome {
-                return self.reserve(all[position], None);
+        let is_partial = subset.len() < self.servers.len();
+        match self.select_among(subset) {
+            GroupOutcome::Exhausted(_) if is_partial => {
+                let all = self.servers.iter().collect();
+                self.select_among(all).into()
             }
+            outcome => outcome.into(),
         }
-        match outcome {
-            SelectionOutcome::Send(position) => self.reserve(subset[position], None),
-            SelectionOutcome::Wait => LookupOutcome::Wait(RefusalReason::NoRoom),
-            SelectionOutcome::Refuse => LookupOutcome::Refuse(RefusalReason::NoServer),
+    }
+
+    /// Selects one of the servers. Those whose limit is used up are passed over.
+    fn select_among(&self, mut servers: Vec<&Arc<ServerRuntime>>) -> GroupOutcome {
+        let mut limited = None;
+        loop {
+            let position = match self.select(&servers) {
+                SelectionOutcome::Send(position) => position,
+                SelectionOutcome::Wait => {
+                    return GroupOutcome::Exhausted(LookupOutcome::Wait(RefusalReason::NoRoom));
+                }
+                SelectionOutcome::Refuse => {
+                    let none = LookupOutcome::Refuse(RefusalReason::NoServer);
+                    return GroupOutcome::Exhausted(limited.unwrap_or(none));
+                }
+            };
+            let outcome = self.reserve(servers[position], None);
+            match outcome {
+                // The answer to an ask for tokens is worth waiting for.
+                LookupOutcome::Wait(RefusalReason::Limited(_)) => limited = Some(outcome),
+                LookupOutcome::Refuse(RefusalReason::Limited(_)) => {
+                    limited.get_or_insert(outcome);
+                }
+                _ => return GroupOutcome::Decided(outcome),
+            }
+            servers.remove(position);
         }
     }
 
@@ -174,7 +217,7 @@
     /// Reserves a server for the request, unless the server is not expected to finish it in time.
     fn reserve(&self, server: &Arc<ServerRuntime>, key_revision: Option<u64>) -> LookupOutcome {
         let now = self.now;
-        let mut load = server.load.lock().unwrap();
+        let load = server.load.lock().unwrap();
         let expected = load.expected_completion(now, self.assumptions.reported_only());
         let was_full = load.estimated_requests(now, self.assumptions.reported_only())
             >= f64::from(load.slots());
@@ -184,8 +227,17 @@
         if was_full && expected > self.call.target_time_left(now).as_secs_f64() {
             return LookupOutcome::Wait(RefusalReason::NoRoom);
         }
-        load.request_started(now);
         drop(load);
+        match quota_worker::take_token(self.node, server, self.ticket.is_none()) {
+            TokenOutcome::Taken => {}
+            TokenOutcome::Wait => {
+                return LookupOutcome::Wait(RefusalReason::Limited(Duration::ZERO));
+            }
+            TokenOutcome::Refused(pause) => {
+                return LookupOutcome::Refuse(RefusalReason::Limited(pause));
+            }
+        }
+        server.load.lock().unwrap().request_started(now);
         LookupOutcome::Reserved(ServerReservation {
             server: server.clone(),
             reserved_at: now,
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -8,8 +8,8 @@
     pub(crate) entry: ServerEntry,
     /// Load and failures of callers' requests.
     pub(crate) load: Mutex<LoadTracker>,
-    /// Limit on the rate of requests that the server names in its answers.
-    pub(crate) limit: Mutex<ServerLimit>,
+    /// Limit on the rate of requests that the server names, and this instance's part of it.
+    pub(crate) quota: Mutex<ServerQuota>,
     /// Connections for callers' requests.
     pub(crate) pool: ServerPool,
     /// Connections for grants of keys.
@@ -53,7 +53,7 @@
     ) -> Self {
         Self {
             load: Mutex::new(LoadTracker::new(entry.slots, service_time)),
-            limit: Mutex::default(),
+            quota: Mutex::default(),
             pool: ServerPool::new(workers.clone(), entry.address),
             grants: GrantConnections::new(),
             releases: HttpClient::new(workers.clone(), TcpDialer::direct(), entry.address),
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -5,9 +5,11 @@
     feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
     object_mirror::{DeltaOutcome, MirrorDelta},
     peer_heartbeat::{
-        GrantedRange, KeySamples, LeadershipStatus, PeerHeartbeat, RecordUpdate, ServiceTimeReport,
+        GrantedRange, KeySamples, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
+        ServiceTimeReport,
     },
     prelude::*,
+    quota_wire::{QuotaBody, QuotaMessage},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -82,6 +84,31 @@
             service_time: 0.25,
             samples: 8,
         }],
+        limits: vec![KnownLimit {
+            server: incarnation("s1"),
+            report: LimitReport {
+                per_second: Some(4.2),
+                age: Duration::from_millis(20),
+            },
+        }],
+    }
+}
+
+fn quota_message() -> QuotaMessage {
+    QuotaMessage {
+        sender: InstanceIncarnation {
+            instance: "p1".into(),
+            incarnation: 1,
+        },
+        server: incarnation("s1"),
+        report: Some(LimitReport {
+            per_second: None,
+            age: Duration::from_millis(20),
+        }),
+        body: QuotaBody::Ask(QuotaAsk {
+            number: 7,
+            wanted: 2,
+        }),
     }
 }
 
@@ -106,6 +133,39 @@
     assert_eq!(PeerHeartbeat::decode(&datagram), Some(heartbeat()));
 }
 
+#[test]
+fn encoded_quota_message_decodes_unchanged_and_is_no_ones_heartbeat() {
+    let grant = QuotaMessage {
+        body: QuotaBody::Grant(QuotaGrant {
+            number: 7,
+            tokens: 1,
+            pause: Duration::from_millis(30),
+        }),
+        ..quota_message()
+    };
+    for message in [quota_message(), grant] {
+        let datagram = message.clone().encode();
+        assert_eq!(QuotaMessage::decode(&datagram), Some(message));
+        let as_heartbeat = PeerHeartbeat::decode(&datagram);
+        assert_eq!(as_heartbeat, Some(PeerHeartbeat::default()));
+    }
+    assert_eq!(QuotaMessage::decode(&heartbeat().encode()), None);
+}
+
+#[test]
+fn corrupt_quota_message_never_yields_an_impossible_limit() {
+    let datagram = quota_message().encode();
+    for seed in 0..CASES {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let message = QuotaMessage::decode(&corrupt(&datagram, &mut rng));
+        let limit = message.and_then(|message| message.report?.per_second);
+        assert!(
+            limit.is_none_or(|limit| limit.is_finite() && limit >= 0.0),
+            "seed {seed}: {limit:?}"
+        );
+    }
+}
+
 #[test]
 fn corrupt_heartbeat_keeps_record_valid() {
     let datagram = heartbeat().encode();
--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -21,6 +21,8 @@
     /// Smallest difference of a server's load from the mean that does not count as noise, in
     /// requests of the window.
     pub min_excess: f64,
+    /// The same for servers that name a limit.
+    pub min_limited_excess: f64,
     /// Highest number of moves for balance in one plan.
     pub max_moves: usize,
     /// Number of ranges from which on no keys move for balance; those of servers that leave still
@@ -38,6 +40,8 @@
     pub incarnation: ServerIncarnation,
     /// Requests that the server can serve per second.
     pub capacity: f64,
+    /// Whether the server names a limit, beyond which its requests are refused.
+    pub is_limited: bool,
 }
 
 /// Planned change of a key record.
@@ -83,6 +87,7 @@
             overload_ratio: 1.2,
             idle_ratio: 0.5,
             min_excess: 6.0,
+            min_limited_excess: 1.0,
             max_moves: 6,
             max_ranges: 400,
             merge_threshold: 200,
@@ -230,11 +235,15 @@
         let is_over = loads.weight[most_loaded] > self.overload_ratio * fair_load;
         let is_idle =
             loads.weight[least_loaded] < self.idle_ratio * mean * servers[least_loaded].capacity;
+        let min_excess = match servers[most_loaded].is_limited {
+            true => self.min_limited_excess,
+            false => self.min_excess,
+        };
         most_loaded != least_loaded
             && excess > 0.0
             && deficit > 0.0
             && (is_over || is_idle)
-            && excess.max(deficit) >= self.min_excess
+            && excess.max(deficit) >= min_excess
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,9 @@
 mod load_assumptions;
 mod load_tracker;
 mod move_step;
+mod quota_client;
+mod quota_holder;
+mod quota_message;
 mod record_delta;
 mod retry_budget;
 mod route_rule;
@@ -51,13 +54,16 @@
     load_assumptions::LoadAssumptions,
     load_tracker::{LoadTracker, ReportedLoad},
     move_step::MoveStep,
+    quota_client::{QuotaClient, QuotaStep},
+    quota_holder::QuotaHolder,
+    quota_message::{QuotaAsk, QuotaGrant},
     record_delta::{RangeMove, RecordDelta},
     retry_budget::RetryBudget,
     route_rule::{RouteRule, WeightedService},
     route_table::{RequestLimits, RouteTable},
     sample_window::SampleWindow,
     server_entry::{ServerEntry, ServerState},
-    server_limit::{LimitChange, LimitNotice, ServerLimit},
+    server_limit::{LimitChange, LimitNotice, LimitReport, ServerLimit},
     server_roster::{RosterChange, ServerRoster},
     server_selector::{SelectionOutcome, ServerCandidate, ServerSelector},
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
--- a/crates/routing/tests/key_planner.rs
+++ b/crates/routing/tests/key_planner.rs
@@ -10,6 +10,7 @@
             born: 1,
         },
         capacity,
+        is_limited: false,
     }
 }
 
@@ -267,3 +268,20 @@
     let after = rebalanced(record, &unequal_servers, &weights);
     assert_eq!(after.range_of(3_200).unwrap().owner.id, "s5");
 }
+
+// Guards against a server that names a limit and keeps more keys than it may serve, because the
+// surplus is small compared with the noise of unlimited servers.
+#[test]
+fn limited_server_gives_small_surplus_away() {
+    let limited = PlannedServer {
+        is_limited: true,
+        ..server("limited", 2.0)
+    };
+    let servers = [limited, server("a", 25.0), server("b", 25.0)];
+    // The limited server owns the first half of the keys, with five requests in the window.
+    let mut record = distributed(&[server("limited", 25.0), server("a", 25.0)]);
+    let weights: Vec<(u16, f64)> = (0..5).map(|step| (step * 5_000, 1.0)).collect();
+    assert!(share(&record, "limited", &weights) > 0.99);
+    record = rebalanced(record, &servers, &weights);
+    assert!(share(&record, "limited", &weights) <= 0.2);
+}
--- /dev/null
+++ b/crates/routing/tests/shared_limit/main.rs
@@ -0,0 +1,72 @@
+//! Simulated instances share the rate limit of one server through a quota holder: a token bucket
+//! with quota leases. Callers are spread evenly, all at one instance, or move; messages are lost;
+//! the holder is lost or frozen.
+
+mod limit_simulation;
+
+use limit_simulation::{CallerSpread, HolderFault, LimitSimulation, SimulationPlan};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const INSTANCES: [usize; 5] = [1, 8, 12, 87, 300];
+const LIMITS: [f64; 6] = [0.0, 0.5, 4.2, 7.4, 50.0, 1_000.0];
+const DEMANDS: [f64; 4] = [0.5, 1.0, 3.0, 20.0];
+
+fn plan(seed: u64) -> SimulationPlan {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let instances = INSTANCES[rng.random_range(0..INSTANCES.len())];
+    let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+    // The highest rates cost the most time and differ the least.
+    let demands = match limit > 100.0 {
+        true => &DEMANDS[..3],
+        false => &DEMANDS[..],
+    };
+    SimulationPlan {
+        seed,
+        instances,
+        limit,
+        demand: demands[rng.random_range(0..demands.len())],
+        spread: CallerSpread::ALL[rng.random_range(0..3)],
+        loss: [0.0, 0.05][rng.random_range(0..2)],
+        fault: HolderFault::ALL[rng.random_range(0..3)],
+        seconds: 30,
+    }
+}
+
+// Guards against instances that together send more than a server's limit allows.
+#[test]
+fn no_window_exceeds_the_limit() {
+    for seed in 0..200 {
+        let plan = plan(seed);
+        let sent = LimitSimulation::new(plan).run();
+        let most = LimitSimulation::most_in_window(&sent, 4.0);
+        let allowed = 1.15 * 4.0 * plan.limit + 5.0;
+        assert!(
+            most as f64 <= allowed,
+            "{plan:?}: {most} requests in 4 s, {allowed} allowed"
+        );
+    }
+}
+
+// Guards against a limit that instances share so unevenly that a part of it is not used.
+#[test]
+fn limit_is_used_when_demand_exceeds_it() {
+    for seed in 0..200 {
+        let plan = SimulationPlan {
+            fault: HolderFault::None,
+            ..plan(seed)
+        };
+        if plan.demand <= 1.0 || plan.limit == 0.0 {
+            continue;
+        }
+        let sent = LimitSimulation::new(plan).run();
+        // The first seconds, and five after each move of the callers, are left out.
+        for (from, until) in plan.settled_spans() {
+            let used = sent.iter().filter(|at| (from..until).contains(*at)).count();
+            let wanted = 0.9 * plan.limit * (until - from);
+            assert!(
+                used as f64 + 1.0 >= wanted,
+                "{plan:?}: {used} requests from {from} to {until} s, {wanted} wanted"
+            );
+        }
+    }
+}
