--- a/crates/gateway/src/key_view.rs
+++ b/crates/gateway/src/key_view.rs
@@ -47,6 +47,11 @@
     /// Largest number of keys in one heartbeat, which has to fit one datagram.
     pub(crate) const MAX_RECENT_KEYS: usize = 160;
 
+    /// Time in seconds in which as many requests come as the load window's weights add up to.
+    pub(crate) fn load_window_s() -> f64 {
+        SampleWindow::effective_seconds(Self::LOAD_WINDOW)
+    }
+
     /// Creates the view of a service without a known record.
     pub(crate) fn new(own_incarnation: InstanceIncarnation, timing: LeaderTiming) -> Self {
         Self {
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -113,7 +113,7 @@
             PlannedServer {
                 incarnation: server.incarnation().clone(),
                 capacity: limit.map_or(capacity, |limit| capacity.min(limit.max(MIN_CAPACITY))),
-                is_limited: limit.is_some(),
+                limit: limit.map(|limit| limit * KeyView::load_window_s()),
             }
         })
         .collect()
--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -21,8 +21,6 @@
     /// Smallest difference of a server's load from the mean that does not count as noise, in
     /// requests of the window.
     pub min_excess: f64,
-    /// The same for servers that name a limit.
-    pub min_limited_excess: f64,
     /// Highest number of moves for balance in one plan.
     pub max_moves: usize,
     /// Number of ranges from which on no keys move for balance; those of servers that leave still
@@ -40,8 +38,29 @@
     pub incarnation: ServerIncarnation,
     /// Requests that the server can serve per second.
     pub capacity: f64,
-    /// Whether the server names a limit, beyond which its requests are refused.
-    pub is_limited: bool,
+    /// Requests of the window that the server accepts, if it names a limit. Requests beyond it are
+    /// refused.
+    pub limit: Option<f64>,
+}
+
+impl PlannedServer {
+    /// Part of its limit that a server is loaded with when it gives or receives keys.
+    const LIMIT_TARGET: f64 = 0.5;
+    /// Part of its limit above which a server gives keys away.
+    const LIMIT_THRESHOLD: f64 = 0.8;
+
+    /// Load that the server has to give away when it is loaded with `weight`, if any.
+    fn surplus(&self, weight: f64) -> Option<f64> {
+        let limit = self.limit?;
+        let is_over = weight > limit * Self::LIMIT_THRESHOLD;
+        is_over.then_some(weight - limit * Self::LIMIT_TARGET)
+    }
+
+    /// Whether the server would be loaded with `weight` without having to give keys away.
+    pub(crate) fn can_bear(&self, weight: f64) -> bool {
+        self.limit
+            .is_none_or(|limit| weight <= limit * Self::LIMIT_TARGET)
+    }
 }
 
 /// Planned change of a key record.
@@ -87,7 +106,6 @@
             overload_ratio: 1.2,
             idle_ratio: 0.5,
             min_excess: 6.0,
-            min_limited_excess: 1.0,
             max_moves: 6,
             max_ranges: 400,
             merge_threshold: 200,
@@ -126,6 +144,7 @@
         let mut loads = ServerLoads::new(record, servers, weights);
         self.evacuate(&mut draft, servers, &mut loads, weights, has_no_grant);
         if draft.record.ranges.len() < self.max_ranges {
+            self.relieve(&mut draft, servers, &mut loads, weights);
             self.rebalance(&mut draft, servers, &mut loads, weights);
         }
         let mut merges = Vec::new();
@@ -178,7 +197,38 @@
         }
     }
 
-    /// Moves spans of keys from the servers with the highest load for their capacity.
+    /// Moves spans of keys away from servers that are loaded beyond the limits that they name.
+    fn relieve(
+        &self,
+        draft: &mut PlanDraft,
+        servers: &[PlannedServer],
+        loads: &mut ServerLoads,
+        weights: &[(u16, f64)],
+    ) {
+        let limited = (0..servers.len()).filter(|giver| servers[*giver].limit.is_some());
+        for giver in limited {
+            for _ in 0..self.max_moves {
+                let Some(surplus) = servers[giver].surplus(loads.weight[giver]) else {
+                    break;
+                };
+                let incarnation = &servers[giver].incarnation;
+                let span = densest_span(&draft.record, incarnation, weights, surplus);
+                let Some((receiver, span)) = span.and_then(|span| {
+                    let receiver = loads.bearing_receiver(servers, giver, span.weight)?;
+                    Some((receiver, span))
+                }) else {
+                    break;
+                };
+                let owner = &servers[receiver].incarnation;
+                draft.assign(span.first, span.last, owner, false);
+                loads.weight[giver] -= span.weight;
+                loads.weight[receiver] += span.weight;
+            }
+        }
+    }
+
+    /// Moves spans of keys from the servers with the highest load for their capacity. Servers with
+    /// a limit neither give nor receive any unless all have one.
     fn rebalance(
         &self,
         draft: &mut PlanDraft,
@@ -186,7 +236,8 @@
         loads: &mut ServerLoads,
         weights: &[(u16, f64)],
     ) {
-        let mut is_stuck = vec![false; servers.len()];
+        let is_left_out = ServerLoads::left_out(servers);
+        let mut is_stuck = is_left_out.clone();
         let mut moves = 0;
         while moves < self.max_moves {
             let Some(most_loaded) = loads.most_loaded(servers, &is_stuck) else {
@@ -235,15 +286,11 @@
         let is_over = loads.weight[most_loaded] > self.overload_ratio * fair_load;
         let is_idle =
             loads.weight[least_loaded] < self.idle_ratio * mean * servers[least_loaded].capacity;
-        let min_excess = match servers[most_loaded].is_limited {
-            true => self.min_limited_excess,
-            false => self.min_excess,
-        };
         most_loaded != least_loaded
             && excess > 0.0
             && deficit > 0.0
             && (is_over || is_idle)
-            && excess.max(deficit) >= min_excess
+            && excess.max(deficit) >= self.min_excess
     }
 }
 
--- a/crates/routing/src/sample_window.rs
+++ b/crates/routing/src/sample_window.rs
@@ -28,6 +28,13 @@
         }
     }
 
+    /// Time in seconds in which as many requests come as the weights of a window of length `span`
+    /// add up to.
+    pub fn effective_seconds(span: Duration) -> f64 {
+        // The mean weight of a request is a half.
+        span.as_secs_f64() / 2.0
+    }
+
     /// Adds the keys of one report, which together represent `total` requests.
     pub fn add(&mut self, keys: &[u16], total: u32, now: MonoTime) {
         let weight = f64::from(total) / keys.len().max(1) as f64;
--- a/crates/routing/src/server_loads.rs
+++ b/crates/routing/src/server_loads.rs
@@ -103,24 +103,57 @@
         after <= before * max_share
     }
 
+    /// For each server whether it is left out when keys move for balance: those with a limit,
+    /// unless all have one.
+    pub(crate) fn left_out(servers: &[PlannedServer]) -> Vec<bool> {
+        let are_all_limited = servers.iter().all(|server| server.limit.is_some());
+        let is_left_out = |server: &PlannedServer| server.limit.is_some() && !are_all_limited;
+        servers.iter().map(is_left_out).collect()
+    }
+
     /// Server other than the giver that would have the lowest load for its capacity with `weight`
-    /// added.
+    /// added, among those that are not left out.
     pub(crate) fn best_receiver(
         &self,
         servers: &[PlannedServer],
         giver: usize,
         weight: f64,
     ) -> usize {
-        let after =
-            |position: &usize| (self.weight[*position] + weight) / servers[*position].capacity;
+        let is_left_out = Self::left_out(servers);
+        let after = |position: &usize| self.load_after(servers, *position, weight);
         (0..servers.len())
-            .filter(|position| *position != giver)
+            .filter(|position| *position != giver && !is_left_out[*position])
             .min_by(|one, other| after(one).total_cmp(&after(other)))
             .unwrap_or(giver)
     }
 
+    /// Server other than the giver that would have the lowest load for its capacity with `weight`
+    /// added, among those that keep within their limits and below the giver's load.
+    pub(crate) fn bearing_receiver(
+        &self,
+        servers: &[PlannedServer],
+        giver: usize,
+        weight: f64,
+    ) -> Option<usize> {
+        let after = |position: &usize| self.load_after(servers, *position, weight);
+        let giver_load = self.weight[giver] / servers[giver].capacity;
+        (0..servers.len())
+            .filter(|position| {
+                *position != giver && servers[*position].can_bear(self.weight[*position] + weight)
+            })
+            .min_by(|one, other| after(one).total_cmp(&after(other)))
+            .filter(|position| after(position) < giver_load)
+    }
+
+    fn load_after(&self, servers: &[PlannedServer], position: usize, weight: f64) -> f64 {
+        (self.weight[position] + weight) / servers[position].capacity
+    }
+
+    /// Server with the lowest load for its capacity, among those that are not left out.
     pub(crate) fn least_loaded(&self, servers: &[PlannedServer]) -> usize {
+        let is_left_out = Self::left_out(servers);
         (0..servers.len())
+            .filter(|position| !is_left_out[*position])
             .min_by(|&a, &b| {
                 self.relative_load(a, servers)
                     .total_cmp(&self.relative_load(b, servers))
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -28,7 +28,7 @@
                     born: *born,
                 },
                 capacity: 10.0,
-                is_limited: false,
+                limit: None,
             })
             .collect();
         // A load that moves to other keys makes the planner move ranges.
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -75,7 +75,10 @@
         match plan.scenario {
             FaultScenario::Random => {
                 let mut rng = StdRng::seed_from_u64(plan.seed);
-                Self::schedule(&mut rng, plan.fault_duration)
+                let mut events = Self::schedule(&mut rng, plan.fault_duration);
+                events.extend(Self::limits(&mut rng, plan.fault_duration));
+                events.sort_by_key(|(at, _)| *at);
+                events
             }
             FaultScenario::NamedLimits => {
                 // One server without keys and two with keys.
@@ -146,6 +149,23 @@
         }
     }
 
+    /// Draws servers that name limits, which may overlap with any other fault.
+    fn limits(rng: &mut StdRng, duration: Duration) -> Vec<(Duration, Self)> {
+        /// Largest number of limits in one run.
+        const MAX_LIMITS: usize = 3;
+        /// Duration of a limit, in milliseconds.
+        const LIMIT_MS: std::ops::Range<u64> = 4_000..10_000;
+        let count = rng.random_range(0..=MAX_LIMITS);
+        (0..count)
+            .map(|_| {
+                let at = duration.mul_f64(rng.random_range(0.0..1.0));
+                let number = rng.random_range(0..1_000);
+                let limit_time = Duration::from_millis(rng.random_range(LIMIT_MS));
+                (at, Self::Limit(number, rng.random_range(1..12), limit_time))
+            })
+            .collect()
+    }
+
     fn random(rng: &mut StdRng) -> Self {
         let number = rng.random_range(0..1_000);
         let duration = Duration::from_millis(rng.random_range(200..4_000));
