Trust a rejection only if it carries the request's identifier

Cause: the verdict took 421 and Not-Executed from any answer before it looked at the identifier, so the copy counted as the next request's answer, and the request was sent to another server.

Ruled out: answers that are delivered; these had to carry the identifier before.

Change: an answer without the request's identifier is unverified, whatever it states. The property test had the old rule written into it and expects the stricter one now. The load of such an answer is not applied either.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -183,3 +183,15 @@
     };
     assert_plan_passes(&plan);
 }
+
+// Guards against a late second copy of a rejection that is taken for the answer to the next request
+// of the connection: an order would run twice, or be reported as not run.
+#[test]
+fn repeated_answers_are_not_taken_for_those_of_the_next_requests() {
+    let plan = SoakPlan {
+        fault_duration: Duration::from_secs(4),
+        scenario: FaultScenario::RepeatedAnswers,
+        ..plan(9, "repeated-answers")
+    };
+    assert_plan_passes(&plan);
+}
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -221,9 +221,16 @@
         }
     };
     let headers = ServerHeaders::from(response.headers());
+    let facts = AnswerFacts {
+        status: response.status().as_u16(),
+        is_signed: headers.is_signed,
+        has_request_id: headers.request_id == call.headers.request_id,
+        not_executed: headers.not_executed,
+        is_encoded: headers.is_encoded,
+    };
     let mut load = server.load.lock().unwrap();
     load.record_answer(now);
-    if let Some(report) = headers.load {
+    if let Some(report) = headers.load.filter(|_| facts.has_request_id) {
         load.apply_report(report, now);
         state
             .occupancy
@@ -231,13 +238,6 @@
             .unwrap()
             .record_report(load.foreign_occupancy(), now);
     }
-    let facts = AnswerFacts {
-        status: response.status().as_u16(),
-        is_signed: headers.is_signed,
-        has_request_id: headers.request_id == call.headers.request_id,
-        not_executed: headers.not_executed,
-        is_encoded: headers.is_encoded,
-    };
     let verdict = facts.verdict();
     match verdict {
         AnswerVerdict::Deliver => {
--- a/crates/routing/src/answer_verdict.rs
+++ b/crates/routing/src/answer_verdict.rs
@@ -33,13 +33,17 @@
 impl AnswerFacts {
     /// Classifies the answer.
     pub fn verdict(self) -> AnswerVerdict {
+        // A late second copy of another request's answer says nothing about this request.
+        if !self.has_request_id {
+            return AnswerVerdict::Unverified;
+        }
         if self.status == 421 {
             return AnswerVerdict::Misdirected;
         }
         if self.not_executed {
             return AnswerVerdict::NotRun;
         }
-        if !self.has_request_id || !self.is_signed || self.is_encoded {
+        if !self.is_signed || self.is_encoded {
             return AnswerVerdict::Unverified;
         }
         match self.status {
--- a/crates/routing/tests/answer_verdict.rs
+++ b/crates/routing/tests/answer_verdict.rs
@@ -28,9 +28,11 @@
             AnswerVerdict::Deliver | AnswerVerdict::Failed => {
                 facts.is_signed && facts.has_request_id && !facts.is_encoded && !facts.not_executed
             }
-            AnswerVerdict::NotRun => facts.not_executed,
-            AnswerVerdict::Misdirected => facts.status == 421,
-            AnswerVerdict::Unverified => !facts.not_executed && facts.status != 421,
+            AnswerVerdict::NotRun => facts.not_executed && facts.has_request_id,
+            AnswerVerdict::Misdirected => facts.status == 421 && facts.has_request_id,
+            AnswerVerdict::Unverified => {
+                !facts.has_request_id || !facts.not_executed && facts.status != 421
+            }
         }
     };
     QuickCheck::new()
@@ -59,3 +61,18 @@
         assert_eq!(facts.verdict(), AnswerVerdict::Failed);
     }
 }
+
+// Guards against a late second copy of an answer that says of another request that it has not run:
+// this request would be sent again, or refused, though it may run.
+#[test]
+fn statement_about_another_request_is_unverified() {
+    for (status, not_executed) in [(503, true), (429, true), (421, true), (421, false)] {
+        let facts = AnswerFacts {
+            status,
+            not_executed,
+            has_request_id: false,
+            ..VALID
+        };
+        assert_eq!(facts.verdict(), AnswerVerdict::Unverified, "{status}");
+    }
+}
--- a/crates/soak/src/backend_fault.rs
+++ b/crates/soak/src/backend_fault.rs
@@ -16,6 +16,9 @@
     Silent,
     /// Answers every fourth request with status 500.
     Failing,
+    /// Executes every fourth request and then sends, in place of its answer, the rejection of the
+    /// request before it again.
+    Repeating,
     /// Multiplies the service time by this factor.
     Slow(u32),
 }
--- a/crates/soak/src/backend_process.rs
+++ b/crates/soak/src/backend_process.rs
@@ -15,6 +15,8 @@
     pub(crate) keys: Mutex<BackendKeys>,
     pub(crate) fault: Mutex<BackendFault>,
     pub(crate) draining_since: Mutex<Option<MonoTime>>,
+    /// Identifier of the last executed request.
+    last_id: Mutex<Option<http::HeaderValue>>,
     /// Requests per second that the server names as its limit.
     limit: Mutex<Option<f64>>,
     ledger: Arc<SoakLedger>,
@@ -72,6 +74,7 @@
             keys: Mutex::new(BackendKeys::new()),
             fault: Mutex::default(),
             draining_since: Mutex::default(),
+            last_id: Mutex::default(),
             limit: Mutex::default(),
             ledger: ledger.clone(),
             running: AtomicUsize::new(0),
@@ -229,6 +232,20 @@
             ..AnswerHeaders::default()
         };
         running.is_answered = fault == BackendFault::None;
+        let last_id = self.last_id.lock().unwrap().replace(
+            request_headers
+                .request_id
+                .clone()
+                .unwrap_or(http::HeaderValue::from_static("none")),
+        );
+        if let (BackendFault::Repeating, Some(last_id)) = (fault, &last_id) {
+            let rejection = AnswerHeaders {
+                request_id: Some(last_id),
+                not_executed: true,
+                ..AnswerHeaders::default()
+            };
+            return self.reply(StatusCode::SERVICE_UNAVAILABLE, rejection);
+        }
         if fault == BackendFault::Failing {
             return self.reply(StatusCode::INTERNAL_SERVER_ERROR, answer);
         }
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -80,6 +80,13 @@
                 events.sort_by_key(|(at, _)| *at);
                 events
             }
+            FaultScenario::RepeatedAnswers => {
+                let repeat = |number| {
+                    let event = Self::Server(number, BackendFault::Repeating, plan.fault_duration);
+                    (Duration::ZERO, event)
+                };
+                (0..plan.servers * 2).map(repeat).collect()
+            }
             FaultScenario::NamedLimits => {
                 // One server without keys and two with keys.
                 let limited = [0, plan.servers, plan.servers + 1];
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -43,6 +43,8 @@
     /// The store stops answering while the instances renew their configuration watches; the
     /// configuration changes some time after the store has recovered.
     ChangeAfterStoreOutage,
+    /// All servers send second copies of earlier answers in place of the expected ones.
+    RepeatedAnswers,
     /// Servers with and without keys name limits on the rate of their requests.
     NamedLimits,
 }
