Take a release as answered only with a handover of its own

Two servers owned a key when a server sent the answer to an earlier release again, on the connection of a later one: the leader took the copy as the end of the work on the later keys, and granted them on while a request still ran there.

Ruled out: second copies of answers to grants. They are on other connections, and a grant that is taken for accepted too early leads to a 421 and a renewal, not to two owners.

Change: a release counts as answered only with a handover that none of the server's last 64 releases had; otherwise its connections are closed, and it is unanswered, so the leader asks again or waits for the end of the hold. The soak's server sends such copies, and its check of owners also covers keys that were released while requests still use them.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -189,7 +189,9 @@
 #[test]
 fn repeated_answers_are_not_taken_for_those_of_the_next_requests() {
     let plan = SoakPlan {
-        fault_duration: Duration::from_secs(4),
+        // Enough load that keys move often, from servers that are busy with them.
+        callers: 40,
+        fault_duration: Duration::from_secs(10),
         scenario: FaultScenario::RepeatedAnswers,
         ..plan(9, "repeated-answers")
     };
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -211,14 +211,31 @@
     let response = server
         .releases
         .exchange(order.to_request().map(Full::new), RELEASE_TIMEOUT)
-        .await;
+        .await
+        .and_then(|response| reject_copy(server, response));
     record_result(node, service, server, range, "release", &response);
     match OrderAnswer::from(&response.ok()?) {
-        OrderAnswer::Accepted(handover) => Some(handover.unwrap_or_default()),
+        OrderAnswer::Accepted(handover) => handover,
         OrderAnswer::Superseded | OrderAnswer::Misdirected | OrderAnswer::Rejected(_) => None,
     }
 }
 
+/// Fails for an answer that accepts a release without a handover of its own. Its connection is
+/// closed, since the true answer may still come there.
+fn reject_copy(
+    server: &ServerRuntime,
+    response: Response<Bytes>,
+) -> Result<Response<Bytes>, ExchangeError> {
+    if let OrderAnswer::Accepted(handover) = OrderAnswer::from(&response)
+        && !server.record_handover(handover.as_deref())
+    {
+        server.releases.close_all_idle();
+        let cause = "answer to a release without a handover of its own";
+        return Err(ExchangeError::Unclear(cause.into()));
+    }
+    Ok(response)
+}
+
 /// Applies an order's result to the server's health, counts it, and logs failures and moves.
 fn record_result(
     node: &GatewayNode,
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -1,6 +1,7 @@
 //! State of one incarnation of a server, and the connections to it.
 
 use crate::prelude::*;
+use std::collections::VecDeque;
 
 /// One incarnation of a server, in use or recently gone.
 pub(crate) struct ServerRuntime {
@@ -31,6 +32,8 @@
     orders_locked: bool,
     is_address_reused: bool,
     has_accepted_order: bool,
+    /// Handovers of the latest releases, oldest first.
+    handovers: VecDeque<String>,
 }
 
 impl ServerRuntime {
@@ -44,6 +47,9 @@
     /// Consecutive refused connections after which the server's process must have ended.
     const MAX_ORDER_REFUSALS: u32 = 3;
 
+    /// Handovers that are remembered to detect second copies of answers.
+    const MAX_HANDOVERS: usize = 64;
+
     /// Creates a server from its discovery entry, with an estimated service time in seconds.
     pub(crate) fn new(
         workers: &Arc<WorkerPool>,
@@ -130,6 +136,24 @@
         self.state.lock().unwrap().has_accepted_order = true;
     }
 
+    /// Records the handover of an answered release. Returns false if there is none, or if it came
+    /// with an earlier release: then the answer is a second copy of that one's, and says nothing
+    /// about this release.
+    pub(crate) fn record_handover(&self, handover: Option<&str>) -> bool {
+        let Some(handover) = handover.filter(|handover| !handover.is_empty()) else {
+            return false;
+        };
+        let mut state = self.state.lock().unwrap();
+        if state.handovers.iter().any(|known| known == handover) {
+            return false;
+        }
+        if state.handovers.len() >= Self::MAX_HANDOVERS {
+            state.handovers.pop_front();
+        }
+        state.handovers.push_back(handover.into());
+        true
+    }
+
     /// Records that an order was rejected. If a server that has accepted orders before calls one
     /// invalid, a server of another service now has its address.
     pub(crate) fn order_rejected(&self, status: StatusCode) {
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -101,7 +101,7 @@
         let response = match future::or(exchange, timed_out).await {
             Some(response) => response?,
             None => {
-                self.idle.lock().unwrap().clear();
+                self.close_all_idle();
                 return Err(ExchangeError::TimedOut);
             }
         };
@@ -122,6 +122,11 @@
         idle.retain(IdleConnection::is_usable);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.lock().unwrap().clear();
+    }
+
     fn return_to_idle(&self, connection: HttpConnection) {
         let mut idle = self.idle.lock().unwrap();
         if connection.is_open() && idle.len() < Self::MAX_IDLE_CONNECTIONS {
--- a/crates/routing/src/leader_moves.rs
+++ b/crates/routing/src/leader_moves.rs
@@ -55,8 +55,7 @@
         steps
     }
 
-    /// Records the result of a release: the handover data, empty if there is none, or `None`
-    /// without an answer.
+    /// Records the result of a release: the handover data, or `None` without a valid answer.
     pub fn finish_release(&mut self, range: &KeyRange, answer: Option<String>, now: MonoTime) {
         let retry_at = now.after(self.timing.retry_delay);
         let Some(progress) = self.moves.get_mut(&(range.first, range.fence)) else {
@@ -64,7 +63,7 @@
         };
         progress.stage = match answer {
             Some(handover) => {
-                progress.handover = (!handover.is_empty()).then_some(handover);
+                progress.handover = Some(handover);
                 MoveStage::ToGrant { not_before: now }
             }
             None => MoveStage::ToRelease {
--- a/crates/soak/src/backend_fault.rs
+++ b/crates/soak/src/backend_fault.rs
@@ -17,7 +17,7 @@
     /// Answers every fourth request with status 500.
     Failing,
     /// Executes every fourth request and then sends, in place of its answer, the rejection of the
-    /// request before it again.
+    /// request before it again. Answers each release at once with the answer to the one before it.
     Repeating,
     /// Multiplies the service time by this factor.
     Slow(u32),
--- a/crates/soak/src/backend_keys.rs
+++ b/crates/soak/src/backend_keys.rs
@@ -15,6 +15,8 @@
     /// Fencing token of the latest accepted grant.
     pub(crate) fence: u64,
     pub(crate) valid_until: MonoTime,
+    /// End of the latest accepted grant; a release does not change it.
+    pub(crate) granted_until: MonoTime,
     /// Number of requests in progress on the key.
     pub(crate) running: u32,
     /// Whether the grant arrived while grants may be delayed, which exempts it from the ownership
@@ -54,6 +56,7 @@
             state.max_fence = order.fence;
             state.fence = order.fence;
             state.valid_until = valid_until;
+            state.granted_until = valid_until;
             state.may_be_delayed = may_be_delayed;
         }
         true
--- a/crates/soak/src/backend_process.rs
+++ b/crates/soak/src/backend_process.rs
@@ -17,6 +17,8 @@
     pub(crate) draining_since: Mutex<Option<MonoTime>>,
     /// Identifier of the last executed request.
     last_id: Mutex<Option<http::HeaderValue>>,
+    /// Handover of the last answered release.
+    last_handover: Mutex<Option<String>>,
     /// Requests per second that the server names as its limit.
     limit: Mutex<Option<f64>>,
     ledger: Arc<SoakLedger>,
@@ -75,6 +77,7 @@
             fault: Mutex::default(),
             draining_since: Mutex::default(),
             last_id: Mutex::default(),
+            last_handover: Mutex::default(),
             limit: Mutex::default(),
             ledger: ledger.clone(),
             running: AtomicUsize::new(0),
@@ -150,6 +153,11 @@
 
     async fn release(&self, order: &KeyOrder) -> Response<AnswerBody> {
         self.keys.lock().unwrap().release(order);
+        let is_repeating = *self.fault.lock().unwrap() == BackendFault::Repeating;
+        let last_handover = self.last_handover.lock().unwrap().clone();
+        if let (true, Some(handover)) = (is_repeating, &last_handover) {
+            return self.reply_released(handover);
+        }
         loop {
             let slot_freed = self.slot_freed.listen();
             if !self.keys.lock().unwrap().is_busy(order) {
@@ -158,8 +166,13 @@
             slot_freed.await;
         }
         let handover = format!("{}-{}", self.incarnation.id, order.fence);
+        let last_handover = &mut *self.last_handover.lock().unwrap();
+        self.reply_released(last_handover.insert(handover))
+    }
+
+    fn reply_released(&self, handover: &str) -> Response<AnswerBody> {
         let headers = AnswerHeaders {
-            handover: Some(&handover),
+            handover: Some(handover),
             ..AnswerHeaders::default()
         };
         self.reply(StatusCode::OK, headers)
@@ -215,8 +228,11 @@
             false => BackendFault::None,
         };
         let mut service_time = Duration::from_millis(rand::random_range(Self::SERVICE_TIME_MS));
-        if let BackendFault::Slow(factor) = *self.fault.lock().unwrap() {
-            service_time *= factor;
+        match *self.fault.lock().unwrap() {
+            BackendFault::Slow(factor) => service_time *= factor,
+            // Long enough that keys are in use when their release is answered too early.
+            BackendFault::Repeating => service_time *= 4,
+            _ => {}
         }
         Timer::after(service_time).await;
         let is_silent = *self.fault.lock().unwrap() == BackendFault::Silent;
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -101,7 +101,10 @@
             server.crash().await;
         }
         FaultEvent::Server(number, fault, duration) => {
-            ledger.record_disturbance(DisturbanceTarget::Servers, duration);
+            // Second copies of answers delay no grant.
+            if fault != BackendFault::Repeating {
+                ledger.record_disturbance(DisturbanceTarget::Servers, duration);
+            }
             let process = world.main_server(number).process();
             if let Some(process) = &process {
                 *process.fault.lock().unwrap() = fault;
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -201,7 +201,7 @@
             let keys = backend.keys.lock().unwrap();
             let busy = (order.first..=order.last).find(|key| {
                 let state = keys.state(*key);
-                state.running > 0 && now < state.valid_until && !state.may_be_delayed
+                state.running > 0 && now < state.granted_until && !state.may_be_delayed
             });
             if let Some(key) = busy {
                 let other = &backend.incarnation;
