Serve the connections that wait for accept when a listener closes

During a planned stop, callers whose connections were established but not accepted yet were reset without an answer (users' list). They had passed the load balancer's last look, and their requests were already sent.

Cause: the accept loop ended at once when the stop closed the listening socket, and the system resets what still waits in its queue.

Change: the loop takes what waits in the queue before it drops the socket. These requests are answered like all others at that point of the stop, mostly refused with a short Retry-After.

Evidence: connections_that_wait_for_accept_are_served_when_the_listener_closes failed before (connection reset) and passed in five runs after.

--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -72,27 +72,38 @@
         });
         loop {
             let accept = async { Some(self.listener.accept().await) };
-            let stream = match future::or(accept_stopped.as_mut(), accept).await {
-                None => return,
-                Some(Ok((stream, _))) => stream,
+            match future::or(accept_stopped.as_mut(), accept).await {
+                None => break,
+                Some(Ok((stream, _))) => self.start_connection(&pool, stream, &handle),
                 Some(Err(_)) => {
                     async_io::Timer::after(Duration::from_millis(10)).await;
-                    continue;
                 }
-            };
-            let Some(guard) = self.connections.admit(self.limits.max_connections) else {
-                continue;
-            };
-            let _ = stream.set_nodelay(true);
-            let connections = self.connections.clone();
-            let handle = handle.clone();
-            let limits = self.limits;
-            pool.spawn(async move {
-                serve_connection(stream, limits, &connections, handle).await;
-                drop(guard);
-            });
+            }
+        }
+        // Closing the socket would reset the connections that wait to be accepted.
+        while let Some(Ok((stream, _))) = future::poll_once(self.listener.accept()).await {
+            self.start_connection(&pool, stream, &handle);
         }
     }
+
+    /// Serves a connection in a task of its own, unless too many are open.
+    fn start_connection<H, F>(&self, pool: &Arc<WorkerPool>, stream: TcpStream, handle: &H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    {
+        let Some(guard) = self.connections.admit(self.limits.max_connections) else {
+            return;
+        };
+        let _ = stream.set_nodelay(true);
+        let connections = self.connections.clone();
+        let handle = handle.clone();
+        let limits = self.limits;
+        pool.spawn(async move {
+            serve_connection(stream, limits, &connections, handle).await;
+            drop(guard);
+        });
+    }
 }
 
 async fn serve_connection<H, F>(
