Keep the arithmetic on reported loads within bounds

One answer with an absurd load made a debug build panic while the server's state was locked, after which all requests of its service failed; a release build wrapped around and took the server for idle. Found by the users' list (one malformed message takes a process down).

Change: sums of reported numbers saturate; so do the samples that heartbeats report.

--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -323,7 +323,7 @@
         let mut samples = 0;
         for report in service_times {
             sum += report.service_time * f64::from(report.samples);
-            samples += report.samples;
+            samples = report.samples.saturating_add(samples);
         }
         (sum / f64::from(samples.max(1)), samples)
     }
--- a/crates/routing/src/load_tracker.rs
+++ b/crates/routing/src/load_tracker.rs
@@ -89,8 +89,11 @@
     /// Takes over the server's report, made at the end of a request of this instance.
     pub fn apply_report(&mut self, load: ReportedLoad, now: MonoTime) {
         self.slots = load.slots.max(1);
-        self.foreign_requests =
-            f64::from((load.running + load.waiting).saturating_sub(self.own_requests));
+        self.foreign_requests = f64::from(
+            load.running
+                .saturating_add(load.waiting)
+                .saturating_sub(self.own_requests),
+        );
         self.reported_at = now;
     }
 
