--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -6,7 +6,7 @@
 pub(crate) fn apply(node: &Arc<GatewayNode>, update: StoreUpdate) {
     let now = node.now();
     let grace = node.expiry_grace();
-    let mut roster = node.roster.lock().unwrap();
+    let mut roster = node.roster.lock();
     match update {
         StoreUpdate::List(page) => {
             let entries = page.objects.iter().filter_map(|object| {
@@ -42,7 +42,7 @@
     loop {
         Timer::after(INTERVAL).await;
         let now = node.now();
-        let expired = node.roster.lock().unwrap().remove_expired(now);
+        let expired = node.roster.lock().remove_expired(now);
         if expired {
             node.refresh_servers();
         }
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -31,19 +31,15 @@
     let mut avoided = None;
     loop {
         let heartbeat = node.heartbeat_received.listen();
-        let latest = node.mirror.lock().unwrap().latest_revisions();
-        let source = node
-            .peers
-            .lock()
-            .unwrap()
-            .newer_source(latest, avoided, node.now());
+        let latest = node.mirror.lock().latest_revisions();
+        let source = node.peers.lock().newer_source(latest, avoided, node.now());
         let Some((address, since)) = source else {
             heartbeat.await;
             continue;
         };
         let now = node.now();
         let leads = node.is_leading();
-        let is_watching = node.peers.lock().unwrap().should_watch(leads, now);
+        let is_watching = node.peers.lock().should_watch(leads, now);
         if is_watching && !node.store.health.is_unavailable() && now.since(since) < OWN_WATCH_GRACE
         {
             Timer::after(OWN_WATCH_GRACE / 4).await;
@@ -80,7 +76,7 @@
         if answer.is_none() {
             seed_index += 1;
         }
-        let known = node.mirror.lock().unwrap().synced_revisions();
+        let known = node.mirror.lock().synced_revisions();
         if !node.is_recently_started() && known[..2].iter().all(|revision| *revision > 0) {
             return;
         }
@@ -96,7 +92,7 @@
     address: SocketAddr,
 ) -> Option<bool> {
     let request = {
-        let mirror = node.mirror.lock().unwrap();
+        let mirror = node.mirror.lock();
         FeedRequest {
             synced_revisions: mirror.synced_revisions(),
             latest_revisions: mirror.latest_revisions(),
@@ -111,7 +107,7 @@
     for delta in deltas {
         let (kind, latest_revision) = (delta.kind, delta.latest_revision);
         let outcome = {
-            let mut mirror = node.mirror.lock().unwrap();
+            let mut mirror = node.mirror.lock();
             let outcome = mirror.update_from(delta);
             if let DeltaOutcome::Update(_) | DeltaOutcome::UpToDate = outcome {
                 mirror.advance_latest(kind, latest_revision);
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -69,7 +69,6 @@
         let deltas = node
             .mirror
             .lock()
-            .unwrap()
             .deltas(request.synced_revisions, request.latest_revisions);
         let reply = prost::Message::encode_to_vec(&FeedReplyWire::from(deltas));
         if frames.send(Bytes::from(reply)).await.is_err() {
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -19,16 +19,16 @@
     pub(crate) selector: ServerSelector,
     /// Selector with the limits that apply to the owner of a key, to which there is no alternative.
     pub(crate) owner_selector: ServerSelector,
-    routes: Mutex<Option<Arc<RouteTable>>>,
-    pub(crate) roster: Mutex<ServerRoster>,
-    pub(crate) servers: Mutex<IndexMap<ServerIncarnation, Arc<ServerRuntime>>>,
+    routes: StateMutex<Option<Arc<RouteTable>>>,
+    pub(crate) roster: StateMutex<ServerRoster>,
+    pub(crate) servers: StateMutex<IndexMap<ServerIncarnation, Arc<ServerRuntime>>>,
     /// Servers that accept new requests, by service.
-    pub(crate) usable: Mutex<IndexMap<String, ServerList>>,
-    services: Mutex<IndexMap<String, Arc<ServiceState>>>,
-    round_robins: Mutex<IndexMap<String, WeightedRoundRobin>>,
-    first_attempt_timeouts: Mutex<IndexMap<String, Duration>>,
-    pub(crate) keys: Mutex<IndexMap<String, KeyView>>,
-    pub(crate) peers: Mutex<PeerTable>,
+    pub(crate) usable: StateMutex<IndexMap<String, ServerList>>,
+    services: StateMutex<IndexMap<String, Arc<ServiceState>>>,
+    round_robins: StateMutex<IndexMap<String, WeightedRoundRobin>>,
+    first_attempt_timeouts: StateMutex<IndexMap<String, Duration>>,
+    pub(crate) keys: StateMutex<IndexMap<String, KeyView>>,
+    pub(crate) peers: StateMutex<PeerTable>,
     /// Socket for datagrams to other instances, once it is bound.
     pub(crate) peer_socket: OnceLock<UdpSocket>,
     /// Notified when a key record, the granted ranges or the configuration change.
@@ -41,12 +41,12 @@
     pub(crate) watch_restart_due: Event,
     /// Notified when a change should be reported to other instances at once.
     pub(crate) heartbeat_due: Event,
-    pub(crate) mirror: Mutex<ObjectMirror>,
+    pub(crate) mirror: StateMutex<ObjectMirror>,
     /// When the process started.
     pub(crate) started_at: MonoTime,
     /// Whether the last poll of a seed was answered.
     pub(crate) is_seed_reachable: AtomicBool,
-    pub(crate) stopping_since: Mutex<Option<MonoTime>>,
+    pub(crate) stopping_since: StateMutex<Option<MonoTime>>,
     /// Set when a stop answers all pending requests with an error status.
     pub(crate) cancel_pending: OneShotEvent,
 }
@@ -95,25 +95,25 @@
             },
             own_incarnation,
             workers,
-            routes: Mutex::default(),
-            roster: Mutex::default(),
-            servers: Mutex::default(),
-            usable: Mutex::default(),
-            services: Mutex::default(),
-            round_robins: Mutex::default(),
-            first_attempt_timeouts: Mutex::default(),
-            keys: Mutex::default(),
-            peers: Mutex::default(),
+            routes: StateMutex::default(),
+            roster: StateMutex::default(),
+            servers: StateMutex::default(),
+            usable: StateMutex::default(),
+            services: StateMutex::default(),
+            round_robins: StateMutex::default(),
+            first_attempt_timeouts: StateMutex::default(),
+            keys: StateMutex::default(),
+            peers: StateMutex::default(),
             peer_socket: OnceLock::new(),
             keys_changed: Event::new(),
             order_finished: Event::new(),
             heartbeat_received: Event::new(),
             watch_restart_due: Event::new(),
             heartbeat_due: Event::new(),
-            mirror: Mutex::default(),
+            mirror: StateMutex::default(),
             started_at: SteadyClock.now(),
             is_seed_reachable: AtomicBool::new(false),
-            stopping_since: Mutex::default(),
+            stopping_since: StateMutex::default(),
             cancel_pending: OneShotEvent::default(),
             settings,
         }
@@ -126,13 +126,13 @@
 
     /// Current configuration, if one has been received.
     pub(crate) fn route_table(&self) -> Option<Arc<RouteTable>> {
-        self.routes.lock().unwrap().clone()
+        self.routes.lock().clone()
     }
 
     /// Installs a configuration, unless the current one is at least as new; returns whether it was
     /// installed.
     pub(crate) fn install_routes(&self, table: RouteTable) -> bool {
-        let mut routes = self.routes.lock().unwrap();
+        let mut routes = self.routes.lock();
         if routes
             .as_ref()
             .is_some_and(|known| known.revision() >= table.revision())
@@ -171,7 +171,7 @@
 
     /// State of a service; created on first use.
     pub(crate) fn service(&self, name: &str) -> Arc<ServiceState> {
-        let mut services = self.services.lock().unwrap();
+        let mut services = self.services.lock();
         services
             .entry(name.into())
             .or_insert_with(|| Arc::new(ServiceState::new(&self.settings)))
@@ -183,7 +183,7 @@
         if let [only] = route.split.as_slice() {
             return Some(only.service.clone());
         }
-        let mut round_robins = self.round_robins.lock().unwrap();
+        let mut round_robins = self.round_robins.lock();
         round_robins
             .entry(route.name.clone())
             .or_insert_with(|| WeightedRoundRobin::new(rand::random()))
@@ -194,7 +194,7 @@
     /// Longest timeout that callers of a route have sent so far, which is taken as that of a first
     /// attempt. Updates it with `caller_timeout`.
     pub(crate) fn first_attempt_timeout(&self, route: &str, caller_timeout: Duration) -> Duration {
-        let mut timeouts = self.first_attempt_timeouts.lock().unwrap();
+        let mut timeouts = self.first_attempt_timeouts.lock();
         let longest = timeouts.entry(route.into()).or_insert(caller_timeout);
         *longest = caller_timeout.max(*longest);
         *longest
@@ -219,13 +219,23 @@
         service: &str,
         work: impl FnOnce(&mut KeyView) -> T,
     ) -> T {
-        let mut keys = self.keys.lock().unwrap();
+        let mut keys = self.keys.lock();
         let view = keys
             .entry(service.into())
             .or_insert_with(|| KeyView::new(self.own_incarnation.clone(), self.timing()));
         work(view)
     }
 
+    /// Runs `work` on the key view of a service; returns `None` if the service is not known to have
+    /// keys.
+    pub(crate) fn with_known_key_view<T>(
+        &self,
+        service: &str,
+        work: impl FnOnce(&mut KeyView) -> T,
+    ) -> Option<T> {
+        self.keys.lock().get_mut(service).map(work)
+    }
+
     fn timing(&self) -> LeaderTiming {
         LeaderTiming {
             grant_duration: Self::TIMING.grant_duration.min(self.settings.max_hold),
@@ -240,13 +250,13 @@
 
     /// Services whose keys are owned by individual servers.
     pub(crate) fn keyed_services(&self) -> Vec<String> {
-        self.keys.lock().unwrap().keys().cloned().collect()
+        self.keys.lock().keys().cloned().collect()
     }
 
     /// Range that contains a key, the revision of its record, and whether the owner serves the
     /// range.
     pub(crate) fn key_range(&self, service: &str, key: u16) -> Option<(KeyRange, u64, bool)> {
-        let keys = self.keys.lock().unwrap();
+        let keys = self.keys.lock();
         let view = keys.get(service)?;
         let (record, revision) = view.leader.record()?;
         let range = record.range_of(key)?;
@@ -255,13 +265,13 @@
 
     /// Revision of a service's key record, if there is one.
     pub(crate) fn key_revision(&self, service: &str) -> Option<u64> {
-        let keys = self.keys.lock().unwrap();
+        let keys = self.keys.lock();
         Some(keys.get(service)?.leader.record()?.1)
     }
 
     /// Adds a request to the sampled load of its key.
     pub(crate) fn count_key_request(&self, service: &str, key: u16) {
-        let mut keys = self.keys.lock().unwrap();
+        let mut keys = self.keys.lock();
         if let Some(view) = keys.get_mut(service) {
             view.count_request(key, rand::random());
         }
@@ -269,29 +279,26 @@
 
     /// Number of instances that share retry budgets and connection limits.
     pub(crate) fn instance_count(&self) -> usize {
-        self.peers.lock().unwrap().instance_count()
+        self.peers.lock().instance_count()
     }
 
     /// Whether the store is unavailable, but the other instances, if there are any, are heard: they
     /// would report a new leader.
     pub(crate) fn is_only_store_unavailable(&self) -> bool {
         let now = self.now();
-        self.store.health.is_unavailable() && self.peers.lock().unwrap().hears_any(now)
+        self.store.health.is_unavailable() && self.peers.lock().hears_any(now)
     }
 
     /// Whether this instance leads the keys of any service.
     pub(crate) fn is_leading(&self) -> bool {
         self.keys
             .lock()
-            .unwrap()
             .values()
             .any(|view| view.leader.is_leader())
     }
 
     /// Whether the load balancer should send callers to this instance.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.route_table().is_some()
-            && !self.servers.lock().unwrap().is_empty()
+        !self.is_stopping() && self.route_table().is_some() && !self.servers.lock().is_empty()
     }
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -44,7 +44,6 @@
     let metrics = operator_page::install_metrics()?;
     node.peers
         .lock()
-        .unwrap()
         .init(&node.settings.name, &node.settings.data_centre, node.now());
     let socket = UdpSocket::bind(node.settings.peer_address).await?;
     let _ = node.peer_socket.set(socket.clone());
@@ -52,17 +51,24 @@
     let connections = caller_listeners::start(&node, metrics).await?;
     let workers = &node.workers;
     for kind in OBJECT_KINDS {
-        workers.spawn(object_watcher::follow(node.clone(), kind));
+        spawn(&node, kind.label(), move |node| {
+            object_watcher::follow(node, kind)
+        });
     }
     workers.spawn(feed_server::serve(node.clone(), feed));
-    workers.spawn(feed_client::poll_peers(node.clone()));
-    workers.spawn(feed_client::poll_seeds(node.clone()));
-    workers.spawn(discovery_worker::expire_servers(node.clone()));
-    workers.spawn(record_worker::announce(node.clone()));
-    workers.spawn(leader_worker::run(node.clone()));
-    workers.spawn(peer_worker::listen(node.clone(), socket.clone()));
-    workers.spawn(peer_worker::send(node.clone(), socket));
-    workers.spawn(report_suppressed_logs(node.clone()));
+    spawn(&node, "feed-peers", feed_client::poll_peers);
+    spawn(&node, "feed-seeds", feed_client::poll_seeds);
+    spawn(&node, "discovery", discovery_worker::expire_servers);
+    spawn(&node, "announcement", record_worker::announce);
+    spawn(&node, "leaders", leader_worker::run);
+    let receiving_socket = socket.clone();
+    spawn(&node, "heartbeats-in", move |node| {
+        peer_worker::listen(node, receiving_socket.clone())
+    });
+    spawn(&node, "heartbeats-out", move |node| {
+        peer_worker::send(node, socket.clone())
+    });
+    spawn(&node, "log-report", report_suppressed_logs);
     log::info!(
         name = node.settings.name.as_str(),
         incarnation = node.own_incarnation.incarnation,
@@ -75,6 +81,19 @@
     Ok(())
 }
 
+/// Starts a worker that runs until the process ends; after a panic it is started again.
+fn spawn<W>(
+    node: &Arc<GatewayNode>,
+    name: &'static str,
+    work: impl Fn(Arc<GatewayNode>) -> W + Send + 'static,
+) where
+    W: Future<Output = ()> + Send + 'static,
+{
+    let worker_node = node.clone();
+    node.workers
+        .spawn_restarting(name, move || work(worker_node.clone()));
+}
+
 /// Periodically logs how many lines the rate limit has suppressed.
 async fn report_suppressed_logs(node: Arc<GatewayNode>) {
     /// Time between reports.
--- a/crates/gateway/src/idle_list.rs
+++ b/crates/gateway/src/idle_list.rs
@@ -4,7 +4,7 @@
 
 /// Idle connections to one address, each with the time at which it expires.
 pub(crate) struct IdleList<T> {
-    connections: Mutex<Vec<(T, MonoTime)>>,
+    connections: StateMutex<Vec<(T, MonoTime)>>,
     is_open: fn(&T) -> bool,
 }
 
@@ -12,14 +12,14 @@
     /// Creates an empty list; `is_open` reports whether a connection can still be used.
     pub(crate) fn new(is_open: fn(&T) -> bool) -> Self {
         Self {
-            connections: Mutex::default(),
+            connections: StateMutex::default(),
             is_open,
         }
     }
 
     /// Keeps an open connection until `usable_until`; drops it if the list holds `limit` already.
     pub(crate) fn keep(&self, connection: T, usable_until: MonoTime, limit: usize) {
-        let mut connections = self.connections.lock().unwrap();
+        let mut connections = self.connections.lock();
         if (self.is_open)(&connection) && connections.len() < limit {
             connections.push((connection, usable_until));
         }
@@ -27,7 +27,7 @@
 
     /// Takes the most recently kept usable connection; closes unusable ones that were kept later.
     pub(crate) fn take(&self, now: MonoTime) -> Option<T> {
-        let mut connections = self.connections.lock().unwrap();
+        let mut connections = self.connections.lock();
         std::iter::from_fn(|| connections.pop())
             .find(|(connection, usable_until)| (self.is_open)(connection) && now < *usable_until)
             .map(|(connection, _)| connection)
@@ -35,13 +35,13 @@
 
     /// Closes connections that have expired or broken.
     pub(crate) fn close_expired(&self, now: MonoTime) {
-        let mut connections = self.connections.lock().unwrap();
+        let mut connections = self.connections.lock();
         connections
             .retain(|(connection, usable_until)| (self.is_open)(connection) && now < *usable_until);
     }
 
     /// Closes all connections.
     pub(crate) fn clear(&self) {
-        self.connections.lock().unwrap().clear();
+        self.connections.lock().clear();
     }
 }
--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -26,7 +26,10 @@
         for service in node.keyed_services() {
             if !known.contains(&service) {
                 known.push(service.clone());
-                node.workers.spawn(lead_service(node.clone(), service));
+                let worker_node = node.clone();
+                node.workers.spawn_restarting("leader", move || {
+                    lead_service(worker_node.clone(), service.clone())
+                });
             }
         }
         let changed = node.keys_changed.listen();
@@ -97,13 +100,10 @@
             incarnation: 0,
         },
     };
-    let view = node.peers.lock().unwrap().leader_view(
-        service,
-        &leader,
-        led_since,
-        &node.own_incarnation,
-        now,
-    );
+    let view =
+        node.peers
+            .lock()
+            .leader_view(service, &leader, led_since, &node.own_incarnation, now);
     if view.next_step() == TakeoverStep::Follow {
         return;
     }
@@ -173,7 +173,7 @@
     });
     let Some((former, term)) = former else { return };
     let have_stopped = {
-        let peers = node.peers.lock().unwrap();
+        let peers = node.peers.lock();
         former.iter().all(|leader| {
             leader.instance == node.own_incarnation.instance
                 || peers.is_stopped(service, leader, term)
@@ -188,11 +188,7 @@
 fn incarnation_status(node: &GatewayNode, incarnation: &ServerIncarnation) -> IncarnationStatus {
     let server = node.server(incarnation);
     let address = server.as_ref().map(|server| server.entry.address);
-    let status = node
-        .roster
-        .lock()
-        .unwrap()
-        .incarnation_status(incarnation, address);
+    let status = node.roster.lock().incarnation_status(incarnation, address);
     match server.is_some_and(|server| server.has_ended()) {
         true if status == IncarnationStatus::Alive => IncarnationStatus::Dead,
         _ => status,
@@ -220,8 +216,8 @@
         let Some(server) = node.server(&owner) else {
             continue;
         };
-        if server.try_lock_orders() {
-            let work = order_sender::renew_ranges(node.clone(), service.into(), server, ranges);
+        if let Some(lock) = server.try_lock_orders() {
+            let work = order_sender::renew_ranges(node.clone(), service.into(), lock, ranges);
             node.workers.spawn(work);
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,6 +65,8 @@
 #[cfg(test)]
 mod stop_plan_tests;
 mod store_health;
+#[cfg(test)]
+mod unexpected_error_tests;
 mod update_router;
 #[cfg(test)]
 mod wire_decoding_tests;
@@ -112,7 +114,7 @@
         std::{
             net::SocketAddr,
             sync::{
-                Arc, Mutex,
+                Arc,
                 atomic::{AtomicBool, AtomicUsize, Ordering},
             },
             time::Duration,
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -89,14 +89,14 @@
 fn eligible_servers(node: &GatewayNode, service: &str, now: MonoTime) -> Vec<PlannedServer> {
     let mean = node.service(service).mean_response_time();
     let servers = node.usable_servers(service);
-    let peers = node.peers.lock().unwrap();
+    let peers = node.peers.lock();
     servers
         .iter()
         .filter(|server| {
             !server.is_unresponsive(now) && !server.is_suspect(now) && !server.has_ended()
         })
         .map(|server| {
-            let (own, own_samples) = server.load.lock().unwrap().service_time();
+            let (own, own_samples) = server.load.lock().service_time();
             let (reported, reported_samples) = peers.service_time_of(server.incarnation());
             let own_samples = f64::from(own_samples);
             let reported_samples = f64::from(reported_samples);
@@ -109,7 +109,7 @@
                 1.0
             };
             let capacity = f64::from(server.entry.slots) / service_time.max(0.001) * share;
-            let limit = server.quota.lock().unwrap().limit.per_second(now);
+            let limit = server.quota.lock().limit.per_second(now);
             PlannedServer {
                 incarnation: server.incarnation().clone(),
                 capacity: limit.map_or(capacity, |limit| capacity.min(limit.max(MIN_CAPACITY))),
--- a/crates/gateway/src/node_servers.rs
+++ b/crates/gateway/src/node_servers.rs
@@ -15,10 +15,10 @@
     pub(crate) fn refresh_servers(&self) {
         let now = self.now();
         let entries: Vec<ServerEntry> = {
-            let roster = self.roster.lock().unwrap();
+            let roster = self.roster.lock();
             roster.entries().cloned().collect()
         };
-        let mut servers = self.servers.lock().unwrap();
+        let mut servers = self.servers.lock();
         for entry in &entries {
             let known = servers.get(&entry.incarnation).filter(|server| {
                 server.entry.address == entry.address && server.entry.service == entry.service
@@ -59,17 +59,17 @@
                 .leaving_since()
                 .is_none_or(|at| now.since(at) < Self::GONE_RETENTION)
         });
-        *self.usable.lock().unwrap() = group_by_service(servers.values());
+        *self.usable.lock() = group_by_service(servers.values());
     }
 
     /// Finds a server incarnation, in use or recently gone.
     pub(crate) fn server(&self, incarnation: &ServerIncarnation) -> Option<Arc<ServerRuntime>> {
-        self.servers.lock().unwrap().get(incarnation).cloned()
+        self.servers.lock().get(incarnation).cloned()
     }
 
     /// Servers of a service that accept new requests, in ring order.
     pub(crate) fn usable_servers(&self, service: &str) -> ServerList {
-        let lists = self.usable.lock().unwrap();
+        let lists = self.usable.lock();
         lists.get(service).cloned().unwrap_or_default()
     }
 
@@ -95,7 +95,7 @@
 
     /// All servers, in use or recently gone.
     pub(crate) fn all_servers(&self) -> Vec<Arc<ServerRuntime>> {
-        self.servers.lock().unwrap().values().cloned().collect()
+        self.servers.lock().values().cloned().collect()
     }
 }
 
--- a/crates/gateway/src/node_stop.rs
+++ b/crates/gateway/src/node_stop.rs
@@ -5,17 +5,17 @@
 impl GatewayNode {
     /// Records the start of a graceful stop.
     pub(crate) fn begin_stop(&self) {
-        *self.stopping_since.lock().unwrap() = Some(self.now());
+        *self.stopping_since.lock() = Some(self.now());
     }
 
     /// Whether a graceful stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping_since.lock().unwrap().is_some()
+        self.stopping_since.lock().is_some()
     }
 
     /// Time since the stop began; `None` if the instance is not stopping.
     pub(crate) fn stop_elapsed(&self) -> Option<Duration> {
-        let since = *self.stopping_since.lock().unwrap();
+        let since = *self.stopping_since.lock();
         since.map(|since| self.now().since(since))
     }
 
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -46,7 +46,7 @@
         Timer::after(SEED_GRACE).await;
     }
     loop {
-        let known = node.mirror.lock().unwrap().synced_revisions()[position_of(kind)];
+        let known = node.mirror.lock().synced_revisions()[position_of(kind)];
         if known > 0 && !should_watch(&node) || is_fed_by_seeds(&node) {
             Timer::after(WATCHER_CHECK_INTERVAL).await;
             continue;
@@ -77,7 +77,7 @@
 
 fn should_watch(node: &GatewayNode) -> bool {
     let leads = node.is_leading();
-    node.peers.lock().unwrap().should_watch(leads, node.now())
+    node.peers.lock().should_watch(leads, node.now())
 }
 
 async fn list(node: &Arc<GatewayNode>, kind: ObjectKind) -> NextWatch {
--- a/crates/gateway/src/open_calls.rs
+++ b/crates/gateway/src/open_calls.rs
@@ -6,7 +6,7 @@
 /// Unanswered calls by sequence number.
 #[derive(Default)]
 pub(crate) struct OpenCalls {
-    calls: Mutex<IndexMap<u64, Arc<CallerCall>>>,
+    calls: StateMutex<IndexMap<u64, Arc<CallerCall>>>,
     next_number: AtomicU64,
 }
 
@@ -20,7 +20,7 @@
     /// Registers a call until the guard is dropped.
     pub(crate) fn track(&self, call: &Arc<CallerCall>) -> OpenCallGuard<'_> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        self.calls.lock().unwrap().insert(number, call.clone());
+        self.calls.lock().insert(number, call.clone());
         OpenCallGuard {
             open_calls: self,
             number,
@@ -29,21 +29,17 @@
 
     /// All unanswered calls.
     pub(crate) fn all(&self) -> Vec<Arc<CallerCall>> {
-        self.calls.lock().unwrap().values().cloned().collect()
+        self.calls.lock().values().cloned().collect()
     }
 
     /// Number of unanswered calls.
     pub(crate) fn count(&self) -> usize {
-        self.calls.lock().unwrap().len()
+        self.calls.lock().len()
     }
 }
 
 impl Drop for OpenCallGuard<'_> {
     fn drop(&mut self) {
-        self.open_calls
-            .calls
-            .lock()
-            .unwrap()
-            .swap_remove(&self.number);
+        self.open_calls.calls.lock().swap_remove(&self.number);
     }
 }
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -96,7 +96,7 @@
     let servers = node.all_servers();
     let servers = servers.iter().map(|server| {
         let assumptions = node.service(&server.entry.service).load_assumptions("");
-        let load = server.load.lock().unwrap();
+        let load = server.load.lock();
         ServerDump {
             server: server.incarnation().to_string(),
             service: server.entry.service.clone(),
@@ -107,10 +107,10 @@
             service_time_ms: load.service_time().0 * 1e3,
             resting: load.is_ejected(now),
             connections: server.pool.open_count(),
-            limit_per_second: server.quota.lock().unwrap().limit.per_second(now),
+            limit_per_second: server.quota.lock().limit.per_second(now),
         }
     });
-    let keys = node.keys.lock().unwrap();
+    let keys = node.keys.lock();
     let keys = keys.iter().filter_map(|(service, view)| {
         let (record, revision) = view.leader.record()?;
         Some(KeyDump {
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -1,6 +1,6 @@
 //! Sends grants and releases of keys to servers.
 
-use crate::{grant_connections::ConnectError, prelude::*};
+use crate::{grant_connections::ConnectError, prelude::*, server_runtime::OrderLock};
 
 /// Longest wait for the answer to a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,11 +24,11 @@
 pub(crate) async fn renew_ranges(
     node: Arc<GatewayNode>,
     service: String,
-    server: Arc<ServerRuntime>,
+    lock: OrderLock,
     ranges: Vec<KeyRange>,
 ) {
     for range in ranges {
-        if let RenewalStep::Stop = renew_range(&node, &service, &server, &range).await {
+        if let RenewalStep::Stop = renew_range(&node, &service, lock.server(), &range).await {
             let now = node.now();
             node.with_key_view(&service, |view| {
                 view.leader
@@ -37,7 +37,6 @@
             break;
         }
     }
-    server.unlock_orders();
 }
 
 /// What to do after one renewal.
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -56,10 +56,10 @@
     }
 }
 
-fn handle_heartbeat(node: &GatewayNode, mut heartbeat: PeerHeartbeat) {
+pub(crate) fn handle_heartbeat(node: &GatewayNode, mut heartbeat: PeerHeartbeat) {
     let now = node.now();
     for samples in std::mem::take(&mut heartbeat.key_samples) {
-        node.with_key_view(&samples.service, |view| {
+        node.with_known_key_view(&samples.service, |view| {
             view.sample_window.add(&samples.keys, samples.total, now);
         });
     }
@@ -68,10 +68,10 @@
     }
     for range in std::mem::take(&mut heartbeat.granted_ranges) {
         let key = (range.first, range.fence);
-        let is_new = node.with_key_view(&range.service, |view| {
+        let is_new = node.with_known_key_view(&range.service, |view| {
             view.granted_ranges.insert(key, now).is_none()
         });
-        if is_new {
+        if is_new == Some(true) {
             node.keys_changed.notify(usize::MAX);
         }
     }
@@ -80,17 +80,17 @@
             quota_worker::apply_report(&server, known.report, now);
         }
     }
-    node.peers.lock().unwrap().apply_heartbeat(heartbeat, now);
+    node.peers.lock().apply_heartbeat(heartbeat, now);
     node.heartbeat_received.notify(usize::MAX);
 }
 
 /// Applies a change to the key record if the known revision is the change's base.
 fn apply_record_update(node: &GatewayNode, update: &RecordUpdate) {
-    let next = node.with_key_view(&update.service, |view| {
+    let next = node.with_known_key_view(&update.service, |view| {
         let (record, revision) = view.leader.record()?;
         (revision == update.base_revision).then(|| update.delta.apply(record))
     });
-    let Some(next) = next else { return };
+    let Some(next) = next.flatten() else { return };
     let spec = match RecordBody::write(&StoredRecord::from(&next)) {
         Ok(spec) => spec,
         Err(error) => {
@@ -104,10 +104,7 @@
         spec,
         status: serde_json::Value::Null,
     };
-    node.mirror
-        .lock()
-        .unwrap()
-        .insert(ObjectKind::Records, object);
+    node.mirror.lock().insert(ObjectKind::Records, object);
     record_worker::adopt(node, &update.service, next, update.revision);
 }
 
@@ -138,7 +135,7 @@
         incarnation: node.own_incarnation.incarnation,
         is_stopping: node.is_stopping(),
         store_lost: node.store.health.is_unavailable(),
-        revisions: node.mirror.lock().unwrap().latest_revisions(),
+        revisions: node.mirror.lock().latest_revisions(),
         ..PeerHeartbeat::default()
     };
     let mut leaders = Vec::new();
@@ -181,7 +178,7 @@
     }
     heartbeat.limits = known_limits(node, is_leader, now);
     let targets = {
-        let peers = node.peers.lock().unwrap();
+        let peers = node.peers.lock();
         if is_leader && !heartbeat.store_lost {
             let own_candidate = WatcherCandidate {
                 name: &node.settings.name,
@@ -273,9 +270,9 @@
 
 /// Limits of servers to tell other instances. A leader also passes on what it was told.
 fn known_limits(node: &GatewayNode, is_leader: bool, now: MonoTime) -> Vec<KnownLimit> {
-    let servers = node.servers.lock().unwrap();
+    let servers = node.servers.lock();
     let known = servers.values().filter_map(|server| {
-        let report = server.quota.lock().unwrap().limit.report(is_leader, now)?;
+        let report = server.quota.lock().limit.report(is_leader, now)?;
         Some(KnownLimit {
             server: server.incarnation().clone(),
             report,
@@ -289,7 +286,7 @@
     let mut service_times = Vec::new();
     for service in node.keyed_services() {
         for server in node.usable_servers(&service).iter() {
-            let (service_time, samples) = server.load.lock().unwrap().service_time();
+            let (service_time, samples) = server.load.lock().service_time();
             if samples >= MIN_SAMPLES {
                 service_times.push(ServiceTimeReport {
                     server: server.incarnation().clone(),
--- a/crates/gateway/src/quota_worker.rs
+++ b/crates/gateway/src/quota_worker.rs
@@ -37,12 +37,12 @@
     is_new: bool,
 ) -> TokenOutcome {
     let now = node.now();
-    if server.quota.lock().unwrap().limit.per_second(now).is_none() {
+    if server.quota.lock().limit.per_second(now).is_none() {
         return TokenOutcome::Taken;
     }
     let holder = bucket_holder(node, &server.entry.service, now);
     let instances = node.instance_count();
-    let mut quota = server.quota.lock().unwrap();
+    let mut quota = server.quota.lock();
     let Some(per_second) = quota.limit.per_second(now) else {
         return TokenOutcome::Taken;
     };
@@ -87,7 +87,7 @@
             let BucketHolder::Own(since) = bucket_holder(node, &server.entry.service, now) else {
                 return;
             };
-            let mut quota = server.quota.lock().unwrap();
+            let mut quota = server.quota.lock();
             // Without a limit, the report alone tells the instance that it needs no tokens.
             let grant = quota
                 .answer(&message.sender, ask, since, now)
@@ -101,7 +101,7 @@
             send(node, &server, report, QuotaBody::Grant(grant), from);
         }
         QuotaBody::Grant(grant) => {
-            let mut quota = server.quota.lock().unwrap();
+            let mut quota = server.quota.lock();
             let is_current = quota.client.apply_grant(grant, now);
             drop(quota);
             if is_current {
@@ -115,7 +115,7 @@
 /// Applies what another instance knows of a server's limit.
 pub(crate) fn apply_report(server: &ServerRuntime, report: LimitReport, now: MonoTime) {
     let change = {
-        let mut quota = server.quota.lock().unwrap();
+        let mut quota = server.quota.lock();
         quota.limit.apply_report(report, now)
     };
     log_change(server, change, "peer");
@@ -142,7 +142,7 @@
         false => node.keyed_services().into_iter().min(),
     };
     let Some(keyed_service) = keyed_service else {
-        return match node.peers.lock().unwrap().first_instance(now) {
+        return match node.peers.lock().first_instance(now) {
             FirstInstance::Own(since) => BucketHolder::Own(since),
             FirstInstance::Peer(address) => BucketHolder::Peer(address),
         };
@@ -157,7 +157,7 @@
     match leader {
         Some(leader) if leader == node.own_incarnation => BucketHolder::Own(led_since),
         Some(leader) => {
-            let address = node.peers.lock().unwrap().address_of(&leader.instance);
+            let address = node.peers.lock().address_of(&leader.instance);
             address.map_or(BucketHolder::Unknown, BucketHolder::Peer)
         }
         None => BucketHolder::Unknown,
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -33,7 +33,7 @@
         (Some(_), _) if event.is_removed => Ok(()),
         (Some(service), _) => apply_key_record(node, service, object),
         (None, Some(name)) if event.is_removed => {
-            node.peers.lock().unwrap().remove(name);
+            node.peers.lock().remove(name);
             Ok(())
         }
         (None, Some(_)) => apply_instance_record(node, object),
@@ -102,7 +102,7 @@
 
 fn apply_instance_record(node: &GatewayNode, object: &PlatformObject) -> Result<(), BodyError> {
     let record: InstanceRecord = RecordBody::read(object)?;
-    let mut peers = node.peers.lock().unwrap();
+    let mut peers = node.peers.lock();
     peers.insert(record, object.revision, node.now());
     Ok(())
 }
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -18,7 +18,7 @@
 
 pub(crate) async fn run(node: &Arc<GatewayNode>, call: &CallerCall) -> CallOutcome {
     let state = node.service(&call.service);
-    state.budget.lock().unwrap().record_request(call.arrived_at);
+    state.budget.lock().record_request(call.arrived_at);
     let mut history = AttemptHistory::default();
     let mut failed_dials = 0;
     let mut last_failure: Option<Response<Bytes>> = None;
@@ -108,11 +108,7 @@
     let attempts_sent = call.progress.attempts_sent.load(Ordering::Relaxed);
     attempts_sent < call.route.max_attempts as usize
         && call.time_left(now).as_secs_f64() > state.mean_response_time() * 0.5
-        && state
-            .budget
-            .lock()
-            .unwrap()
-            .try_take(now, node.instance_count())
+        && state.budget.lock().try_take(now, node.instance_count())
 }
 
 fn refuse(
@@ -134,7 +130,7 @@
         ..LoadView::default()
     };
     for server in servers.iter() {
-        let load = server.load.lock().unwrap();
+        let load = server.load.lock();
         view.ejected += usize::from(load.is_ejected(now));
         view.with_room += usize::from(selector.has_room(&load, now));
         let expected = Duration::from_secs_f64(load.expected_completion(now, selector.assumptions));
@@ -160,7 +156,7 @@
         RefusalReason::NotRun if with_room > 0 => MAX_REJECTED_RETRY_AFTER.mul_f64(rand::random()),
         _ => {
             let waiting = state.waiting();
-            let mut completions = state.completions.lock().unwrap();
+            let mut completions = state.completions.lock();
             completions.retry_after(waiting, node.now(), rand::random())
         }
     }
@@ -177,27 +173,16 @@
     let mut connection = match server.pool.connect(now, call.time_left(now)).await {
         Ok(connection) => connection,
         Err(ExchangeError::ConnectionRefused(_)) => {
-            server
-                .load
-                .lock()
-                .unwrap()
-                .record_connection_refused(node.now());
+            server.load.lock().record_connection_refused(node.now());
             return AttemptResult::Refused;
         }
         Err(error) => {
-            server.load.lock().unwrap().record_failure(node.now());
+            server.load.lock().record_failure(node.now());
             return AttemptResult::NotSent(error.to_string());
         }
     };
     let sent_at = node.now();
-    if server
-        .quota
-        .lock()
-        .unwrap()
-        .limit
-        .per_second(sent_at)
-        .is_some()
-    {
+    if server.quota.lock().limit.per_second(sent_at).is_some() {
         metrics::counter!(LIMITED_ATTEMPTS).increment(1);
     }
     call.progress.in_flight.store(true, Ordering::Relaxed);
@@ -216,7 +201,7 @@
         }
         Err(error) => {
             call.progress.unclear_attempt.store(true, Ordering::Relaxed);
-            server.load.lock().unwrap().record_failure(now);
+            server.load.lock().record_failure(now);
             return AttemptResult::Unclear(error.to_string());
         }
     };
@@ -228,14 +213,13 @@
         not_executed: headers.not_executed,
         is_encoded: headers.is_encoded,
     };
-    let mut load = server.load.lock().unwrap();
+    let mut load = server.load.lock();
     load.record_answer(now);
     if let Some(report) = headers.load.filter(|_| facts.has_request_id) {
         load.apply_report(report, now);
         state
             .occupancy
             .lock()
-            .unwrap()
             .record_report(load.foreign_occupancy(), now);
     }
     let verdict = facts.verdict();
@@ -285,7 +269,7 @@
         }
     }
     let change = {
-        let mut quota = server.quota.lock().unwrap();
+        let mut quota = server.quota.lock();
         quota.limit.apply(notice, sent_at, now)
     };
     quota_worker::log_change(server, change, "answer");
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -6,8 +6,10 @@
     prelude::*,
     request_dispatch,
 };
+use futures_lite::FutureExt;
 use http::header;
 use hyper::body::Incoming;
+use std::panic::AssertUnwindSafe;
 
 /// Timeout of a caller that does not send one.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -24,6 +26,26 @@
 pub(crate) async fn handle(
     node: Arc<GatewayNode>,
     request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let headers = RequestHeaders::from(request.headers());
+    answer_or_fail(&headers, route_request(node, request)).await
+}
+
+/// Runs `answer`. If it panics, the caller gets a failure that leaves open whether the request ran.
+pub(crate) async fn answer_or_fail(
+    headers: &RequestHeaders,
+    answer: impl Future<Output = Response<Full<Bytes>>>,
+) -> Response<Full<Bytes>> {
+    let answered = AssertUnwindSafe(answer).catch_unwind().await;
+    answered.unwrap_or_else(|_| {
+        log::error!(id = headers.id_text(); "request handler panicked");
+        local_response::with_reason(headers, StatusCode::BAD_GATEWAY, "internal-error")
+    })
+}
+
+async fn route_request(
+    node: Arc<GatewayNode>,
+    request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let arrived_at = node.now();
     let (parts, body) = request.into_parts();
--- a/crates/gateway/src/server_finder.rs
+++ b/crates/gateway/src/server_finder.rs
@@ -91,7 +91,7 @@
         return false;
     }
     let ahead = state.with_queue(|queue| queue.ahead(rank)) as f64;
-    let rate = state.completions.lock().unwrap().per_second(now);
+    let rate = state.completions.lock().per_second(now);
     ahead >= 1.0 && ahead / rate.max(1.0) > limit.as_secs_f64()
 }
 
--- a/crates/gateway/src/server_lookup.rs
+++ b/crates/gateway/src/server_lookup.rs
@@ -63,7 +63,6 @@
                 server
                     .load
                     .lock()
-                    .unwrap()
                     .expected_completion(now, assumptions.reported_only())
             })
             .fold(f64::INFINITY, f64::min);
@@ -143,7 +142,7 @@
         let centre = &self.node.settings.data_centre;
         let is_local = |server: &&Arc<ServerRuntime>| server.entry.data_centre == *centre;
         let (local, remote): (Vec<_>, Vec<_>) = self.servers.iter().partition(is_local);
-        let positions = self.node.peers.lock().unwrap().positions();
+        let positions = self.node.peers.lock().positions();
         let local_positions =
             ServerSubset::positions(local.len(), ServerSubset::LOCAL_SERVERS, positions.local);
         let remote_positions =
@@ -154,10 +153,7 @@
     }
 
     fn select(&self, servers: &[&Arc<ServerRuntime>]) -> SelectionOutcome {
-        let loads: Vec<_> = servers
-            .iter()
-            .map(|server| server.load.lock().unwrap())
-            .collect();
+        let loads: Vec<_> = servers.iter().map(|server| server.load.lock()).collect();
         let candidates: Vec<ServerCandidate<'_>> = servers
             .iter()
             .zip(&loads)
@@ -183,7 +179,7 @@
             return LookupOutcome::Wait(RefusalReason::NoOwner);
         };
         let (is_ejected, has_room) = {
-            let load = server.load.lock().unwrap();
+            let load = server.load.lock();
             let selector = ServerSelector {
                 assumptions: self.assumptions,
                 ..self.node.owner_selector
@@ -217,7 +213,7 @@
     /// Reserves a server for the request, unless the server is not expected to finish it in time.
     fn reserve(&self, server: &Arc<ServerRuntime>, key_revision: Option<u64>) -> LookupOutcome {
         let now = self.now;
-        let load = server.load.lock().unwrap();
+        let load = server.load.lock();
         let expected = load.expected_completion(now, self.assumptions.reported_only());
         let was_full = load.estimated_requests(now, self.assumptions.reported_only())
             >= f64::from(load.slots());
@@ -237,7 +233,7 @@
                 return LookupOutcome::Refuse(RefusalReason::Limited(pause));
             }
         }
-        server.load.lock().unwrap().request_started(now);
+        server.load.lock().request_started(now);
         LookupOutcome::Reserved(ServerReservation {
             server: server.clone(),
             reserved_at: now,
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -18,11 +18,10 @@
 
 impl Drop for ServerReservation {
     fn drop(&mut self) {
-        self.server.load.lock().unwrap().request_ended();
+        self.server.load.lock().request_ended();
         self.service_state
             .completions
             .lock()
-            .unwrap()
             .record_completion(self.clock.now());
         self.service_state.slot_freed.notify(usize::MAX);
     }
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -8,9 +8,9 @@
     /// Discovery entry with which the server was first seen.
     pub(crate) entry: ServerEntry,
     /// Load and failures of callers' requests.
-    pub(crate) load: Mutex<LoadTracker>,
+    pub(crate) load: StateMutex<LoadTracker>,
     /// Limit on the rate of requests that the server names, and this instance's part of it.
-    pub(crate) quota: Mutex<ServerQuota>,
+    pub(crate) quota: StateMutex<ServerQuota>,
     /// Connections for callers' requests.
     pub(crate) pool: ServerPool,
     /// Connections for grants of keys.
@@ -19,7 +19,7 @@
     pub(crate) releases: HttpClient,
     /// When the server's warm-up after its start ends; it is slow until then.
     pub(crate) warmup_ends_at: MonoTime,
-    state: Mutex<RuntimeState>,
+    state: StateMutex<RuntimeState>,
 }
 
 #[derive(Debug, Default)]
@@ -36,6 +36,22 @@
     handovers: VecDeque<String>,
 }
 
+/// Right to send renewals to a server, until it is dropped.
+pub(crate) struct OrderLock(Arc<ServerRuntime>);
+
+impl OrderLock {
+    /// The locked server.
+    pub(crate) fn server(&self) -> &ServerRuntime {
+        &self.0
+    }
+}
+
+impl Drop for OrderLock {
+    fn drop(&mut self) {
+        self.0.state.lock().orders_locked = false;
+    }
+}
+
 impl ServerRuntime {
     /// Consecutive unanswered orders after which a server counts as unresponsive.
     const MAX_ORDER_FAILURES: u32 = 2;
@@ -58,13 +74,13 @@
         now: MonoTime,
     ) -> Self {
         Self {
-            load: Mutex::new(LoadTracker::new(entry.slots, service_time)),
-            quota: Mutex::default(),
+            load: StateMutex::new(LoadTracker::new(entry.slots, service_time)),
+            quota: StateMutex::default(),
             pool: ServerPool::new(workers.clone(), entry.address),
             grants: GrantConnections::new(),
             releases: HttpClient::new(workers.clone(), TcpDialer::direct(), entry.address),
             warmup_ends_at: now.after(entry.warmup_left),
-            state: Mutex::default(),
+            state: StateMutex::default(),
             entry,
         }
     }
@@ -76,17 +92,17 @@
 
     /// Marks the server as draining or gone, unless it is already.
     pub(crate) fn mark_leaving(&self, now: MonoTime) {
-        self.state.lock().unwrap().leaving_since.get_or_insert(now);
+        self.state.lock().leaving_since.get_or_insert(now);
     }
 
     /// Marks the server as in use again.
     pub(crate) fn mark_active(&self) {
-        self.state.lock().unwrap().leaving_since = None;
+        self.state.lock().leaving_since = None;
     }
 
     /// Since when the server has been draining or gone; `None` while it is in use.
     pub(crate) fn leaving_since(&self) -> Option<MonoTime> {
-        self.state.lock().unwrap().leaving_since
+        self.state.lock().leaving_since
     }
 
     /// Whether callers' requests may be sent to the server: while it is in use, and for
@@ -96,20 +112,15 @@
             .is_none_or(|at| now.since(at) < drain_time)
     }
 
-    /// Locks the sending of renewals to this server; false if another task holds the lock.
-    pub(crate) fn try_lock_orders(&self) -> bool {
-        let mut state = self.state.lock().unwrap();
-        !std::mem::replace(&mut state.orders_locked, true)
-    }
-
-    /// Releases the lock.
-    pub(crate) fn unlock_orders(&self) {
-        self.state.lock().unwrap().orders_locked = false;
+    /// Locks the sending of renewals to this server; `None` if another task holds the lock.
+    pub(crate) fn try_lock_orders(self: &Arc<Self>) -> Option<OrderLock> {
+        let was_locked = std::mem::replace(&mut self.state.lock().orders_locked, true);
+        (!was_locked).then(|| OrderLock(self.clone()))
     }
 
     /// Records that an order was answered.
     pub(crate) fn order_answered(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.order_failures = 0;
         state.order_refusals = 0;
         state.connection_broken_at = None;
@@ -117,7 +128,7 @@
 
     /// Records an unanswered order, and whether its connection broke or was refused.
     pub(crate) fn order_failed(&self, broken: bool, refused: bool, now: MonoTime) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         if broken {
             state.connection_broken_at = Some(now);
         }
@@ -133,7 +144,7 @@
 
     /// Records that the server accepted an order.
     pub(crate) fn order_accepted(&self) {
-        self.state.lock().unwrap().has_accepted_order = true;
+        self.state.lock().has_accepted_order = true;
     }
 
     /// Records the handover of an answered release. Returns false if there is none, or if it came
@@ -143,7 +154,7 @@
         let Some(handover) = handover.filter(|handover| !handover.is_empty()) else {
             return false;
         };
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         if state.handovers.iter().any(|known| known == handover) {
             return false;
         }
@@ -157,18 +168,18 @@
     /// Records that an order was rejected. If a server that has accepted orders before calls one
     /// invalid, a server of another service now has its address.
     pub(crate) fn order_rejected(&self, status: StatusCode) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.is_address_reused |= state.has_accepted_order && status == StatusCode::BAD_REQUEST;
     }
 
     /// Records that another server now has the address.
     pub(crate) fn address_reused(&self) {
-        self.state.lock().unwrap().is_address_reused = true;
+        self.state.lock().is_address_reused = true;
     }
 
     /// Whether a connection to the server broke recently and no order has been answered since.
     pub(crate) fn is_suspect(&self, now: MonoTime) -> bool {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         state
             .connection_broken_at
             .is_some_and(|at| now.since(at) < Self::SUSPECT_TIME)
@@ -176,14 +187,14 @@
 
     /// Whether the server leaves orders unanswered.
     pub(crate) fn is_unresponsive(&self, now: MonoTime) -> bool {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         state.order_failures >= Self::MAX_ORDER_FAILURES
             && now.since(state.order_failing_since) >= Self::MIN_FAILING_TIME
     }
 
     /// Whether this incarnation has ended: nothing listens at its address, or another server does.
     pub(crate) fn has_ended(&self) -> bool {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         state.is_address_reused || state.order_refusals >= Self::MAX_ORDER_REFUSALS
     }
 }
--- a/crates/gateway/src/service_state.rs
+++ b/crates/gateway/src/service_state.rs
@@ -5,16 +5,16 @@
 /// Retry budget, queue and measured durations of one service.
 pub(crate) struct ServiceState {
     /// Budget for retries.
-    pub(crate) budget: Mutex<RetryBudget>,
+    pub(crate) budget: StateMutex<RetryBudget>,
     /// Rate at which requests complete.
-    pub(crate) completions: Mutex<CompletionRate>,
+    pub(crate) completions: StateMutex<CompletionRate>,
     /// Notified when a server may have room again, or the queue has become shorter.
     pub(crate) slot_freed: Event,
     /// Typical occupancy of the service's servers.
-    pub(crate) occupancy: Mutex<TypicalOccupancy>,
-    run_times: Mutex<RunTimes>,
-    queue: Mutex<WaitingQueue>,
-    mean_response_time: Mutex<f64>,
+    pub(crate) occupancy: StateMutex<TypicalOccupancy>,
+    run_times: StateMutex<RunTimes>,
+    queue: StateMutex<WaitingQueue>,
+    mean_response_time: StateMutex<f64>,
 }
 
 /// Mean run time of requests that found a free slot, in seconds.
@@ -37,35 +37,35 @@
     /// Creates the state of a service that has had no requests yet.
     pub(crate) fn new(settings: &GatewaySettings) -> Self {
         Self {
-            budget: Mutex::new(RetryBudget::new(
+            budget: StateMutex::new(RetryBudget::new(
                 settings.retry_window,
                 settings.retry_ratio,
                 settings.retry_slack,
             )),
-            completions: Mutex::default(),
+            completions: StateMutex::default(),
             slot_freed: Event::new(),
-            occupancy: Mutex::default(),
-            run_times: Mutex::default(),
-            queue: Mutex::default(),
-            mean_response_time: Mutex::new(Self::INITIAL_RESPONSE_TIME),
+            occupancy: StateMutex::default(),
+            run_times: StateMutex::default(),
+            queue: StateMutex::default(),
+            mean_response_time: StateMutex::new(Self::INITIAL_RESPONSE_TIME),
         }
     }
 
     /// Records how long a server took to answer a request, including any queueing there.
     pub(crate) fn record_response_time(&self, took: Duration) {
-        let mut mean = self.mean_response_time.lock().unwrap();
+        let mut mean = self.mean_response_time.lock();
         *mean += (took.as_secs_f64() - *mean) * Self::SAMPLE_WEIGHT;
     }
 
     /// Mean time that a server takes to answer a request, in seconds.
     pub(crate) fn mean_response_time(&self) -> f64 {
-        *self.mean_response_time.lock().unwrap()
+        *self.mean_response_time.lock()
     }
 
     /// Records the run time of a request that found a free slot.
     pub(crate) fn record_run_time(&self, route: &str, took: Duration) {
         let took = took.as_secs_f64();
-        let mut run_times = self.run_times.lock().unwrap();
+        let mut run_times = self.run_times.lock();
         // Both averages start with the first sample, so that the only route of a service has
         // exactly the mean of the service.
         let all = run_times.all.get_or_insert(took);
@@ -76,21 +76,21 @@
 
     /// Assumptions about the service's servers for a request of a route.
     pub(crate) fn load_assumptions(&self, route: &str) -> LoadAssumptions {
-        let run_times = self.run_times.lock().unwrap();
+        let run_times = self.run_times.lock();
         let ratio = run_times
             .routes
             .get(route)
             .zip(run_times.all)
             .map(|(run, all)| run / all);
         LoadAssumptions {
-            typical_occupancy: self.occupancy.lock().unwrap().mean(),
+            typical_occupancy: self.occupancy.lock().mean(),
             service_time_ratio: ratio.unwrap_or(1.0).clamp(Self::MIN_RATIO, Self::MAX_RATIO),
         }
     }
 
     /// Runs `work` on the locked queue of waiting requests.
     pub(crate) fn with_queue<T>(&self, work: impl FnOnce(&mut WaitingQueue) -> T) -> T {
-        work(&mut self.queue.lock().unwrap())
+        work(&mut self.queue.lock())
     }
 
     /// Removes a request from the queue and notifies the others.
--- a/crates/gateway/src/stop_plan_tests.rs
+++ b/crates/gateway/src/stop_plan_tests.rs
@@ -110,7 +110,7 @@
     let answer_pending_at = settings.stop_plan().answer_pending_at;
     let node = GatewayNode::new(*settings, WorkerPool::start("test", 0).unwrap(), 1);
     const ELAPSED: Duration = Duration::from_secs(4);
-    *node.stopping_since.lock().unwrap() = Some(node.now().before(ELAPSED));
+    *node.stopping_since.lock() = Some(node.now().before(ELAPSED));
     let caller_timeout = answer_pending_at - ELAPSED + Duration::from_millis(150);
     assert!(
         !node.accepts_request(caller_timeout),
--- a/crates/gateway/src/store_health.rs
+++ b/crates/gateway/src/store_health.rs
@@ -5,7 +5,7 @@
 /// Availability of the store, derived from the results of the latest calls.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
-    state: Mutex<HealthState>,
+    state: StateMutex<HealthState>,
     /// Notified by the first answered call after a failed one.
     recovered: Event,
 }
@@ -26,7 +26,7 @@
 
     /// Records an answered call.
     pub(crate) fn record_success(&self, now: MonoTime) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         if std::mem::take(&mut state.failures) > 0 {
             self.recovered.notify(usize::MAX);
         }
@@ -39,7 +39,7 @@
 
     /// Records a call that failed.
     pub(crate) fn record_failure(&self, now: MonoTime, cause: &str) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.state.lock();
         state.failures += 1;
         if state.failures >= Self::FAILURE_THRESHOLD && state.unavailable_since.is_none() {
             state.unavailable_since = Some(now);
@@ -55,13 +55,13 @@
 
     /// Whether the store counts as unavailable.
     pub(crate) fn is_unavailable(&self) -> bool {
-        self.state.lock().unwrap().unavailable_since.is_some()
+        self.state.lock().unavailable_since.is_some()
     }
 
     /// Whether the store is failing, or recovered so recently that entries of live servers may be
     /// missing.
     pub(crate) fn is_unstable(&self, now: MonoTime) -> bool {
-        let state = self.state.lock().unwrap();
+        let state = self.state.lock();
         state.unavailable_since.is_some()
             || state.failures > 0
             || state
--- a/crates/gateway/src/update_router.rs
+++ b/crates/gateway/src/update_router.rs
@@ -5,7 +5,7 @@
 /// Applies an update of one kind, from the store or from another instance.
 pub(crate) fn apply(node: &Arc<GatewayNode>, kind: ObjectKind, update: StoreUpdate) {
     let (before, after) = {
-        let mut mirror = node.mirror.lock().unwrap();
+        let mut mirror = node.mirror.lock();
         let before = mirror.latest_revisions();
         mirror.apply(kind, &update);
         (before, mirror.latest_revisions())
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -11,7 +11,7 @@
     pool: Arc<WorkerPool>,
     dialer: TcpDialer,
     address: SocketAddr,
-    idle: Mutex<Vec<IdleConnection>>,
+    idle: StateMutex<Vec<IdleConnection>>,
 }
 
 /// Open connection without an exchange, kept for reuse.
@@ -46,7 +46,7 @@
             pool,
             dialer,
             address,
-            idle: Mutex::default(),
+            idle: StateMutex::default(),
         }
     }
 
@@ -110,7 +110,7 @@
     }
 
     fn take_idle(&self) -> Option<HttpConnection> {
-        let mut idle = self.idle.lock().unwrap();
+        let mut idle = self.idle.lock();
         std::iter::from_fn(|| idle.pop())
             .find(IdleConnection::is_usable)
             .map(|idle| idle.connection)
@@ -118,17 +118,17 @@
 
     /// Closes the connections that have been idle for too long.
     pub fn close_idle(&self) {
-        let mut idle = self.idle.lock().unwrap();
+        let mut idle = self.idle.lock();
         idle.retain(IdleConnection::is_usable);
     }
 
     /// Closes all idle connections.
     pub fn close_all_idle(&self) {
-        self.idle.lock().unwrap().clear();
+        self.idle.lock().clear();
     }
 
     fn return_to_idle(&self, connection: HttpConnection) {
-        let mut idle = self.idle.lock().unwrap();
+        let mut idle = self.idle.lock();
         if connection.is_open() && idle.len() < Self::MAX_IDLE_CONNECTIONS {
             idle.push(IdleConnection {
                 connection,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,6 +18,7 @@
 #[cfg(test)]
 mod signal_mask_tests;
 mod signal_receiver;
+mod state_mutex;
 mod steady_clock;
 mod tcp_dialer;
 mod worker_pool;
@@ -33,6 +34,7 @@
     process_runner::{EXIT_FAILURE, run_logged, run_process},
     process_signal::{ProcessPhase, ProcessSignal, SignalAction},
     signal_receiver::SignalReceiver,
+    state_mutex::StateMutex,
     steady_clock::SteadyClock,
     tcp_dialer::{ConnectFuture, TcpDialer},
     worker_pool::WorkerPool,
--- a/crates/net/src/log_rate_limiter.rs
+++ b/crates/net/src/log_rate_limiter.rs
@@ -8,7 +8,7 @@
 /// Limits how many log lines of each kind are written per second.
 #[derive(Default)]
 pub struct LogRateLimiter {
-    windows: Mutex<IndexMap<&'static str, LogWindow>>,
+    windows: StateMutex<IndexMap<&'static str, LogWindow>>,
 }
 
 #[derive(Default)]
@@ -25,7 +25,7 @@
 
     /// Whether a line of this kind may be written at `now`; counts it as written or suppressed.
     pub fn allow(&self, kind: &'static str, now: MonoTime) -> bool {
-        let mut windows = self.windows.lock().unwrap();
+        let mut windows = self.windows.lock();
         let window = windows.entry(kind).or_default();
         if now.since(window.started_at) >= Self::WINDOW {
             window.started_at = now;
@@ -41,7 +41,7 @@
 
     /// Logs how many lines of each kind were suppressed since the last call.
     pub fn log_suppressed(&self) {
-        for (kind, window) in self.windows.lock().unwrap().iter_mut() {
+        for (kind, window) in self.windows.lock().iter_mut() {
             if window.suppressed > 0 {
                 log::warn!(kind = *kind, lines = window.suppressed; "log lines left out");
                 window.suppressed = 0;
--- a/crates/net/src/worker_pool.rs
+++ b/crates/net/src/worker_pool.rs
@@ -6,6 +6,8 @@
 use crate::prelude::*;
 use async_executor::{Executor, Task};
 use event_listener::Event;
+use futures_lite::FutureExt;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Pool of worker threads that share one executor.
@@ -21,6 +23,9 @@
     /// Time between two polls of the remaining tasks of a stopped pool.
     const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
+    /// Pause before a task that panicked is started again.
+    const RESTART_PAUSE: Duration = Duration::from_millis(200);
+
     /// Starts a pool of `threads` workers whose threads are named `name`.
     pub fn start(name: &str, threads: usize) -> io::Result<Arc<Self>> {
         let pool = Arc::new(Self {
@@ -53,6 +58,23 @@
             .detach();
     }
 
+    /// Starts a task for the lifetime of the pool. If it panics, it is logged under `name` and
+    /// started again by `start` after a pause.
+    pub fn spawn_restarting<W>(
+        self: &Arc<Self>,
+        name: &'static str,
+        mut start: impl FnMut() -> W + Send + 'static,
+    ) where
+        W: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn(async move {
+            while AssertUnwindSafe(start()).catch_unwind().await.is_err() {
+                log::error!(worker = name; "worker panicked, starting it again");
+                async_io::Timer::after(Self::RESTART_PAUSE).await;
+            }
+        });
+    }
+
     /// Starts a task that is cancelled when the returned handle is dropped.
     pub fn spawn_cancellable<T: Send + 'static>(
         &self,
