Take only proofs for the end of a server that holds keys

Cause: three refused connections, or a 400 after accepted orders, counted as the end of the process, and an end skips the wait for the hold. A server that lives gives the first sign whenever it has too many connections, that is when it is busiest. The class is a sign that a living server can give, taken as proof.

Change: what orders tell about a server is judged in routing (OrderHealth). The log names the proof.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -197,3 +197,15 @@
     };
     assert_plan_passes(&plan);
 }
+
+// Guards against a refused connection that is taken for the end of its server: its keys would be
+// granted to another one while it holds them.
+#[test]
+fn servers_that_refuse_connections_keep_their_keys_until_their_grants_expire() {
+    let plan = SoakPlan {
+        fault_duration: Duration::from_secs(8),
+        scenario: FaultScenario::RefusedConnections,
+        ..plan(10, "refused")
+    };
+    assert_plan_passes(&plan);
+}
--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -151,7 +151,7 @@
         incarnations
     });
     for holder in holders {
-        let status = incarnation_status(node, &holder);
+        let (status, proof) = incarnation_status(node, &holder);
         let is_new = node.with_key_view(service, |view| {
             let is_new = !view.leader.has_ended(&holder);
             match status {
@@ -163,7 +163,8 @@
         });
         if is_new {
             let holder = holder.to_string();
-            log::info!(service, server = holder.as_str(), end = status.label(); "server has ended");
+            let end = status.label();
+            log::info!(service, server = holder.as_str(), end, proof; "server has ended");
         }
     }
     let former = node.with_key_view(service, |view| {
@@ -184,14 +185,21 @@
     }
 }
 
-/// Whether a server incarnation has ended, as far as this instance can tell.
-fn incarnation_status(node: &GatewayNode, incarnation: &ServerIncarnation) -> IncarnationStatus {
+/// Whether it is proved that a server incarnation has ended, and the proof.
+fn incarnation_status(
+    node: &GatewayNode,
+    incarnation: &ServerIncarnation,
+) -> (IncarnationStatus, &'static str) {
     let server = node.server(incarnation);
     let address = server.as_ref().map(|server| server.entry.address);
     let status = node.roster.lock().incarnation_status(incarnation, address);
-    match server.is_some_and(|server| server.has_ended()) {
-        true if status == IncarnationStatus::Alive => IncarnationStatus::Dead,
-        _ => status,
+    let is_address_reused =
+        server.is_some_and(|server| server.with_order_health(|health| health.has_ended()));
+    match status {
+        IncarnationStatus::Alive if is_address_reused => {
+            (IncarnationStatus::Dead, "other server answers")
+        }
+        _ => (status, "discovery"),
     }
 }
 
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -93,7 +93,9 @@
     servers
         .iter()
         .filter(|server| {
-            !server.is_unresponsive(now) && !server.is_suspect(now) && !server.has_ended()
+            server.with_order_health(|health| {
+                !health.is_unresponsive(now) && !health.is_suspect(now) && !health.has_ended()
+            })
         })
         .map(|server| {
             let (own, own_samples) = server.load.lock().service_time();
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -247,27 +247,32 @@
     let now = node.now();
     let (result, cause) = match response {
         Ok(response) => {
-            server.order_answered();
+            server.with_order_health(OrderHealth::record_answer);
             match OrderAnswer::from(response) {
                 OrderAnswer::Accepted(_) => {
-                    server.order_accepted();
+                    server.with_order_health(OrderHealth::record_acceptance);
                     ("taken", String::new())
                 }
                 OrderAnswer::Superseded => ("superseded", String::new()),
                 OrderAnswer::Misdirected => {
-                    server.address_reused();
+                    server.with_order_health(OrderHealth::record_other_server);
                     ("misdirected", String::new())
                 }
                 OrderAnswer::Rejected(status) => {
-                    server.order_rejected(status);
+                    if status == StatusCode::BAD_REQUEST {
+                        server.with_order_health(OrderHealth::record_rejection);
+                    }
                     ("rejected", status.to_string())
                 }
             }
         }
         Err(error) => {
-            let refused = matches!(error, ExchangeError::ConnectionRefused(_));
-            let broken = refused || matches!(error, ExchangeError::Unclear(_));
-            server.order_failed(broken, refused, now);
+            let failure = match error {
+                ExchangeError::ConnectionRefused(_) => OrderFailure::Refused,
+                ExchangeError::Unclear(_) => OrderFailure::Broken,
+                _ => OrderFailure::Silent,
+            };
+            server.with_order_health(|health| health.record_failure(failure, now));
             ("unanswered", error.to_string())
         }
     };
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -25,13 +25,8 @@
 #[derive(Debug, Default)]
 struct RuntimeState {
     leaving_since: Option<MonoTime>,
-    order_failures: u32,
-    order_failing_since: MonoTime,
-    order_refusals: u32,
-    connection_broken_at: Option<MonoTime>,
+    orders: OrderHealth,
     orders_locked: bool,
-    is_address_reused: bool,
-    has_accepted_order: bool,
     /// Handovers of the latest releases, oldest first.
     handovers: VecDeque<String>,
 }
@@ -53,16 +48,6 @@
 }
 
 impl ServerRuntime {
-    /// Consecutive unanswered orders after which a server counts as unresponsive.
-    const MAX_ORDER_FAILURES: u32 = 2;
-    /// Minimum time over which orders must stay unanswered.
-    const MIN_FAILING_TIME: Duration = Duration::from_millis(600);
-    /// How long a server is suspect after a connection to it broke, unless it answers an order.
-    /// Keys are moved away from a suspect server.
-    const SUSPECT_TIME: Duration = Duration::from_millis(1_000);
-    /// Consecutive refused connections after which the server's process must have ended.
-    const MAX_ORDER_REFUSALS: u32 = 3;
-
     /// Handovers that are remembered to detect second copies of answers.
     const MAX_HANDOVERS: usize = 64;
 
@@ -118,33 +103,9 @@
         (!was_locked).then(|| OrderLock(self.clone()))
     }
 
-    /// Records that an order was answered.
-    pub(crate) fn order_answered(&self) {
-        let mut state = self.state.lock();
-        state.order_failures = 0;
-        state.order_refusals = 0;
-        state.connection_broken_at = None;
-    }
-
-    /// Records an unanswered order, and whether its connection broke or was refused.
-    pub(crate) fn order_failed(&self, broken: bool, refused: bool, now: MonoTime) {
-        let mut state = self.state.lock();
-        if broken {
-            state.connection_broken_at = Some(now);
-        }
-        if state.order_failures == 0 {
-            state.order_failing_since = now;
-        }
-        state.order_failures += 1;
-        state.order_refusals = match refused {
-            true => state.order_refusals + 1,
-            false => 0,
-        };
-    }
-
-    /// Records that the server accepted an order.
-    pub(crate) fn order_accepted(&self) {
-        self.state.lock().has_accepted_order = true;
+    /// Runs `work` on the health of the server as orders show it.
+    pub(crate) fn with_order_health<T>(&self, work: impl FnOnce(&mut OrderHealth) -> T) -> T {
+        work(&mut self.state.lock().orders)
     }
 
     /// Records the handover of an answered release. Returns false if there is none, or if it came
@@ -164,37 +125,4 @@
         state.handovers.push_back(handover.into());
         true
     }
-
-    /// Records that an order was rejected. If a server that has accepted orders before calls one
-    /// invalid, a server of another service now has its address.
-    pub(crate) fn order_rejected(&self, status: StatusCode) {
-        let mut state = self.state.lock();
-        state.is_address_reused |= state.has_accepted_order && status == StatusCode::BAD_REQUEST;
-    }
-
-    /// Records that another server now has the address.
-    pub(crate) fn address_reused(&self) {
-        self.state.lock().is_address_reused = true;
-    }
-
-    /// Whether a connection to the server broke recently and no order has been answered since.
-    pub(crate) fn is_suspect(&self, now: MonoTime) -> bool {
-        let state = self.state.lock();
-        state
-            .connection_broken_at
-            .is_some_and(|at| now.since(at) < Self::SUSPECT_TIME)
-    }
-
-    /// Whether the server leaves orders unanswered.
-    pub(crate) fn is_unresponsive(&self, now: MonoTime) -> bool {
-        let state = self.state.lock();
-        state.order_failures >= Self::MAX_ORDER_FAILURES
-            && now.since(state.order_failing_since) >= Self::MIN_FAILING_TIME
-    }
-
-    /// Whether this incarnation has ended: nothing listens at its address, or another server does.
-    pub(crate) fn has_ended(&self) -> bool {
-        let state = self.state.lock();
-        state.is_address_reused || state.order_refusals >= Self::MAX_ORDER_REFUSALS
-    }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 mod load_assumptions;
 mod load_tracker;
 mod move_step;
+mod order_health;
 mod quota_client;
 mod quota_holder;
 mod quota_message;
@@ -54,6 +55,7 @@
     load_assumptions::LoadAssumptions,
     load_tracker::{LoadTracker, ReportedLoad},
     move_step::MoveStep,
+    order_health::{OrderFailure, OrderHealth},
     quota_client::{QuotaClient, QuotaStep},
     quota_holder::QuotaHolder,
     quota_message::{QuotaAsk, QuotaGrant},
--- a/crates/routing/tests/key_history/fake_server.rs
+++ b/crates/routing/tests/key_history/fake_server.rs
@@ -14,6 +14,8 @@
     pub(crate) born: u64,
     pub(crate) is_up: bool,
     pub(crate) checks_fences: bool,
+    /// Time in milliseconds until which the server refuses new connections, although it works on.
+    pub(crate) refuses_until: u64,
     /// Highest fence seen and current grant, by block.
     blocks: BTreeMap<usize, BlockGrant>,
 }
@@ -32,6 +34,7 @@
             born: 1,
             is_up: true,
             checks_fences,
+            refuses_until: 0,
             blocks: BTreeMap::new(),
         }
     }
--- a/crates/routing/tests/key_history/history_parameters.rs
+++ b/crates/routing/tests/key_history/history_parameters.rs
@@ -21,6 +21,9 @@
     /// Steps per thousand in which connections break. The senders get no answer, the orders may be
     /// executed, and leaders plan without the servers until these answer again.
     pub(crate) breaks_per_mille: u32,
+    /// Steps per thousand in which a server begins to refuse new connections for a while and resets
+    /// some of its connections, although it works on.
+    pub(crate) refusals_per_mille: u32,
 }
 
 impl Default for HistoryParameters {
@@ -33,6 +36,7 @@
             verifies_incarnations: true,
             late_orders_per_mille: 60,
             breaks_per_mille: 0,
+            refusals_per_mille: 0,
         }
     }
 }
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -36,6 +36,8 @@
     pub(crate) connection_incarnations: Vec<u64>,
     /// Times until which the instance plans without a server whose connection broke.
     pub(crate) suspect_until: Vec<u64>,
+    /// Health of each server's incarnation as the instance's orders show it.
+    pub(crate) health: Vec<(u64, OrderHealth)>,
 }
 
 /// State of one simulated history.
@@ -68,6 +70,7 @@
             known_born: vec![1; SERVERS.len()],
             connection_incarnations: vec![0; SERVERS.len()],
             suspect_until: vec![0; SERVERS.len()],
+            health: vec![(1, OrderHealth::default()); SERVERS.len()],
         };
         Self {
             instances: (0..3).map(instance).collect(),
@@ -108,6 +111,7 @@
             if !self.has_no_faults {
                 self.inject_faults();
                 self.break_connections();
+                self.refuse_connections();
             }
             self.execute_late_writes();
             self.execute_due_orders();
@@ -131,6 +135,11 @@
         self.rng.random_range(0..1_000) < per_mille
     }
 
+    /// Like `chance`, without a draw if there is no chance.
+    pub(crate) fn chance_of(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.chance(per_mille)
+    }
+
     pub(crate) fn random_between(&mut self, from: u64, to: u64) -> u64 {
         self.rng.random_range(from..to)
     }
@@ -175,6 +184,7 @@
                     known_born: self.servers.iter().map(|server| server.born).collect(),
                     connection_incarnations: vec![0; SERVERS.len()],
                     suspect_until: vec![0; SERVERS.len()],
+                    health: vec![(1, OrderHealth::default()); SERVERS.len()],
                 };
             }
         }
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -68,6 +68,22 @@
     );
 }
 
+// Guards against a refused connection that is taken for the end of its server's process: a server
+// with too many connections refuses new ones and works on.
+#[test]
+fn servers_that_refuse_connections_and_work_on_keep_one_owner_per_key() {
+    let parameters = HistoryParameters {
+        refusals_per_mille: 30,
+        ..HistoryParameters::default()
+    };
+    let violations_found = violations(&parameters, SEEDS);
+    assert!(
+        violations_found.is_empty(),
+        "{}",
+        violations_found.join("\n")
+    );
+}
+
 #[test]
 fn record_written_after_a_new_grant_leaves_one_owner_per_key() {
     let violations_found = [
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -21,8 +21,11 @@
             .iter()
             .zip(&self.instances[index].known_born)
             .zip(&self.instances[index].suspect_until)
-            .filter(|((server, _), suspect_until)| server.is_up && **suspect_until <= self.now)
-            .map(|((server, born), _)| PlannedServer {
+            .zip(&self.instances[index].health)
+            .filter(|(((server, _), suspect_until), (_, health))| {
+                server.is_up && **suspect_until <= self.now && !health.is_suspect(now)
+            })
+            .map(|(((server, born), _), _)| PlannedServer {
                 incarnation: ServerIncarnation {
                     id: server.id.clone(),
                     born: *born,
--- a/crates/routing/tests/key_history/sent_order.rs
+++ b/crates/routing/tests/key_history/sent_order.rs
@@ -47,6 +47,13 @@
                 };
                 self.instances[index].leader.mark_replaced(&incarnation);
             }
+            if self.health_of(index, server).has_ended() {
+                let incarnation = ServerIncarnation {
+                    id: self.servers[server].id.clone(),
+                    born: self.instances[index].known_born[server],
+                };
+                self.instances[index].leader.mark_dead(&incarnation, now);
+            }
         }
         let steps = self.instances[index].leader.due_move_steps(now);
         for step in steps {
@@ -87,6 +94,12 @@
             // The sender notices a broken connection.
             return !self.parameters.verifies_incarnations || born == owner.born;
         }
+        if self.refuses_connection(server) {
+            let now = MonoTime(self.now * 1_000);
+            self.health_of(index, server)
+                .record_failure(OrderFailure::Refused, now);
+            return false;
+        }
         let is_proven = born == owner.born && self.is_store_reachable(index);
         if is_proven {
             self.instances[index].connection_incarnations[server] = born;
@@ -94,6 +107,47 @@
         is_proven
     }
 
+    /// Whether a server refuses new connections, because it has ended or has too many.
+    fn refuses_connection(&self, server: usize) -> bool {
+        let server = &self.servers[server];
+        self.parameters.refusals_per_mille > 0 && (!server.is_up || self.now < server.refuses_until)
+    }
+
+    /// Health of the incarnation of a server that an instance knows.
+    fn health_of(&mut self, index: usize, server: usize) -> &mut OrderHealth {
+        let instance = &mut self.instances[index];
+        let known_born = instance.known_born[server];
+        let (born, health) = &mut instance.health[server];
+        if *born != known_born {
+            (*born, *health) = (known_born, OrderHealth::default());
+        }
+        health
+    }
+
+    /// Has a random server refuse new connections for a while, and resets those of some instances.
+    pub(crate) fn refuse_connections(&mut self) {
+        if !self.chance_of(self.parameters.refusals_per_mille) {
+            return;
+        }
+        let server = self.random_between(0, self.servers.len() as u64) as usize;
+        self.servers[server].refuses_until = self.now + self.random_between(200, 1_500);
+        for index in 0..self.instances.len() {
+            if !self.chance(500) {
+                continue;
+            }
+            self.instances[index].connection_incarnations[server] = 0;
+            let mut orders = std::mem::take(&mut self.orders);
+            for order in orders.iter_mut().filter(|order| {
+                order.instance == index && order.server == server && !order.is_given_up
+            }) {
+                order.is_given_up = true;
+                order.is_answer_lost = true;
+                self.report_result(order, None);
+            }
+            self.orders = orders;
+        }
+    }
+
     fn position_of(&self, incarnation: &ServerIncarnation) -> usize {
         let is_same_server = |server: &FakeServer| server.id == incarnation.id;
         self.servers.iter().position(is_same_server).unwrap()
@@ -223,6 +277,7 @@
         }
         if answer.is_some() {
             instance.suspect_until[order.server] = 0;
+            instance.health[order.server].1.record_answer();
         }
         match order.kind {
             OrderKind::Renew if answer != Some(true) => {
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -57,6 +57,9 @@
     Drain(usize),
     /// Puts a server into a fault state for the given time.
     Server(usize, BackendFault, Duration),
+    /// Has a server refuse new connections and cut the open ones for the given time, while it works
+    /// on, as servers with too many connections do.
+    Refuse(usize, Duration),
     /// Has a server name a limit, in requests per second, for the given time.
     Limit(usize, u32, Duration),
     /// Publishes a configuration that moves the probed route to the other service.
@@ -87,6 +90,15 @@
                 };
                 (0..plan.servers * 2).map(repeat).collect()
             }
+            FaultScenario::RefusedConnections => {
+                let count = plan.fault_duration.as_millis() / 1_000;
+                let refuse = |step| {
+                    let number = plan.servers + step % plan.servers;
+                    let event = Self::Refuse(number, Duration::from_millis(700));
+                    (Duration::from_secs(step as u64), event)
+                };
+                (0..count as usize).map(refuse).collect()
+            }
             FaultScenario::NamedLimits => {
                 // One server without keys and two with keys.
                 let limited = [0, plan.servers, plan.servers + 1];
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -114,6 +114,9 @@
                 *process.fault.lock().unwrap() = BackendFault::None;
             }
         }
+        FaultEvent::Refuse(number, duration) => {
+            world.main_server(number).refuse_connections(duration).await;
+        }
         FaultEvent::Limit(number, per_second, duration) => {
             let Some(process) = world.main_server(number).process() else {
                 return Ok(());
--- a/crates/soak/src/simulated_backend.rs
+++ b/crates/soak/src/simulated_backend.rs
@@ -11,6 +11,8 @@
     store: Arc<SimulatedStore>,
     ledger: Arc<SoakLedger>,
     process: Mutex<Option<Arc<BackendProcess>>>,
+    /// Address of the current process, behind the link.
+    process_address: Mutex<Option<SocketAddr>>,
 }
 
 impl SimulatedBackend {
@@ -31,6 +33,7 @@
             store: store.clone(),
             ledger: ledger.clone(),
             process: Mutex::default(),
+            process_address: Mutex::default(),
         });
         server.start_process().await?;
         Ok(server)
@@ -48,6 +51,7 @@
         let (process, address) =
             BackendProcess::start(&self.pool, &self.ledger, self.service, incarnation).await?;
         *self.process.lock().unwrap() = Some(process.clone());
+        *self.process_address.lock().unwrap() = Some(address);
         self.ledger.add_backend(process);
         self.link.set_target(Some(address)).await;
         self.publish(ServerState::Ready);
@@ -64,6 +68,16 @@
         }
     }
 
+    /// Refuses new connections for `duration` and cuts all open ones, while the process works on.
+    pub(crate) async fn refuse_connections(&self, duration: Duration) {
+        self.link.set_target(None).await;
+        Timer::after(duration).await;
+        if self.process().is_some() {
+            let address = *self.process_address.lock().unwrap();
+            self.link.set_target(address).await;
+        }
+    }
+
     /// Publishes that the server is draining.
     pub(crate) fn start_drain(&self) {
         self.publish(ServerState::Draining);
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -45,6 +45,8 @@
     ChangeAfterStoreOutage,
     /// All servers send second copies of earlier answers in place of the expected ones.
     RepeatedAnswers,
+    /// Servers with keys refuse connections in turn while they work on.
+    RefusedConnections,
     /// Servers with and without keys name limits on the rate of their requests.
     NamedLimits,
 }
