--- /dev/null
+++ b/crates/gateway/src/attempt_sender.rs
@@ -0,0 +1,160 @@
+//! Sends attempts of requests to servers and judges the answers.
+
+use crate::{hop_headers, prelude::*, quota_worker, server_reservation::ServerReservation};
+
+/// Sends one attempt to the reserved server and judges its answer.
+pub(crate) async fn send_attempt(
+    node: &Arc<GatewayNode>,
+    call: &CallerCall,
+    state: &ServiceState,
+    reservation: &ServerReservation,
+) -> AttemptResult {
+    let server = &reservation.server;
+    let now = node.now();
+    let mut connection = match server.pool.connect(now, call.time_left(now)).await {
+        Ok(connection) => connection,
+        Err(ExchangeError::ConnectionRefused(_)) => {
+            server.load.lock().record_connection_refused(node.now());
+            return AttemptResult::Refused;
+        }
+        Err(error) => {
+            server.load.lock().record_failure(node.now());
+            return AttemptResult::NotSent(error.to_string());
+        }
+    };
+    let sent_at = node.now();
+    if server.quota.lock().limit.per_second(sent_at).is_some() {
+        metrics::counter!(LIMITED_ATTEMPTS).increment(1);
+    }
+    call.progress.in_flight.store(true, Ordering::Relaxed);
+    call.progress.attempts_sent.fetch_add(1, Ordering::Relaxed);
+    let request = forwarded(call, server, call.time_left(sent_at));
+    // An unresponsive server gets no new requests, but this one is waited for: it may be running.
+    let exchange = connection.exchange(request).await;
+    call.progress.in_flight.store(false, Ordering::Relaxed);
+    let now = node.now();
+    let response = match exchange {
+        Ok(response) => response,
+        Err(ExchangeError::NotSent(cause)) => {
+            call.progress.attempts_sent.fetch_sub(1, Ordering::Relaxed);
+            server.pool.clear();
+            return AttemptResult::NotSent(cause);
+        }
+        Err(error) => {
+            call.progress.unclear_attempt.store(true, Ordering::Relaxed);
+            server.load.lock().record_failure(now);
+            return AttemptResult::Unclear(error.to_string());
+        }
+    };
+    let headers = ServerHeaders::from(response.headers());
+    let facts = AnswerFacts {
+        status: response.status().as_u16(),
+        is_signed: headers.is_signed,
+        has_request_id: headers.request_id == call.headers.request_id,
+        not_executed: headers.not_executed,
+        is_encoded: headers.is_encoded,
+    };
+    let mut load = server.load.lock();
+    load.record_answer(now);
+    if let Some(report) = headers.load.filter(|_| facts.has_request_id) {
+        load.apply_report(report, now);
+        state
+            .occupancy
+            .lock()
+            .record_report(load.foreign_occupancy(), now);
+    }
+    let verdict = facts.verdict();
+    match verdict {
+        AnswerVerdict::Deliver => {
+            let took = now.since(sent_at);
+            load.record_success(took, reservation.was_full);
+            state.record_response_time(took);
+            if !reservation.was_full {
+                state.record_run_time(&call.route.name, took);
+            }
+        }
+        AnswerVerdict::Failed | AnswerVerdict::Unverified => {
+            call.progress.unclear_attempt.store(true, Ordering::Relaxed);
+            load.record_failure(now);
+        }
+        AnswerVerdict::NotRun | AnswerVerdict::Misdirected => {}
+    }
+    drop(load);
+    if !matches!(
+        verdict,
+        AnswerVerdict::Unverified | AnswerVerdict::Misdirected
+    ) {
+        apply_limit(node, server, headers.limit, sent_at);
+    }
+    if verdict != AnswerVerdict::Unverified && !headers.closes_connection {
+        let max = node.max_idle_connections(server);
+        server.pool.keep(connection, headers.idle_timeout, max, now);
+    }
+    match verdict {
+        AnswerVerdict::Deliver => AttemptResult::Answered(response),
+        AnswerVerdict::Failed => AttemptResult::Failed(response),
+        AnswerVerdict::NotRun => AttemptResult::NotRun,
+        AnswerVerdict::Misdirected => AttemptResult::Misdirected,
+        AnswerVerdict::Unverified => AttemptResult::Unclear(format!("unverified answer {facts:?}")),
+    }
+}
+
+/// Applies what an answer says about the server's limit.
+fn apply_limit(node: &GatewayNode, server: &ServerRuntime, notice: LimitNotice, sent_at: MonoTime) {
+    let now = node.now();
+    if notice == LimitNotice::Unreadable {
+        metrics::counter!(UNREADABLE_LIMITS).increment(1);
+        if node.log.allow("limit", now) {
+            let id = server.incarnation().id.as_str();
+            log::warn!(server = id; "limit of a server cannot be read");
+        }
+    }
+    let change = {
+        let mut quota = server.quota.lock();
+        quota.limit.apply(notice, sent_at, now)
+    };
+    quota_worker::log_change(server, change, "answer");
+}
+
+fn forwarded(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = call.parts.uri.clone();
+    let mut headers = call.parts.headers.clone();
+    hop_headers::strip(&mut headers);
+    let added = ForwardHeaders {
+        time_left: left,
+        server_id: &server.incarnation().id,
+    };
+    added.set(&mut headers);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Counts an attempt, and logs it if it failed.
+pub(crate) fn record_attempt(
+    node: &GatewayNode,
+    call: &CallerCall,
+    reservation: &ServerReservation,
+    result: &AttemptResult,
+) {
+    metrics::counter!(ATTEMPTS, "result" => result.label()).increment(1);
+    let cause = match result {
+        AttemptResult::Answered(_) => return,
+        AttemptResult::NotSent(cause) | AttemptResult::Unclear(cause) => cause.as_str(),
+        _ => "",
+    };
+    let now = node.now();
+    if node.log.allow("attempt", now) {
+        log::info!(
+            id = call.headers.id_text(),
+            server = reservation.server.incarnation().id.as_str(),
+            service = call.service.as_str(),
+            result = result.label(),
+            cause,
+            took_ms = now.since(reservation.reserved_at).as_millis() as u64,
+            key_revision = reservation.key_revision.unwrap_or_default();
+            "attempt failed"
+        );
+    }
+}
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -4,10 +4,8 @@
 //! leader is silent. The number of messages thus grows linearly with the number of instances.
 
 use crate::{
-    peer_heartbeat::{
-        GrantedRange, KeySamples, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
-        ServiceTimeReport,
-    },
+    heartbeat_content,
+    peer_heartbeat::{GrantedRange, KeySamples, LeadershipStatus, PeerHeartbeat, RecordUpdate},
     prelude::*,
     quota_wire::QuotaMessage,
     quota_worker, record_worker,
@@ -24,15 +22,9 @@
 const MAX_DATAGRAM_BYTES: usize = 8_192;
 /// One of this many heartbeats carries service times, which only leaders use.
 const SERVICE_TIMES_EVERY: usize = 4;
-/// Largest number of service times in one heartbeat, which has to fit one datagram.
-const MAX_SERVICE_TIMES: usize = 24;
 /// Largest number of ranges of one service in a heartbeat, which has to fit one datagram. Larger
 /// changes are fetched over the feed.
 const MAX_RANGES: usize = 60;
-/// Largest number of servers' limits in a heartbeat, which has to fit one datagram.
-const MAX_LIMITS: usize = 40;
-/// Smallest number of samples of a service time that is sent.
-const MIN_SAMPLES: u32 = 3;
 
 /// Receives heartbeats and messages about rate limits.
 pub(crate) async fn listen(node: Arc<GatewayNode>, socket: UdpSocket) {
@@ -174,9 +166,10 @@
     }
     let is_leader = heartbeat.leaderships.iter().any(|status| status.is_leader);
     if !is_leader && turn.is_multiple_of(SERVICE_TIMES_EVERY) {
-        heartbeat.service_times = collect_service_times(node, turn / SERVICE_TIMES_EVERY);
+        heartbeat.service_times =
+            heartbeat_content::collect_service_times(node, turn / SERVICE_TIMES_EVERY);
     }
-    heartbeat.limits = known_limits(node, is_leader, now);
+    heartbeat.limits = heartbeat_content::known_limits(node, is_leader, now);
     let targets = {
         let peers = node.peers.lock();
         if is_leader && !heartbeat.store_lost {
@@ -267,39 +260,3 @@
         .filter_map(|(leader, _)| peers.address_of(&leader.instance))
         .collect()
 }
-
-/// Limits of servers to tell other instances. A leader also passes on what it was told.
-fn known_limits(node: &GatewayNode, is_leader: bool, now: MonoTime) -> Vec<KnownLimit> {
-    let servers = node.servers.lock();
-    let known = servers.values().filter_map(|server| {
-        let report = server.quota.lock().limit.report(is_leader, now)?;
-        Some(KnownLimit {
-            server: server.incarnation().clone(),
-            report,
-        })
-    });
-    known.take(MAX_LIMITS).collect()
-}
-
-/// Service times of servers that hold keys; each turn sends the next `MAX_SERVICE_TIMES` of them.
-fn collect_service_times(node: &GatewayNode, turn: usize) -> Vec<ServiceTimeReport> {
-    let mut service_times = Vec::new();
-    for service in node.keyed_services() {
-        for server in node.usable_servers(&service).iter() {
-            let (service_time, samples) = server.load.lock().service_time();
-            if samples >= MIN_SAMPLES {
-                service_times.push(ServiceTimeReport {
-                    server: server.incarnation().clone(),
-                    service_time,
-                    samples,
-                });
-            }
-        }
-    }
-    if service_times.len() > MAX_SERVICE_TIMES {
-        let start = turn * MAX_SERVICE_TIMES % service_times.len();
-        service_times.rotate_left(start);
-        service_times.truncate(MAX_SERVICE_TIMES);
-    }
-    service_times
-}
--- a/crates/gateway/src/quota_worker.rs
+++ b/crates/gateway/src/quota_worker.rs
@@ -5,7 +5,7 @@
 //! keys, all instances hear each other, and the first by name is the holder.
 
 use crate::{
-    peer_table::FirstInstance,
+    peer_leaders::FirstInstance,
     prelude::*,
     quota_wire::{QuotaBody, QuotaMessage},
 };
--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -7,6 +7,7 @@
 use crate::{
     key_span::{KeySpan, densest_span, total_weight},
     prelude::*,
+    range_tidying::{mergeable_runs, reassign_cold_ranges},
     server_loads::ServerLoads,
 };
 
@@ -31,38 +32,6 @@
     pub merge_threshold: usize,
 }
 
-/// A server that may own keys.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PlannedServer {
-    /// Identifier of the server and of this incarnation.
-    pub incarnation: ServerIncarnation,
-    /// Requests that the server can serve per second.
-    pub capacity: f64,
-    /// Requests of the window that the server accepts, if it names a limit. Requests beyond it are
-    /// refused.
-    pub limit: Option<f64>,
-}
-
-impl PlannedServer {
-    /// Part of its limit that a server is loaded with when it gives or receives keys.
-    const LIMIT_TARGET: f64 = 0.5;
-    /// Part of its limit above which a server gives keys away.
-    const LIMIT_THRESHOLD: f64 = 0.8;
-
-    /// Load that the server has to give away when it is loaded with `weight`, if any.
-    fn surplus(&self, weight: f64) -> Option<f64> {
-        let limit = self.limit?;
-        let is_over = weight > limit * Self::LIMIT_THRESHOLD;
-        is_over.then_some(weight - limit * Self::LIMIT_TARGET)
-    }
-
-    /// Whether the server would be loaded with `weight` without having to give keys away.
-    pub(crate) fn can_bear(&self, weight: f64) -> bool {
-        self.limit
-            .is_none_or(|limit| weight <= limit * Self::LIMIT_TARGET)
-    }
-}
-
 /// Planned change of a key record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeyPlan {
@@ -83,13 +52,19 @@
 }
 
 /// Record with the moves that have been planned so far.
-struct PlanDraft {
-    record: KeyRecord,
+pub(crate) struct PlanDraft {
+    pub(crate) record: KeyRecord,
     moves: Vec<RangeMove>,
 }
 
 impl PlanDraft {
-    fn assign(&mut self, first: u16, last: u16, owner: &ServerIncarnation, released: bool) {
+    pub(crate) fn assign(
+        &mut self,
+        first: u16,
+        last: u16,
+        owner: &ServerIncarnation,
+        released: bool,
+    ) {
         self.record.assign(first, last, owner, released);
         self.moves.push(RangeMove {
             first,
@@ -293,59 +268,3 @@
             && excess.max(deficit) >= self.min_excess
     }
 }
-
-/// Moves small ranges that carry almost no load to the owner of their left neighbour, so that the
-/// two can be merged. Spans that were hot earlier leave such ranges behind.
-fn reassign_cold_ranges(
-    draft: &mut PlanDraft,
-    servers: &[PlannedServer],
-    loads: &ServerLoads,
-    weights: &[(u16, f64)],
-) {
-    /// Highest number of ranges moved in one plan.
-    const MAX_REASSIGNED: usize = 10;
-    /// Highest number of keys of such a range.
-    const MAX_KEYS: u32 = 512;
-    /// Share of the servers' mean load up to which a range counts as without load.
-    const COLD_LOAD_SHARE: f64 = 0.1;
-    let mean = loads.weight.iter().sum::<f64>() / servers.len() as f64;
-    let is_planned = |incarnation: &ServerIncarnation| {
-        servers
-            .iter()
-            .any(|server| server.incarnation == *incarnation)
-    };
-    let ranges = draft.record.ranges.clone();
-    let mut reassigned = 0;
-    let mut position = 1;
-    while position < ranges.len() && reassigned < MAX_REASSIGNED {
-        let (left, range) = (&ranges[position - 1], &ranges[position]);
-        let is_cold = total_weight(weights, range.first, range.last) <= mean * COLD_LOAD_SHARE;
-        let is_small = range.len() <= MAX_KEYS;
-        let are_settled = left.is_settled() && range.is_settled();
-        if is_cold && is_small && are_settled && left.owner != range.owner {
-            if is_planned(&left.owner) && is_planned(&range.owner) {
-                draft.assign(range.first, range.last, &left.owner, false);
-                reassigned += 1;
-            }
-            // Compare the next range with one that is not moved.
-            position += 1;
-        }
-        position += 1;
-    }
-}
-
-/// Returns the first keys of runs of adjacent ranges to merge, since each range costs a renewal.
-fn mergeable_runs(record: &KeyRecord) -> Vec<u16> {
-    /// Highest number of runs merged in one plan.
-    const MAX_MERGED_RUNS: usize = 8;
-    let mut firsts = Vec::new();
-    let mut start = 0;
-    while start < record.ranges.len() && firsts.len() < MAX_MERGED_RUNS {
-        let length = KeyRecord::run_length(&record.ranges[start..]);
-        if length > 1 {
-            firsts.push(record.ranges[start].first);
-        }
-        start += length.max(1);
-    }
-    firsts
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,9 +20,11 @@
 mod load_tracker;
 mod move_step;
 mod order_health;
+mod planned_server;
 mod quota_client;
 mod quota_holder;
 mod quota_message;
+mod range_tidying;
 mod record_delta;
 mod retry_budget;
 mod route_rule;
@@ -47,7 +49,7 @@
     grant_ledger::GrantLedger,
     incarnation_status::IncarnationStatus,
     key_leader::KeyLeader,
-    key_planner::{KeyPlan, KeyPlanner, PlannedServer},
+    key_planner::{KeyPlan, KeyPlanner},
     key_range::{KeyRange, RangeState},
     key_record::{InstanceIncarnation, KeyRecord, ServerIncarnation},
     leader_timing::LeaderTiming,
@@ -56,6 +58,7 @@
     load_tracker::{LoadTracker, ReportedLoad},
     move_step::MoveStep,
     order_health::{OrderFailure, OrderHealth},
+    planned_server::PlannedServer,
     quota_client::{QuotaClient, QuotaStep},
     quota_holder::QuotaHolder,
     quota_message::{QuotaAsk, QuotaGrant},
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -4,6 +4,7 @@
 //! servers restart under their identifier; answers of the store are lost. The invariants are
 //! checked at every step: at most one server holds a key, and the fences of a key only increase.
 
+mod connection_faults;
 mod fake_server;
 mod fake_store;
 mod history_parameters;
--- a/crates/routing/tests/key_history/sent_order.rs
+++ b/crates/routing/tests/key_history/sent_order.rs
@@ -10,18 +10,18 @@
 
 /// Order in flight, or waiting to be executed late.
 pub(crate) struct SentOrder {
-    executed_at: u64,
-    arrived_at: u64,
-    instance: usize,
-    sender_incarnation: u64,
+    pub(crate) executed_at: u64,
+    pub(crate) arrived_at: u64,
+    pub(crate) instance: usize,
+    pub(crate) sender_incarnation: u64,
     /// Server, and the start time of the incarnation that the connection leads to.
-    server: usize,
-    server_born: u64,
-    kind: OrderKind,
-    range: KeyRange,
-    is_answer_lost: bool,
+    pub(crate) server: usize,
+    pub(crate) server_born: u64,
+    pub(crate) kind: OrderKind,
+    pub(crate) range: KeyRange,
+    pub(crate) is_answer_lost: bool,
     /// Whether the sender has stopped waiting for the answer.
-    is_given_up: bool,
+    pub(crate) is_given_up: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -107,47 +107,6 @@
         is_proven
     }
 
-    /// Whether a server refuses new connections, because it has ended or has too many.
-    fn refuses_connection(&self, server: usize) -> bool {
-        let server = &self.servers[server];
-        self.parameters.refusals_per_mille > 0 && (!server.is_up || self.now < server.refuses_until)
-    }
-
-    /// Health of the incarnation of a server that an instance knows.
-    fn health_of(&mut self, index: usize, server: usize) -> &mut OrderHealth {
-        let instance = &mut self.instances[index];
-        let known_born = instance.known_born[server];
-        let (born, health) = &mut instance.health[server];
-        if *born != known_born {
-            (*born, *health) = (known_born, OrderHealth::default());
-        }
-        health
-    }
-
-    /// Has a random server refuse new connections for a while, and resets those of some instances.
-    pub(crate) fn refuse_connections(&mut self) {
-        if !self.chance_of(self.parameters.refusals_per_mille) {
-            return;
-        }
-        let server = self.random_between(0, self.servers.len() as u64) as usize;
-        self.servers[server].refuses_until = self.now + self.random_between(200, 1_500);
-        for index in 0..self.instances.len() {
-            if !self.chance(500) {
-                continue;
-            }
-            self.instances[index].connection_incarnations[server] = 0;
-            let mut orders = std::mem::take(&mut self.orders);
-            for order in orders.iter_mut().filter(|order| {
-                order.instance == index && order.server == server && !order.is_given_up
-            }) {
-                order.is_given_up = true;
-                order.is_answer_lost = true;
-                self.report_result(order, None);
-            }
-            self.orders = orders;
-        }
-    }
-
     fn position_of(&self, incarnation: &ServerIncarnation) -> usize {
         let is_same_server = |server: &FakeServer| server.id == incarnation.id;
         self.servers.iter().position(is_same_server).unwrap()
@@ -226,50 +185,7 @@
         }
     }
 
-    /// Randomly breaks the connections of one instance or all instances to one server or all
-    /// servers.
-    pub(crate) fn break_connections(&mut self) {
-        /// Time after which senders give up an order, even if its connection does not break.
-        const ORDER_TIMEOUT_MS: u64 = 500;
-        if self.parameters.breaks_per_mille == 0 {
-            return;
-        }
-        let is_break = self.chance(self.parameters.breaks_per_mille);
-        let instance = self.random_between(0, 2 * self.instances.len() as u64) as usize;
-        let server = self.random_between(0, 2 * self.servers.len() as u64) as usize;
-        let is_all_instances = instance >= self.instances.len();
-        let is_all_servers = server >= self.servers.len();
-        let now = self.now;
-        let mut orders = std::mem::take(&mut self.orders);
-        for order in orders.iter_mut().filter(|order| !order.is_given_up) {
-            let is_hit = is_break
-                && (is_all_instances || order.instance == instance)
-                && (is_all_servers || order.server == server);
-            if is_hit
-                || (order.executed_at != u64::MAX && order.arrived_at + ORDER_TIMEOUT_MS <= now)
-            {
-                order.is_given_up = true;
-                order.is_answer_lost = true;
-                self.report_result(order, None);
-            }
-        }
-        orders.retain(|order| order.executed_at != u64::MAX || !order.is_given_up);
-        self.orders = orders;
-        if is_break {
-            for (index, known) in self.instances.iter_mut().enumerate() {
-                for (position, until) in known.suspect_until.iter_mut().enumerate() {
-                    if (is_all_instances || index == instance)
-                        && (is_all_servers || position == server)
-                    {
-                        *until = now + 1_000;
-                        known.connection_incarnations[position] = 0;
-                    }
-                }
-            }
-        }
-    }
-
-    fn report_result(&mut self, order: &SentOrder, answer: Option<bool>) {
+    pub(crate) fn report_result(&mut self, order: &SentOrder, answer: Option<bool>) {
         let now = MonoTime(self.now * 1_000);
         let instance = &mut self.instances[order.instance];
         if instance.leader.own_incarnation().incarnation != order.sender_incarnation {
--- a/crates/soak/src/backend_process.rs
+++ b/crates/soak/src/backend_process.rs
@@ -20,10 +20,10 @@
     /// Handover of the last answered release.
     last_handover: Mutex<Option<String>>,
     /// Requests per second that the server names as its limit.
-    limit: Mutex<Option<f64>>,
-    ledger: Arc<SoakLedger>,
-    running: AtomicUsize,
-    waiting: AtomicUsize,
+    pub(crate) limit: Mutex<Option<f64>>,
+    pub(crate) ledger: Arc<SoakLedger>,
+    pub(crate) running: AtomicUsize,
+    pub(crate) waiting: AtomicUsize,
     request_count: AtomicU64,
     slot_freed: Event,
     tasks: Mutex<Vec<Task<()>>>,
@@ -297,63 +297,4 @@
             slot_freed.await;
         }
     }
-
-    /// Names a limit of requests per second from now on; returns false if there is one already.
-    pub(crate) fn start_limit(&self, per_second: f64) -> bool {
-        let mut limit = self.limit.lock().unwrap();
-        let is_new = limit.is_none();
-        limit.get_or_insert(per_second);
-        is_new
-    }
-
-    /// Names no limit from now on.
-    pub(crate) fn end_limit(&self) {
-        *self.limit.lock().unwrap() = None;
-    }
-
-    /// Returns the limit for the answer to a request, and records that the answer names it.
-    fn named_limit(&self, execution: usize) -> Option<f64> {
-        let limit = *self.limit.lock().unwrap();
-        if limit.is_some() {
-            self.ledger.record_named_limit(execution);
-        }
-        limit
-    }
-
-    fn record_rejection(&self, execution: usize) {
-        self.named_limit(execution);
-        self.ledger
-            .record_end(execution, ExecutionOutcome::Rejected);
-    }
-
-    fn load(&self) -> ReportedLoad {
-        ReportedLoad {
-            running: self.running.load(Ordering::SeqCst) as u32,
-            waiting: self.waiting.load(Ordering::SeqCst) as u32,
-            slots: Self::SLOTS as u32,
-        }
-    }
-
-    fn reply_not_executed(
-        &self,
-        status: StatusCode,
-        headers: &http::HeaderMap,
-    ) -> Response<AnswerBody> {
-        let request_headers = RequestHeaders::from(headers);
-        let answer = AnswerHeaders {
-            request_id: request_headers.request_id.as_ref(),
-            not_executed: true,
-            load: Some(self.load()),
-            limit: *self.limit.lock().unwrap(),
-            ..AnswerHeaders::default()
-        };
-        self.reply(status, answer)
-    }
-
-    fn reply(&self, status: StatusCode, headers: AnswerHeaders<'_>) -> Response<AnswerBody> {
-        let mut response = Response::new(full_body(Bytes::new()));
-        *response.status_mut() = status;
-        headers.set(response.headers_mut());
-        response
-    }
 }
--- a/crates/soak/src/guarantee_checker_tests.rs
+++ b/crates/soak/src/guarantee_checker_tests.rs
@@ -5,11 +5,11 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Returns a time in milliseconds after an origin that leaves room for earlier times.
-fn at(millis: u64) -> MonoTime {
+pub(crate) fn at(millis: u64) -> MonoTime {
     MonoTime(1_000_000_000 + millis * 1_000)
 }
 
-fn call(id: &str, kind: RequestKind, outcome: CallOutcome) -> CallRecord {
+pub(crate) fn call(id: &str, kind: RequestKind, outcome: CallOutcome) -> CallRecord {
     CallRecord {
         id: id.into(),
         kind,
@@ -22,7 +22,7 @@
     }
 }
 
-fn execution(id: &str, service: &'static str) -> ExecutionRecord {
+pub(crate) fn execution(id: &str, service: &'static str) -> ExecutionRecord {
     ExecutionRecord {
         id: id.into(),
         service,
@@ -37,14 +37,14 @@
     }
 }
 
-fn incarnation(id: &str) -> ServerIncarnation {
+pub(crate) fn incarnation(id: &str) -> ServerIncarnation {
     ServerIncarnation {
         id: id.into(),
         born: 1,
     }
 }
 
-fn answered(status: u16) -> CallOutcome {
+pub(crate) fn answered(status: u16) -> CallOutcome {
     CallOutcome::Answered(StatusCode::from_u16(status).unwrap(), None)
 }
 
@@ -58,7 +58,7 @@
 }
 
 /// Like `violations_of`, with a ledger that may contain disturbances.
-fn violations_in(
+pub(crate) fn violations_in(
     ledger: &SoakLedger,
     calls: Vec<CallRecord>,
     executions: Vec<ExecutionRecord>,
@@ -298,59 +298,3 @@
     ledger.check_grant(&incarnation("s2"), &order(5), false);
     assert_eq!(ledger.violations.lock().unwrap().len(), 1);
 }
-
-/// Returns records of `count` requests of one instance to a limited server, one each 100 ms, and
-/// the ledger with the limit, which all answers name.
-fn limited_requests(
-    count: u64,
-    per_second: f64,
-) -> (SoakLedger, Vec<CallRecord>, Vec<ExecutionRecord>) {
-    let ledger = SoakLedger::default();
-    ledger.limits.lock().unwrap().push(LimitPeriod {
-        server: incarnation("s1"),
-        per_second,
-        from: at(0),
-        until: at(60_000),
-    });
-    let ids: Vec<(String, u64)> = (0..count)
-        .map(|number| (format!("limited-{number}"), number * 100))
-        .collect();
-    let calls = ids.iter().map(|(id, millis)| CallRecord {
-        sent_at: at(*millis),
-        ended_at: at(millis + 50),
-        ..call(id, RequestKind::Lookup, answered(200))
-    });
-    let executions = ids.iter().map(|(id, millis)| ExecutionRecord {
-        arrived_at: at(millis + 10),
-        names_limit: true,
-        ..execution(id, "plain")
-    });
-    (ledger, calls.collect(), executions.collect())
-}
-
-#[test]
-fn more_requests_than_the_named_limit_allows_report_limit() {
-    let (ledger, calls, executions) = limited_requests(100, 4.0);
-    assert_eq!(violations_in(&ledger, calls, executions, &[]), ["LIMIT"]);
-}
-
-#[test]
-fn requests_within_the_named_limit_report_nothing() {
-    let (ledger, calls, executions) = limited_requests(100, 6.0);
-    assert_eq!(
-        violations_in(&ledger, calls, executions, &[]),
-        Vec::<String>::new()
-    );
-}
-
-#[test]
-fn requests_of_an_instance_that_was_not_told_the_limit_report_nothing() {
-    let (ledger, calls, mut executions) = limited_requests(100, 4.0);
-    for execution in &mut executions {
-        execution.names_limit = false;
-    }
-    assert_eq!(
-        violations_in(&ledger, calls, executions, &[]),
-        Vec::<String>::new()
-    );
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! checked against the documented guarantees; the instances' own statements are not trusted.
 
 mod answer_body;
+mod backend_answers;
 mod backend_fault;
 mod backend_keys;
 mod backend_process;
@@ -23,6 +24,8 @@
 mod instance_process;
 mod instance_supervisor;
 mod limit_checker;
+#[cfg(test)]
+mod limit_checker_tests;
 mod link_proxy;
 mod process_exit;
 #[cfg(test)]
