--- a/crates/routing/tests/limited_servers.rs
+++ b/crates/routing/tests/key_planner/limited_servers.rs
@@ -1,63 +1,7 @@
-//! Plans of moves away from servers that name a limit.
+//! Moves away from servers that name a limit.
 
-use geraniummast_routing::*;
-
-fn server(id: &str, capacity: f64) -> PlannedServer {
-    PlannedServer {
-        incarnation: ServerIncarnation {
-            id: id.into(),
-            born: 1,
-        },
-        capacity,
-        limit: None,
-    }
-}
-
-fn leader() -> InstanceIncarnation {
-    InstanceIncarnation {
-        instance: "i".into(),
-        incarnation: 1,
-    }
-}
-
-fn settled(mut record: KeyRecord) -> KeyRecord {
-    for range in &mut record.ranges {
-        range.state = RangeState::Settled;
-    }
-    record
-}
-
-fn distributed(servers: &[PlannedServer]) -> KeyRecord {
-    let record = KeyRecord::new("reports", leader());
-    let planned = KeyPlanner::default().plan(&record, servers, &[], |_, _| false);
-    settled(planned.unwrap().apply(&record))
-}
-
-fn share(record: &KeyRecord, id: &str, weights: &[(u16, f64)]) -> f64 {
-    let owned = |key: &u16| record.range_of(*key).unwrap().owner.id == id;
-    let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
-    let own: f64 = weights
-        .iter()
-        .filter(|(key, _)| owned(key))
-        .map(|(_, weight)| weight)
-        .sum();
-    own / total
-}
-
-/// Plans until nothing is due; each plan is executed before the next.
-fn rebalanced(
-    mut record: KeyRecord,
-    servers: &[PlannedServer],
-    weights: &[(u16, f64)],
-) -> KeyRecord {
-    for _ in 0..40 {
-        match KeyPlanner::default().plan(&record, servers, weights, |_, _| false) {
-            Some(next) => record = settled(next.apply(&record)),
-            None => return record,
-        }
-    }
-    panic!("planning did not converge");
-}
+use crate::{distributed, rebalanced, server, share};
+use geraniummast_routing::{KeyRecord, PlannedServer};
 
 fn limited(id: &str, limit: f64) -> PlannedServer {
     PlannedServer {
--- a/crates/routing/tests/key_planner.rs
+++ b/crates/routing/tests/key_planner/main.rs
@@ -1,6 +1,8 @@
 //! Plans of moves for hot spans of keys, servers of different capacity, and servers that join and
 //! leave.
 
+mod limited_servers;
+
 use geraniummast_routing::*;
 
 fn server(id: &str, capacity: f64) -> PlannedServer {
