Do not count grants that were never sent as grants that may be valid

Cause: each attempt recorded the grant when its step became due, before a connection was there, so the leader, which tries again each 300 ms, never saw the fence expire and did not move the keys elsewhere.

Ruled out: the wait for former leaders; all of them had stopped by 9.2 s, the ranges moved at about 20 s.

Change: a grant is recorded only directly before it is sent, by begin_grant, as renewals are.

--- a/crates/routing/src/leader_moves.rs
+++ b/crates/routing/src/leader_moves.rs
@@ -43,7 +43,6 @@
                     if now >= not_before && !owner_has_ended && !is_retired =>
                 {
                     progress.stage = MoveStage::Granting;
-                    self.ledger.record_sent(range.fence, now);
                     steps.push(MoveStep::Grant {
                         range: range.clone(),
                         handover: progress.handover.clone(),
