Wait for the store's word on a server that may have started again

Cause: while only the store is unavailable, a leader renews over new connections without asking it which incarnation is there.

Change: after a refused or broken connection the incarnation is in doubt until an order is answered, and a new connection is used only with the store's word. In an outage, keys of a server that refuses connections may lapse.

--- a/crates/gateway/src/grant_connections.rs
+++ b/crates/gateway/src/grant_connections.rs
@@ -62,7 +62,8 @@
                 .map_err(ConnectError::Unreachable)?;
         // While the store is unavailable and peers are heard, the check is skipped: this leader
         // changes no record, and the peers would report a new leader.
-        if node.is_only_store_unavailable() {
+        let may_have_restarted = server.with_order_health(|health| health.may_have_restarted());
+        if node.is_only_store_unavailable() && !may_have_restarted {
             return Ok(connection);
         }
         match check_incarnation(node, server.incarnation()).await {
