--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -174,7 +174,7 @@
 // Guards against servers that get more requests than the limit that they name, summed over all
 // instances.
 #[test]
-fn servers_with_a_named_limit_get_no_more_requests() {
+fn instances_together_keep_the_rate_limit_of_a_server() {
     let plan = SoakPlan {
         callers: 30,
         fault_duration: Duration::from_secs(10),
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -16,7 +16,7 @@
 /// Length of one step of simulated time.
 const STEP_MS: u64 = 20;
 /// Identifiers of the servers.
-const SERVERS: [&str; 4] = ["s0", "s1", "s2", "s3"];
+pub(crate) const SERVERS: [&str; 4] = ["s0", "s1", "s2", "s3"];
 /// Number of steps of one history.
 const STEPS: u64 = 1_500;
 
@@ -144,52 +144,6 @@
         self.rng.random_range(from..to)
     }
 
-    fn inject_faults(&mut self) {
-        let index = self.rng.random_range(0..self.instances.len());
-        let until = self.now + self.random_between(500, 12_000);
-        match self.rng.random_range(0..1_000) {
-            0..4 => self.instances[index].paused_until = until,
-            4..8 => self.instances[index].store_cut_until = until,
-            8..11 => {
-                let restart_at = self.now + self.random_between(300, 4_000);
-                self.instances[index].restart_at = Some(restart_at);
-            }
-            11..13 => {
-                let server = self.rng.random_range(0..self.servers.len());
-                self.servers[server].is_up = false;
-            }
-            13..16 => {
-                let server = self.rng.random_range(0..self.servers.len());
-                self.servers[server].restart();
-            }
-            _ => {}
-        }
-        for index in 0..self.instances.len() {
-            if self.instances[index]
-                .restart_at
-                .is_some_and(|at| at <= self.now)
-            {
-                let before = self.instances[index].leader.own_incarnation().incarnation;
-                self.instances[index] = FakeInstance {
-                    leader: KeyLeader::new(
-                        incarnation_of(index, before + 1),
-                        timing(&self.parameters),
-                    ),
-                    paused_until: 0,
-                    store_cut_until: 0,
-                    restart_at: None,
-                    planned_at: 0,
-                    confirmed_at: 0,
-                    started_at: self.now,
-                    known_born: self.servers.iter().map(|server| server.born).collect(),
-                    connection_incarnations: vec![0; SERVERS.len()],
-                    suspect_until: vec![0; SERVERS.len()],
-                    health: vec![(1, OrderHealth::default()); SERVERS.len()],
-                };
-            }
-        }
-    }
-
     fn is_alive(&self, index: usize) -> bool {
         let instance = &self.instances[index];
         instance.restart_at.is_none() && instance.paused_until <= self.now
@@ -285,7 +239,7 @@
     }
 }
 
-fn incarnation_of(index: usize, incarnation: u64) -> InstanceIncarnation {
+pub(crate) fn incarnation_of(index: usize, incarnation: u64) -> InstanceIncarnation {
     InstanceIncarnation {
         instance: format!("i{index}"),
         incarnation,
@@ -296,7 +250,7 @@
     incarnation.instance[1..].parse().unwrap()
 }
 
-fn timing(parameters: &HistoryParameters) -> LeaderTiming {
+pub(crate) fn timing(parameters: &HistoryParameters) -> LeaderTiming {
     LeaderTiming {
         grant_duration: Duration::from_millis(parameters.assumed_grant_ms),
         renewal_interval: Duration::from_millis(900),
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -9,6 +9,7 @@
 mod fake_store;
 mod history_parameters;
 mod history_world;
+mod instance_faults;
 mod record_writes;
 mod sent_order;
 
--- a/crates/routing/tests/shared_limit/limit_simulation.rs
+++ b/crates/routing/tests/shared_limit/limit_simulation.rs
@@ -1,5 +1,6 @@
 //! Event-driven simulation of instances that share one server's limit.
 
+use crate::simulation_plan::{CallerSpread, HolderFault, SimulationPlan};
 use geraniummast_model::MonoTime;
 use geraniummast_routing::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -9,40 +10,6 @@
     time::Duration,
 };
 
-/// Which instances the callers use.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum CallerSpread {
-    Even,
-    AllAtOne,
-    /// All at one instance, and at another one from the middle of the run on.
-    Moving,
-}
-
-/// What happens to the holder after a third of the run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum HolderFault {
-    None,
-    /// It is lost, and another instance succeeds it.
-    Lost,
-    /// It stands still for a while and then answers what it received, beside its successor.
-    Frozen,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SimulationPlan {
-    pub(crate) seed: u64,
-    pub(crate) instances: usize,
-    /// Requests per second that the server accepts.
-    pub(crate) limit: f64,
-    /// Requests of callers, as a multiple of the limit.
-    pub(crate) demand: f64,
-    pub(crate) spread: CallerSpread,
-    /// Share of messages that are lost.
-    pub(crate) loss: f64,
-    pub(crate) fault: HolderFault,
-    pub(crate) seconds: u64,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
@@ -79,25 +46,6 @@
     sent: Vec<f64>,
 }
 
-impl CallerSpread {
-    pub(crate) const ALL: [Self; 3] = [Self::Even, Self::AllAtOne, Self::Moving];
-}
-
-impl HolderFault {
-    pub(crate) const ALL: [Self; 3] = [Self::None, Self::Lost, Self::Frozen];
-}
-
-impl SimulationPlan {
-    /// Spans in seconds in which the instances have adapted to the demand.
-    pub(crate) fn settled_spans(&self) -> Vec<(f64, f64)> {
-        let (middle, end) = (self.seconds as f64 / 2.0, self.seconds as f64);
-        match self.spread {
-            CallerSpread::Moving => vec![(5.0, middle), (middle + 5.0, end)],
-            _ => vec![(5.0, end)],
-        }
-    }
-}
-
 impl LimitSimulation {
     /// Longest time that a request waits for a token.
     const MAX_WAIT: Duration = Duration::from_millis(120);
--- a/crates/routing/tests/shared_limit/main.rs
+++ b/crates/routing/tests/shared_limit/main.rs
@@ -3,9 +3,11 @@
 //! the holder is lost or frozen.
 
 mod limit_simulation;
+mod simulation_plan;
 
-use limit_simulation::{CallerSpread, HolderFault, LimitSimulation, SimulationPlan};
+use limit_simulation::LimitSimulation;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use simulation_plan::{CallerSpread, HolderFault, SimulationPlan};
 
 const INSTANCES: [usize; 5] = [1, 8, 12, 87, 300];
 const LIMITS: [f64; 6] = [0.0, 0.5, 4.2, 7.4, 50.0, 1_000.0];
@@ -34,7 +36,7 @@
 
 // Guards against instances that together send more than a server's limit allows.
 #[test]
-fn no_window_exceeds_the_limit() {
+fn no_window_exceeds_the_rate_limit_of_a_server() {
     for seed in 0..200 {
         let plan = plan(seed);
         let sent = LimitSimulation::new(plan).run();
@@ -49,7 +51,7 @@
 
 // Guards against a limit that instances share so unevenly that a part of it is not used.
 #[test]
-fn limit_is_used_when_demand_exceeds_it() {
+fn rate_limit_of_a_server_is_used_when_demand_exceeds_it() {
     for seed in 0..200 {
         let plan = SimulationPlan {
             fault: HolderFault::None,
