Share what tests of this change had written again

One node for tests in the gateway, one assertion for histories without violations, one schedule of server faults in the soak.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -70,6 +70,8 @@
 mod stop_plan_tests;
 mod store_health;
 #[cfg(test)]
+mod test_node;
+#[cfg(test)]
 mod unexpected_error_tests;
 mod update_router;
 #[cfg(test)]
--- a/crates/gateway/src/stop_plan_tests.rs
+++ b/crates/gateway/src/stop_plan_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the schedule of a graceful stop.
 
-use crate::prelude::*;
+use crate::{prelude::*, test_node};
 
 const PLAN: StopPlan = StopPlan {
     min_duration: Duration::from_millis(3_200),
@@ -92,23 +92,8 @@
 // when the stop answered all pending requests (incident inc1).
 #[test]
 fn stop_refuses_request_that_would_still_be_pending_at_its_end() {
-    let flags = [
-        "--name=a1",
-        "--data-centre=dc1",
-        "--caller-address=127.0.0.1:1",
-        "--readiness-address=127.0.0.1:2",
-        "--operator-address=127.0.0.1:3",
-        "--peer-address=127.0.0.1:4",
-        "--feed-address=127.0.0.1:5",
-        "--store-address=127.0.0.1:6",
-        "--stop-timeout-s=6",
-    ];
-    let read = GatewaySettings::read(flags.map(Into::into), |_| None);
-    let geraniummast_settings::SettingsOutcome::Run(settings) = read else {
-        panic!("settings are invalid");
-    };
-    let answer_pending_at = settings.stop_plan().answer_pending_at;
-    let node = GatewayNode::new(*settings, WorkerPool::start("test", 0).unwrap(), 1);
+    let node = test_node::build();
+    let answer_pending_at = node.settings.stop_plan().answer_pending_at;
     const ELAPSED: Duration = Duration::from_secs(4);
     *node.stopping_since.lock() = Some(node.now().before(ELAPSED));
     let caller_timeout = answer_pending_at - ELAPSED + Duration::from_millis(150);
--- /dev/null
+++ b/crates/gateway/src/test_node.rs
@@ -0,0 +1,24 @@
+//! State of an instance for tests, without sockets.
+
+use crate::prelude::*;
+use geraniummast_settings::SettingsOutcome;
+
+/// Creates the state of an instance whose stops take up to 6 s.
+pub(crate) fn build() -> GatewayNode {
+    let flags = [
+        "--name=a1",
+        "--data-centre=dc1",
+        "--caller-address=127.0.0.1:1",
+        "--readiness-address=127.0.0.1:2",
+        "--operator-address=127.0.0.1:3",
+        "--peer-address=127.0.0.1:4",
+        "--feed-address=127.0.0.1:5",
+        "--store-address=127.0.0.1:6",
+        "--stop-timeout-s=6",
+    ];
+    let read = GatewaySettings::read(flags.map(Into::into), |_| None);
+    let SettingsOutcome::Run(settings) = read else {
+        panic!("settings are invalid");
+    };
+    GatewayNode::new(*settings, WorkerPool::start("test", 0).unwrap(), 1)
+}
--- a/crates/gateway/src/unexpected_error_tests.rs
+++ b/crates/gateway/src/unexpected_error_tests.rs
@@ -4,39 +4,14 @@
     peer_heartbeat::{GrantedRange, KeySamples, PeerHeartbeat},
     peer_worker,
     prelude::*,
-    request_handler,
+    request_handler, test_node,
 };
 
-fn node() -> GatewayNode {
-    let arguments = [
-        "--name=i1",
-        "--data-centre=dc1",
-        "--caller-address=127.0.0.1:1",
-        "--readiness-address=127.0.0.1:2",
-        "--operator-address=127.0.0.1:3",
-        "--peer-address=127.0.0.1:4",
-        "--feed-address=127.0.0.1:5",
-        "--store-address=127.0.0.1:6",
-        "--stop-timeout-s=6",
-        "--drain-s=2",
-        "--max-hold-s=10",
-        "--retry-ratio=0.2",
-        "--retry-slack=50",
-        "--retry-window-s=10",
-    ];
-    let request = GatewaySettings::read(arguments.map(Into::into), |_| None);
-    let settings = match request.resolve("test") {
-        Ok(settings) => settings,
-        Err(_) => panic!("the settings are valid"),
-    };
-    GatewayNode::new(settings, WorkerPool::start("test", 0).unwrap(), 1)
-}
-
 // Guards against an instance that answers no request any more after one of its tasks panicked with
 // a lock held.
 #[test]
 fn state_stays_usable_after_a_panic_with_its_lock_held() {
-    let node = node();
+    let node = test_node::build();
     let panicked = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         node.with_key_view("s", |_| panic!("panic of one task"))
     }));
@@ -63,7 +38,7 @@
 // not exist, and write its record to the store.
 #[test]
 fn heartbeat_that_names_unknown_services_creates_none() {
-    let node = node();
+    let node = test_node::build();
     node.with_key_view("known", |_| ());
     let heartbeat = PeerHeartbeat {
         instance: "i2".into(),
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -36,9 +36,7 @@
         .collect()
 }
 
-#[test]
-fn all_faults_leave_one_owner_per_key_and_increasing_fences() {
-    let violations_found = violations(&HistoryParameters::default(), SEEDS);
+fn assert_no_violations(violations_found: &[String]) {
     assert!(
         violations_found.is_empty(),
         "{}",
@@ -46,6 +44,12 @@
     );
 }
 
+#[test]
+fn all_faults_leave_one_owner_per_key_and_increasing_fences() {
+    let violations_found = violations(&HistoryParameters::default(), SEEDS);
+    assert_no_violations(&violations_found);
+}
+
 /// Violations in histories with the given rates of late orders and of breaking connections.
 fn broken_connection_violations(
     late_orders_per_mille: u32,
@@ -64,11 +68,7 @@
 fn late_orders_and_broken_connections_leave_one_owner_per_key() {
     let seeds: Vec<u64> = (0..SEEDS).collect();
     let violations_found = broken_connection_violations(500, 60, &seeds);
-    assert!(
-        violations_found.is_empty(),
-        "{}",
-        violations_found.join("\n")
-    );
+    assert_no_violations(&violations_found);
 }
 
 // Guards against a refused connection that is taken for the end of its server's process: a server
@@ -80,11 +80,7 @@
         ..HistoryParameters::default()
     };
     let violations_found = violations(&parameters, SEEDS);
-    assert!(
-        violations_found.is_empty(),
-        "{}",
-        violations_found.join("\n")
-    );
+    assert_no_violations(&violations_found);
 }
 
 // Guards against grants that arrive as late as their sender waits for an answer: the holds that they
@@ -98,11 +94,7 @@
         ..HistoryParameters::default()
     };
     let violations_found = violations(&parameters, SEEDS);
-    assert!(
-        violations_found.is_empty(),
-        "{}",
-        violations_found.join("\n")
-    );
+    assert_no_violations(&violations_found);
 }
 
 #[test]
@@ -114,11 +106,7 @@
         broken_connection_violations(800, 100, &[249]),
     ]
     .concat();
-    assert!(
-        violations_found.is_empty(),
-        "{}",
-        violations_found.join("\n")
-    );
+    assert_no_violations(&violations_found);
 }
 
 #[test]
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -84,11 +84,7 @@
                 events
             }
             FaultScenario::RepeatedAnswers => {
-                let repeat = |number| {
-                    let event = Self::Server(number, BackendFault::Repeating, plan.fault_duration);
-                    (Duration::ZERO, event)
-                };
-                (0..plan.servers * 2).map(repeat).collect()
+                Self::server_faults(plan, plan.servers * 2, BackendFault::Repeating)
             }
             FaultScenario::RefusedConnections => {
                 let count = plan.fault_duration.as_millis() / 1_000;
@@ -138,17 +134,24 @@
         fault: BackendFault,
         stops: Self,
     ) -> Vec<(Duration, Self)> {
-        let inject_fault = |number| {
-            (
-                Duration::ZERO,
-                Self::Server(number, fault, plan.fault_duration),
-            )
-        };
-        let mut events: Vec<_> = (0..servers).map(inject_fault).collect();
+        let mut events = Self::server_faults(plan, servers, fault);
         events.push((Duration::from_millis(500), stops));
         events
     }
 
+    /// Puts the first `servers` servers of the main services into a fault state for the whole run.
+    fn server_faults(
+        plan: &SoakPlan,
+        servers: usize,
+        fault: BackendFault,
+    ) -> Vec<(Duration, Self)> {
+        let inject_fault = |number| {
+            let event = Self::Server(number, fault, plan.fault_duration);
+            (Duration::ZERO, event)
+        };
+        (0..servers).map(inject_fault).collect()
+    }
+
     /// Draws random faults for a period of the given duration.
     pub(crate) fn schedule(rng: &mut StdRng, duration: Duration) -> Vec<(Duration, Self)> {
         let mut at = Duration::ZERO;
