Work out a server's rate limit once on the way of a request and of a plan

One function updates a limit and logs the change, for answers and for other instances' reports. A reservation says whether a token was taken, so that an attempt does not lock the quota again to count itself; it counts what was reserved under a limit, no longer what is sent under one that was named in between. Which servers are left out of the balance is worked out once a plan. Decisions are as before.

--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -23,7 +23,7 @@
         }
     };
     let sent_at = node.now();
-    if server.quota.lock().limit.per_second(sent_at).is_some() {
+    if reservation.has_token {
         metrics::counter!(LIMITED_ATTEMPTS).increment(1);
     }
     call.progress.in_flight.store(true, Ordering::Relaxed);
@@ -109,11 +109,7 @@
             log::warn!(server = id; "limit of a server cannot be read");
         }
     }
-    let change = {
-        let mut quota = server.quota.lock();
-        quota.limit.apply(notice, sent_at, now)
-    };
-    quota_worker::log_change(server, change, "answer");
+    quota_worker::update_limit(server, "answer", |limit| limit.apply(notice, sent_at, now));
 }
 
 fn forwarded(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -11,7 +11,6 @@
 const PRIOR_SAMPLES: f64 = 6.0;
 /// Share of its capacity that is planned for a server while it warms up.
 const WARMUP_CAPACITY_SHARE: f64 = 0.5;
-
 /// Capacity planned for a server that accepts no requests, in requests per second.
 const MIN_CAPACITY: f64 = 0.1;
 
--- a/crates/gateway/src/quota_worker.rs
+++ b/crates/gateway/src/quota_worker.rs
@@ -12,6 +12,8 @@
 
 /// Outcome of taking a token.
 pub(crate) enum TokenOutcome {
+    /// The server has no limit.
+    NotNeeded,
     /// The request may be sent.
     Taken,
     /// The holder has been asked.
@@ -38,13 +40,13 @@
 ) -> TokenOutcome {
     let now = node.now();
     if server.quota.lock().limit.per_second(now).is_none() {
-        return TokenOutcome::Taken;
+        return TokenOutcome::NotNeeded;
     }
     let holder = bucket_holder(node, &server.entry.service, now);
     let instances = node.instance_count();
     let mut quota = server.quota.lock();
     let Some(per_second) = quota.limit.per_second(now) else {
-        return TokenOutcome::Taken;
+        return TokenOutcome::NotNeeded;
     };
     let next_step = |quota: &mut ServerQuota, is_new| {
         let draw = rand::random();
@@ -114,15 +116,17 @@
 
 /// Applies what another instance knows of a server's limit.
 pub(crate) fn apply_report(server: &ServerRuntime, report: LimitReport, now: MonoTime) {
-    let change = {
-        let mut quota = server.quota.lock();
-        quota.limit.apply_report(report, now)
-    };
-    log_change(server, change, "peer");
+    update_limit(server, "peer", |limit| limit.apply_report(report, now));
 }
 
-/// Logs a change of a server's limit, and whether an answer or another instance told of it.
-pub(crate) fn log_change(server: &ServerRuntime, change: LimitChange, source: &str) {
+/// Updates a server's limit and logs the change. `source` is who told of it: an answer or another
+/// instance.
+pub(crate) fn update_limit(
+    server: &ServerRuntime,
+    source: &str,
+    update: impl FnOnce(&mut ServerLimit) -> LimitChange,
+) {
+    let change = update(&mut server.quota.lock().limit);
     let id = server.incarnation().id.as_str();
     let service = server.entry.service.as_str();
     match change {
--- a/crates/gateway/src/server_lookup.rs
+++ b/crates/gateway/src/server_lookup.rs
@@ -224,20 +224,22 @@
             return LookupOutcome::Wait(RefusalReason::NoRoom);
         }
         drop(load);
-        match quota_worker::take_token(self.node, server, self.ticket.is_none()) {
-            TokenOutcome::Taken => {}
+        let has_token = match quota_worker::take_token(self.node, server, self.ticket.is_none()) {
+            TokenOutcome::NotNeeded => false,
+            TokenOutcome::Taken => true,
             TokenOutcome::Wait => {
                 return LookupOutcome::Wait(RefusalReason::Limited(Duration::ZERO));
             }
             TokenOutcome::Refused(pause) => {
                 return LookupOutcome::Refuse(RefusalReason::Limited(pause));
             }
-        }
+        };
         server.load.lock().request_started(now);
         LookupOutcome::Reserved(ServerReservation {
             server: server.clone(),
             reserved_at: now,
             was_full,
+            has_token,
             key_revision,
             service_state: self.state.clone(),
             clock: self.node.clock,
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -9,6 +9,8 @@
     pub(crate) reserved_at: MonoTime,
     /// Whether the server had no free slot when it was selected.
     pub(crate) was_full: bool,
+    /// Whether the server has a rate limit, and the request took a token.
+    pub(crate) has_token: bool,
     /// Revision of the key record that names the server as the owner; `None` for services without
     /// keys.
     pub(crate) key_revision: Option<u64>,
--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -211,8 +211,7 @@
         loads: &mut ServerLoads,
         weights: &[(u16, f64)],
     ) {
-        let is_left_out = ServerLoads::left_out(servers);
-        let mut is_stuck = is_left_out.clone();
+        let mut is_stuck = loads.is_left_out.clone();
         let mut moves = 0;
         while moves < self.max_moves {
             let Some(most_loaded) = loads.most_loaded(servers, &is_stuck) else {
--- a/crates/routing/src/server_loads.rs
+++ b/crates/routing/src/server_loads.rs
@@ -6,6 +6,9 @@
 pub(crate) struct ServerLoads {
     pub(crate) weight: Vec<f64>,
     keys: Vec<u32>,
+    /// Whether a server is left out when keys move for balance: those with a limit are, unless all
+    /// have one.
+    pub(crate) is_left_out: Vec<bool>,
 }
 
 impl ServerLoads {
@@ -18,9 +21,12 @@
         servers: &[PlannedServer],
         weights: &[(u16, f64)],
     ) -> Self {
+        let are_all_limited = servers.iter().all(|server| server.limit.is_some());
+        let is_left_out = |server: &PlannedServer| server.limit.is_some() && !are_all_limited;
         let mut sums = Self {
             weight: vec![0.0; servers.len()],
             keys: vec![0; servers.len()],
+            is_left_out: servers.iter().map(is_left_out).collect(),
         };
         for range in &record.ranges {
             let owner = servers
@@ -103,14 +109,6 @@
         after <= before * max_share
     }
 
-    /// For each server whether it is left out when keys move for balance: those with a limit,
-    /// unless all have one.
-    pub(crate) fn left_out(servers: &[PlannedServer]) -> Vec<bool> {
-        let are_all_limited = servers.iter().all(|server| server.limit.is_some());
-        let is_left_out = |server: &PlannedServer| server.limit.is_some() && !are_all_limited;
-        servers.iter().map(is_left_out).collect()
-    }
-
     /// Server other than the giver that would have the lowest load for its capacity with `weight`
     /// added, among those that are not left out.
     pub(crate) fn best_receiver(
@@ -119,10 +117,9 @@
         giver: usize,
         weight: f64,
     ) -> usize {
-        let is_left_out = Self::left_out(servers);
         let after = |position: &usize| self.load_after(servers, *position, weight);
         (0..servers.len())
-            .filter(|position| *position != giver && !is_left_out[*position])
+            .filter(|position| *position != giver && !self.is_left_out[*position])
             .min_by(|one, other| after(one).total_cmp(&after(other)))
             .unwrap_or(giver)
     }
@@ -151,9 +148,8 @@
 
     /// Server with the lowest load for its capacity, among those that are not left out.
     pub(crate) fn least_loaded(&self, servers: &[PlannedServer]) -> usize {
-        let is_left_out = Self::left_out(servers);
         (0..servers.len())
-            .filter(|position| !is_left_out[*position])
+            .filter(|position| !self.is_left_out[*position])
             .min_by(|&a, &b| {
                 self.relative_load(a, servers)
                     .total_cmp(&self.relative_load(b, servers))
