Remember until when former leaders may send orders when the leader changes again

Ranges of servers that fell silent waited for former leaders that had been replaced 22 s earlier: each change of the leader began the wait of 12 s and a grant anew for all that the record still lists.

Ruled out: the wait for the servers' own grants (2.6 s); the store, which answered from 26.05 s on.

Change: an instance remembers when it first read that a leader was replaced (FormerLeaders); a leader that may have led again since counts as just replaced. The expiry of a move's holder is no longer fixed when the move begins.

--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -165,7 +165,7 @@
             match status {
                 IncarnationStatus::Alive => return false,
                 IncarnationStatus::Replaced => view.leader.mark_replaced(&holder),
-                IncarnationStatus::Dead => view.leader.mark_dead(&holder, now),
+                IncarnationStatus::Dead => view.leader.mark_dead(&holder),
             }
             is_new
         });
@@ -175,21 +175,17 @@
             log::info!(service, server = holder.as_str(), end, proof; "server has ended");
         }
     }
-    let former = node.with_key_view(service, |view| {
-        let (record, _) = view.leader.record()?;
-        let may_have_grants = now < view.leader.former_grants_until();
-        may_have_grants.then(|| (record.former.clone(), record.term))
+    let (former, term) = node.with_key_view(service, |view| {
+        let term = view.leader.record().map_or(0, |(record, _)| record.term);
+        (view.leader.active_former_leaders(now), term)
     });
-    let Some((former, term)) = former else { return };
-    let have_stopped = {
-        let peers = node.peers.lock();
-        former.iter().all(|leader| {
-            leader.instance == node.own_incarnation.instance
-                || peers.is_stopped(service, leader, term)
-        })
-    };
-    if have_stopped {
-        node.with_key_view(service, |view| view.leader.former_leaders_stopped(now));
+    for leader in former {
+        let is_own = leader.instance == node.own_incarnation.instance;
+        if is_own || node.peers.lock().is_stopped(service, &leader, term) {
+            node.with_key_view(service, |view| {
+                view.leader.former_leader_stopped(&leader, now);
+            });
+        }
     }
 }
 
--- a/crates/routing/src/grant_ledger.rs
+++ b/crates/routing/src/grant_ledger.rs
@@ -86,10 +86,14 @@
 
     /// Time until which a grant under `fence` may be valid.
     pub fn valid_until(&self, fence: u64) -> MonoTime {
-        let own_until = self.sent.get(&fence).map_or(MonoTime::default(), |times| {
+        self.own_valid_until(fence).max(self.former_until)
+    }
+
+    /// Time until which a grant that this leader has sent under `fence` may be valid.
+    pub fn own_valid_until(&self, fence: u64) -> MonoTime {
+        self.sent.get(&fence).map_or(MonoTime::default(), |times| {
             times.last.after(self.max_validity())
-        });
-        own_until.max(self.former_until)
+        })
     }
 
     /// Drops expired fences that no record names any more.
--- a/crates/routing/src/key_leader.rs
+++ b/crates/routing/src/key_leader.rs
@@ -6,7 +6,7 @@
 //! leader can repeat any step.
 
 use crate::{
-    move_step::{MoveProgress, MoveStage},
+    move_step::{HolderExpiry, MoveProgress, MoveStage},
     prelude::*,
 };
 
@@ -25,6 +25,7 @@
     /// Fences whose grants a record sent to the store treats as expired; cleared when a newer
     /// record is read.
     pub(crate) retired_fences: IndexMap<u64, ()>,
+    pub(crate) former: FormerLeaders,
 }
 
 /// First key and fence, which identify a range for as long as it exists.
@@ -51,6 +52,7 @@
             dead_servers: IndexMap::new(),
             replaced_servers: IndexMap::new(),
             retired_fences: IndexMap::new(),
+            former: FormerLeaders::default(),
         }
     }
 
@@ -81,9 +83,10 @@
             .is_some_and(|known| known.record.leader == self.own_incarnation);
         // The store rejects writes that are based on an earlier record.
         self.retired_fences.clear();
+        self.update_former_leaders(now);
         let is_leader = self.is_leader();
         if is_leader && !was_leader {
-            self.begin_term(now);
+            self.begin_term();
         }
         if is_leader {
             self.update_moves(previous.as_ref().map(|known| &known.record), now);
@@ -142,15 +145,32 @@
         self.is_leader() && self.confirmation_age(now) < self.timing.authority
     }
 
-    /// Records that no former leader can send orders any more.
-    pub fn former_leaders_stopped(&mut self, now: MonoTime) {
-        let until = now.after(self.ledger.max_validity());
-        if until < self.ledger.former_until() {
-            self.ledger.set_former_until(until);
-            for progress in self.moves.values_mut() {
-                progress.holder_expiry = progress.holder_expiry.min(until);
-            }
-        }
+    /// Former leaders that may still send orders.
+    pub fn active_former_leaders(&self, now: MonoTime) -> Vec<InstanceIncarnation> {
+        self.former.active(now)
+    }
+
+    /// Records that a former leader can send no orders from `now` on.
+    pub fn former_leader_stopped(&mut self, leader: &InstanceIncarnation, now: MonoTime) {
+        self.former.record_end(leader, now);
+        self.update_former_validity();
+    }
+
+    /// Takes over the former leaders that the record names. Each was replaced at the latest when
+    /// this instance first read of it.
+    fn update_former_leaders(&mut self, now: MonoTime) {
+        let Some(known) = &self.known else { return };
+        let latest_end = now.after(self.timing.former_authority);
+        self.former.adopt(&known.record, latest_end);
+        self.update_former_validity();
+    }
+
+    fn update_former_validity(&mut self) {
+        let until = match self.former.orders_until() {
+            Some(end) => end.after(self.ledger.max_validity()),
+            None => MonoTime::default(),
+        };
+        self.ledger.set_former_until(until);
     }
 
     /// Time until which grants of former leaders may be valid.
@@ -159,7 +179,7 @@
     }
 
     /// Records that this incarnation of a server has certainly ended.
-    pub fn mark_dead(&mut self, server: &ServerIncarnation, now: MonoTime) {
+    pub fn mark_dead(&mut self, server: &ServerIncarnation) {
         if !remember_end(&mut self.dead_servers, server) {
             return;
         }
@@ -169,7 +189,7 @@
             if let (true, Some(progress)) =
                 (is_holder, self.moves.get_mut(&(range.first, range.fence)))
             {
-                progress.holder_expiry = progress.holder_expiry.min(now);
+                progress.holder_expiry = HolderExpiry::Ended;
             }
         }
     }
@@ -261,20 +281,8 @@
                 .is_some_and(|progress| progress.stage == MoveStage::Granted)
     }
 
-    /// Starts a term as leader. Former leaders may have sent any orders, so their grants count as
-    /// valid for the longest possible time.
-    fn begin_term(&mut self, now: MonoTime) {
-        let is_first = self
-            .known
-            .as_ref()
-            .is_some_and(|known| known.record.term == 1);
-        let until = match is_first {
-            true => MonoTime::default(),
-            false => now
-                .after(self.timing.former_authority)
-                .after(self.ledger.max_validity()),
-        };
-        self.ledger.set_former_until(until);
+    /// Starts a term as leader.
+    fn begin_term(&mut self) {
         self.moves.clear();
         self.renewed_at.clear();
     }
--- a/crates/routing/src/leader_moves.rs
+++ b/crates/routing/src/leader_moves.rs
@@ -1,7 +1,7 @@
 //! The leader's moves of key ranges: which orders are due, and the effect of their results.
 
 use crate::{
-    move_step::{MoveProgress, MoveStage},
+    move_step::{HolderExpiry, MoveProgress, MoveStage},
     prelude::*,
 };
 
@@ -15,6 +15,7 @@
         let Some(known) = &self.known else {
             return Vec::new();
         };
+        let former_until = self.ledger.former_until();
         let mut steps = Vec::new();
         for range in &known.record.ranges {
             let RangeState::Moving { previous } = &range.state else {
@@ -26,9 +27,11 @@
             let Some(progress) = self.moves.get_mut(&(range.first, range.fence)) else {
                 continue;
             };
-            if matches!(progress.stage, MoveStage::ToRelease { .. })
-                && now >= progress.holder_expiry
-            {
+            let has_expired = match progress.holder_expiry {
+                HolderExpiry::Ended => true,
+                HolderExpiry::GrantsExpired(own_until) => now >= own_until.max(former_until),
+            };
+            if matches!(progress.stage, MoveStage::ToRelease { .. }) && has_expired {
                 progress.stage = MoveStage::ToGrant { not_before: now };
             }
             match (progress.stage, previous) {
@@ -125,9 +128,9 @@
         })
     }
 
-    /// Time from which `holder` cannot hold a range any more; `old` is the range in the previous
-    /// record.
-    fn holder_expiry(
+    /// Time from which all grants of this leader to `holder` have expired; `old` is the range in the
+    /// previous record.
+    fn own_grants_until(
         &self,
         holder: &ServerIncarnation,
         old: Option<&KeyRange>,
@@ -136,22 +139,25 @@
         let worst_case = now.after(self.ledger.max_validity());
         let expiry_before_move = |old: &KeyRange| {
             let progress = self.moves.get(&(old.first, old.fence));
-            progress.map_or(worst_case, |progress| progress.holder_expiry)
+            match progress.map(|progress| progress.holder_expiry) {
+                Some(HolderExpiry::GrantsExpired(until)) => until,
+                Some(HolderExpiry::Ended) => now,
+                None => worst_case,
+            }
         };
-        let expiry = match old {
+        match old {
             None => worst_case,
             // The range was moving back to its holder, which may still hold it by its earlier
             // grants.
             Some(old) if old.owner == *holder && old.is_leaving(holder) => self
                 .ledger
-                .valid_until(old.fence)
+                .own_valid_until(old.fence)
                 .max(expiry_before_move(old)),
             // The previous owner, settled or just granted, holds the range by grants under its
             // fence.
-            Some(old) if old.owner == *holder => self.ledger.valid_until(old.fence),
+            Some(old) if old.owner == *holder => self.ledger.own_valid_until(old.fence),
             Some(old) => expiry_before_move(old),
-        };
-        expiry.max(self.ledger.former_until())
+        }
     }
 
     /// Keeps the progress of moves that continue in the new record and starts new moves.
@@ -170,9 +176,9 @@
             let old = previous_record.and_then(|record| record.range_of(range.first));
             let holder_expiry = match previous {
                 Some(holder) if !self.dead_servers.contains_key(holder) => {
-                    self.holder_expiry(holder, old, now)
+                    HolderExpiry::GrantsExpired(self.own_grants_until(holder, old, now))
                 }
-                _ => now,
+                _ => HolderExpiry::Ended,
             };
             let stage = match previous {
                 Some(_) => MoveStage::ToRelease { not_before: now },
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_verdict;
 mod completion_rate;
 mod crash_window;
+mod former_leaders;
 mod grant_ledger;
 mod incarnation_status;
 mod key_leader;
@@ -56,6 +57,7 @@
     answer_verdict::{AnswerFacts, AnswerVerdict},
     completion_rate::CompletionRate,
     crash_window::CrashWindow,
+    former_leaders::FormerLeaders,
     grant_ledger::GrantLedger,
     incarnation_status::IncarnationStatus,
     key_leader::KeyLeader,
--- a/crates/routing/src/move_step.rs
+++ b/crates/routing/src/move_step.rs
@@ -6,11 +6,19 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MoveProgress {
     pub(crate) stage: MoveStage,
-    /// Time from which the holder's grants have expired, even without a release.
-    pub(crate) holder_expiry: MonoTime,
+    pub(crate) holder_expiry: HolderExpiry,
     pub(crate) handover: Option<String>,
 }
 
+/// When the holder of a moving range cannot hold it any more, even without a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HolderExpiry {
+    /// The holder has ended.
+    Ended,
+    /// All grants have expired: those of this leader at the given time, and those of former leaders.
+    GrantsExpired(MonoTime),
+}
+
 /// Stage of a move: the step that is due, in progress or done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum MoveStage {
--- a/crates/routing/tests/key_history/sent_order.rs
+++ b/crates/routing/tests/key_history/sent_order.rs
@@ -52,7 +52,7 @@
                     id: self.servers[server].id.clone(),
                     born: self.instances[index].known_born[server],
                 };
-                self.instances[index].leader.mark_dead(&incarnation, now);
+                self.instances[index].leader.mark_dead(&incarnation);
             }
         }
         let steps = self.instances[index].leader.due_move_steps(now);
