Rest leaders on supporters, so that a successor knows when they have stopped

Cause: a leader that is lost gives no proof that it sends no more orders, so keys of servers that do not answer waited for its whole authority of 12 s and a grant.

Change: the record names up to four supporters. A leader sends orders for 1 s after the store confirmed it, and longer only while half of them follow it by heartbeats; a successor that has too few of them left over knows that it has stopped. Records of builds without supporters keep the wait of 12 s.

--- a/crates/gateway/src/change_path_tests/heartbeat_path.rs
+++ b/crates/gateway/src/change_path_tests/heartbeat_path.rs
@@ -52,6 +52,7 @@
                 .map_or(0, |(leader, _)| leader.term),
             is_leader,
             confirmation_age: age,
+            leader_heard_at: None,
         });
         instance
             .published
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -73,6 +73,8 @@
         grant_duration: Duration::from_millis(2_000),
         renewal_interval: Duration::from_millis(550),
         authority: Duration::from_secs(12),
+        support_validity: Duration::from_secs(1),
+        former_support: Duration::from_millis(1_050),
         former_authority: Duration::from_secs(12),
         retry_delay: Duration::from_millis(300),
     };
--- a/crates/gateway/src/heartbeat_bound_tests.rs
+++ b/crates/gateway/src/heartbeat_bound_tests.rs
@@ -40,6 +40,7 @@
             term: 4,
             is_leader: true,
             confirmation_age: Duration::from_millis(300),
+            leader_heard_at: Some(MonoTime(u64::MAX)),
         });
         let moves = (0..peer_worker::MAX_RANGES).map(|number| RangeMove {
             first: number as u16 * 100,
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -100,6 +100,9 @@
     is_leader: bool,
     #[prost(uint64, tag = "4")]
     confirmed_ms: u64,
+    /// In microseconds; 0 if no heartbeat has been received.
+    #[prost(uint64, tag = "5")]
+    leader_heard_at_us: u64,
 }
 
 impl PeerHeartbeat {
@@ -174,6 +177,7 @@
                     term: status.term,
                     is_leader: status.is_leader,
                     confirmed_ms: status.confirmation_age.as_millis() as u64,
+                    leader_heard_at_us: status.leader_heard_at.unwrap_or_default().0,
                 })
                 .collect(),
             key_samples: heartbeat
@@ -270,6 +274,10 @@
                     term: status.term,
                     is_leader: status.is_leader,
                     confirmation_age: Duration::from_millis(status.confirmed_ms),
+                    leader_heard_at: match status.leader_heard_at_us {
+                        0 => None,
+                        heard_at_us => Some(MonoTime(heard_at_us)),
+                    },
                 })
                 .collect(),
             key_samples,
--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -17,6 +17,8 @@
     pub(crate) planned_servers: Vec<ServerIncarnation>,
     /// Time since which those servers are the same.
     pub(crate) servers_unchanged_since: MonoTime,
+    /// Term in which this instance last had the authority to send orders, until it loses it.
+    authorized_term: Option<u64>,
 }
 
 /// Starts a worker for each keyed service as soon as it is known.
@@ -47,6 +49,7 @@
         store_asked_at: MonoTime::default(),
         planned_servers: Vec::new(),
         servers_unchanged_since: now,
+        authorized_term: None,
     };
     loop {
         let due = node.order_finished.listen();
@@ -65,6 +68,7 @@
     match leads {
         false => consider_takeover(node, service, state).await,
         true => {
+            log_authority(node, service, state);
             detect_ended_incarnations(node, service);
             send_due_orders(node, service);
             move_planner::plan(node, service, state).await;
@@ -72,6 +76,24 @@
     }
 }
 
+/// Logs the beginning and the end of this leader's authority to send orders.
+fn log_authority(node: &GatewayNode, service: &str, state: &mut LeaderLoopState) {
+    let now = node.now();
+    let (term, age, supporters) = node.with_key_view(service, |view| {
+        let record = view.leader.record().map(|(record, _)| record);
+        let has_authority = view.leader.has_authority(now);
+        let term = record.filter(|_| has_authority).map(|record| record.term);
+        let supporters = record.map_or(0, |record| record.supporters.len());
+        (term, view.leader.confirmation_age(now), supporters)
+    });
+    if std::mem::replace(&mut state.authorized_term, term) == term {
+        return;
+    }
+    let has_authority = term.is_some();
+    let confirmed_age_ms = age.as_millis() as u64;
+    log::info!(service, has_authority, confirmed_age_ms, supporters; "authority of this leader");
+}
+
 /// Takes over leadership when there is no key record or its leader is lost.
 async fn consider_takeover(node: &Arc<GatewayNode>, service: &str, state: &mut LeaderLoopState) {
     /// Time between two attempts to take over.
@@ -185,6 +207,8 @@
             node.with_key_view(service, |view| {
                 view.leader.former_leader_stopped(&leader, now);
             });
+            let leader = leader.instance.as_str();
+            log::info!(service, leader; "former leader has stopped");
         }
     }
 }
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -40,6 +40,7 @@
         state.planned_servers = incarnations;
         state.servers_unchanged_since = now;
     }
+    let supporters = due_supporters(node, service, now);
     let planned = node.with_key_view(service, |view| {
         let (record, revision) = view.leader.record()?;
         if !view.leader.has_authority(now) {
@@ -58,6 +59,7 @@
         };
         let plan = KeyPlanner::default().plan(&settled, &servers, &weights, is_free);
         delta.clears_former = !record.former.is_empty() && now >= view.leader.former_grants_until();
+        delta.supporters = supporters.filter(|supporters| *supporters != record.supporters);
         match plan {
             Some(KeyPlan::Initial(assigned)) => return Some((assigned, revision, None)),
             Some(KeyPlan::Change(change)) => {
@@ -94,6 +96,31 @@
     }
 }
 
+/// Supporters that the leader of a service should have, once the other instances have had time to
+/// tell whom they follow.
+fn due_supporters(
+    node: &GatewayNode,
+    service: &str,
+    now: MonoTime,
+) -> Option<Vec<InstanceIncarnation>> {
+    /// Time within which every instance that follows the leader has told so.
+    const FOLLOW_TIME: Duration = Duration::from_millis(500);
+    /// Time without the word of a supporter after which another one takes its place.
+    const REPLACE_AFTER: Duration = Duration::from_secs(2);
+    let (current, supporting) = node.with_key_view(service, |view| {
+        let (record, _) = view.leader.record()?;
+        if now.since(view.led_since) < FOLLOW_TIME {
+            return None;
+        }
+        let supporting = view.leader.supporters_since(now.before(REPLACE_AFTER));
+        let supporting: Vec<InstanceIncarnation> = supporting.into_iter().cloned().collect();
+        Some((record.supporters.clone(), supporting))
+    })?;
+    let peers = node.peers.lock();
+    let candidates = peers.supporter_candidates(&supporting);
+    Some(SupporterSelection::select(&current, &candidates))
+}
+
 /// Keeps keys away from servers that want no requests from several instances.
 pub(crate) fn record_rests(node: &GatewayNode, servers: &ServerList, now: MonoTime) {
     let peers = node.peers.lock();
--- a/crates/gateway/src/peer_heartbeat.rs
+++ b/crates/gateway/src/peer_heartbeat.rs
@@ -59,6 +59,9 @@
     pub(crate) is_leader: bool,
     /// Time since the store confirmed the sender's leadership.
     pub(crate) confirmation_age: Duration,
+    /// When the leader of the term sent the last heartbeat that the sender has received from it, on
+    /// the leader's clock.
+    pub(crate) leader_heard_at: Option<MonoTime>,
 }
 
 /// Change of a key record that the leader has written.
--- a/crates/gateway/src/peer_leaders.rs
+++ b/crates/gateway/src/peer_leaders.rs
@@ -68,6 +68,43 @@
         }
     }
 
+    /// When an incarnation of an instance sent the last heartbeat that was received from it, on its
+    /// own clock.
+    pub(crate) fn heard_from(&self, instance: &InstanceIncarnation) -> Option<MonoTime> {
+        let peer = self.peers.get(&instance.instance)?;
+        let heartbeat = &peer.heartbeat;
+        let is_heard = heartbeat.incarnation == instance.incarnation
+            && heartbeat.sent_at > MonoTime::default();
+        is_heard.then_some(heartbeat.sent_at)
+    }
+
+    /// Instances that could support this one as a leader, among those in `supporting`; the strongest
+    /// ones first.
+    pub(crate) fn supporter_candidates<'a>(
+        &'a self,
+        supporting: &'a [InstanceIncarnation],
+    ) -> Vec<SupporterCandidate<'a>> {
+        let mut found: Vec<(&PeerState, &InstanceIncarnation)> = supporting
+            .iter()
+            .filter_map(|instance| Some((self.peers.get(&instance.instance)?, instance)))
+            .filter(|(peer, instance)| {
+                peer.heartbeat.incarnation == instance.incarnation && !peer.heartbeat.is_stopping
+            })
+            .collect();
+        found.sort_by(|(one, _), (other, _)| {
+            let shares = [other, one].map(|peer| peer.record.processor_share);
+            let by_share = shares[0].total_cmp(&shares[1]);
+            by_share.then_with(|| one.record.name.cmp(&other.record.name))
+        });
+        let candidates = found
+            .into_iter()
+            .map(|(peer, instance)| SupporterCandidate {
+                instance,
+                data_centre: &peer.record.data_centre,
+            });
+        candidates.collect()
+    }
+
     /// Whether a former leader can send no more orders: its process has restarted, or it knows of
     /// `term` or a later one.
     pub(crate) fn is_stopped(&self, service: &str, prior: &InstanceIncarnation, term: u64) -> bool {
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -36,6 +36,7 @@
             term: 1,
             is_leader,
             confirmation_age: Duration::ZERO,
+            leader_heard_at: None,
         }],
         ..PeerHeartbeat::default()
     }
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -83,6 +83,17 @@
             quota_worker::apply_report(&server, known.report, now);
         }
     }
+    let sender = InstanceIncarnation {
+        instance: heartbeat.instance.clone(),
+        incarnation: heartbeat.incarnation,
+    };
+    for status in &heartbeat.leaderships {
+        node.with_known_key_view(&status.service, |view| {
+            let heard_at = status.leader_heard_at;
+            view.leader
+                .record_peer_term(&sender, status.term, heard_at, now);
+        });
+    }
     let (report, revisions) = (heartbeat.knowledge, heartbeat.revisions);
     let sent_at = node.peers.lock().apply_heartbeat(heartbeat, now);
     if let (Some(report), Some(sent_at)) = (report, sent_at) {
@@ -168,6 +179,7 @@
                     .leader
                     .confirmation_age(now)
                     .min(Duration::from_secs(3_600)),
+                leader_heard_at: None,
             });
             view.prune_published(now);
             if is_leader {
@@ -212,6 +224,14 @@
             heartbeat.yields = should_yield && is_established_leader(node, now);
         }
         heartbeat.live_count = peers.live_count(now);
+        let others = heartbeat
+            .leaderships
+            .iter_mut()
+            .filter(|status| !status.is_leader);
+        for (status, leader) in others.zip(&leaders) {
+            let leader = leader.as_ref().map(|(leader, _)| leader);
+            status.leader_heard_at = leader.and_then(|leader| peers.heard_from(leader));
+        }
         if is_leader {
             heartbeat.isolated = peers.isolated_peers(now);
         }
--- a/crates/gateway/src/record_update_wire.rs
+++ b/crates/gateway/src/record_update_wire.rs
@@ -19,6 +19,22 @@
     clears_former: bool,
     #[prost(uint32, repeated, tag = "7")]
     merges: Vec<u32>,
+    #[prost(message, optional, tag = "8")]
+    supporters: Option<SupporterListWire>,
+}
+
+#[derive(prost::Message)]
+struct SupporterListWire {
+    #[prost(message, repeated, tag = "1")]
+    supporters: Vec<InstanceWire>,
+}
+
+#[derive(prost::Message)]
+struct InstanceWire {
+    #[prost(string, tag = "1")]
+    instance: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
 }
 
 #[derive(prost::Message)]
@@ -43,6 +59,29 @@
     fence: u64,
 }
 
+impl From<Vec<InstanceIncarnation>> for SupporterListWire {
+    fn from(supporters: Vec<InstanceIncarnation>) -> Self {
+        let supporters = supporters.into_iter().map(|supporter| InstanceWire {
+            instance: supporter.instance,
+            incarnation: supporter.incarnation,
+        });
+        Self {
+            supporters: supporters.collect(),
+        }
+    }
+}
+
+impl From<SupporterListWire> for Vec<InstanceIncarnation> {
+    fn from(wire: SupporterListWire) -> Self {
+        let supporters = wire.supporters.into_iter();
+        let to_incarnation = |wire: InstanceWire| InstanceIncarnation {
+            instance: wire.instance,
+            incarnation: wire.incarnation,
+        };
+        supporters.map(to_incarnation).collect()
+    }
+}
+
 impl From<RecordUpdate> for RecordUpdateWire {
     fn from(update: RecordUpdate) -> Self {
         let moves = update.delta.moves.into_iter().map(|step| RangeMoveWire {
@@ -67,6 +106,7 @@
             moves: moves.collect(),
             settles: settles.collect(),
             clears_former: update.delta.clears_former,
+            supporters: update.delta.supporters.map(SupporterListWire::from),
             merges: update.delta.merges.into_iter().map(u32::from).collect(),
         }
     }
@@ -80,6 +120,7 @@
         let mut delta = RecordDelta {
             merges: merges?,
             clears_former: wire.clears_former,
+            supporters: wire.supporters.map(Vec::from),
             ..RecordDelta::default()
         };
         for step in wire.moves {
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -47,6 +47,10 @@
         settles: vec![(0, 1)],
         merges: vec![0],
         clears_former: true,
+        supporters: Some(vec![InstanceIncarnation {
+            instance: "p4".into(),
+            incarnation: 5,
+        }]),
     };
     PeerHeartbeat {
         instance: "p1".into(),
@@ -74,6 +78,7 @@
             term: 4,
             is_leader: true,
             confirmation_age: Duration::from_millis(300),
+            leader_heard_at: Some(MonoTime(12)),
         }],
         record_updates: vec![RecordUpdate {
             service: "s".into(),
--- a/crates/routing/src/key_leader.rs
+++ b/crates/routing/src/key_leader.rs
@@ -26,6 +26,7 @@
     /// record is read.
     pub(crate) retired_fences: IndexMap<u64, ()>,
     pub(crate) former: FormerLeaders,
+    support: LeaderSupport,
 }
 
 /// First key and fence, which identify a range for as long as it exists.
@@ -53,6 +54,7 @@
             replaced_servers: IndexMap::new(),
             retired_fences: IndexMap::new(),
             former: FormerLeaders::default(),
+            support: LeaderSupport::default(),
         }
     }
 
@@ -83,10 +85,11 @@
             .is_some_and(|known| known.record.leader == self.own_incarnation);
         // The store rejects writes that are based on an earlier record.
         self.retired_fences.clear();
+        self.support.forget_writes();
         self.update_former_leaders(now);
         let is_leader = self.is_leader();
         if is_leader && !was_leader {
-            self.begin_term();
+            self.begin_term(now);
         }
         if is_leader {
             self.update_moves(previous.as_ref().map(|known| &known.record), now);
@@ -101,6 +104,9 @@
     /// so from now on nothing is granted under the fences that `next` treats as expired.
     pub fn begin_write(&mut self, next: &KeyRecord) {
         let Some(known) = &self.known else { return };
+        if next.supporters != known.record.supporters {
+            self.support.begin_write(&next.supporters);
+        }
         for range in &next.ranges {
             let Some(old) = known.record.range_of(range.first) else {
                 continue;
@@ -142,7 +148,44 @@
 
     /// Whether this instance may send orders to servers now.
     pub fn has_authority(&self, now: MonoTime) -> bool {
-        self.is_leader() && self.confirmation_age(now) < self.timing.authority
+        let Some(known) = self.known.as_ref().filter(|_| self.is_leader()) else {
+            return false;
+        };
+        let age = self.confirmation_age(now);
+        let since = now.before(self.timing.support_validity);
+        let is_supported = || self.support.suffices(&known.record.supporters, since);
+        age < self.timing.authority && (age < self.timing.support_validity || is_supported())
+    }
+
+    /// Records which term of the leader another instance knows. `heard_at` is when the last heartbeat
+    /// that it had received from the leader of that term was sent, on that leader's clock.
+    pub fn record_peer_term(
+        &mut self,
+        peer: &InstanceIncarnation,
+        term: u64,
+        heard_at: Option<MonoTime>,
+        now: MonoTime,
+    ) {
+        let Some(known) = self.known.as_ref().filter(|_| self.is_leader()) else {
+            return;
+        };
+        if let Some(heard_at) = heard_at.filter(|at| term == known.record.term && *at <= now) {
+            self.support.record(peer, heard_at);
+        }
+        if term >= known.record.term {
+            self.record_follower(&peer.instance, now);
+        }
+    }
+
+    /// Instances that have taken this one for the leader since `since`.
+    pub fn supporters_since(&self, since: MonoTime) -> Vec<&InstanceIncarnation> {
+        self.support.recorded_since(since)
+    }
+
+    fn record_follower(&mut self, instance: &str, now: MonoTime) {
+        let end = now.after(self.timing.former_support);
+        self.former.record_follower(instance, end);
+        self.update_former_validity();
     }
 
     /// Former leaders that may still send orders.
@@ -282,9 +325,12 @@
     }
 
     /// Starts a term as leader.
-    fn begin_term(&mut self) {
+    fn begin_term(&mut self, now: MonoTime) {
         self.moves.clear();
         self.renewed_at.clear();
+        self.support = LeaderSupport::default();
+        let own_name = self.own_incarnation.instance.clone();
+        self.record_follower(&own_name, now);
     }
 }
 
--- a/crates/routing/src/key_record.rs
+++ b/crates/routing/src/key_record.rs
@@ -14,14 +14,26 @@
     pub term: u64,
     /// Instance that grants and revokes keys at the servers.
     pub leader: InstanceIncarnation,
+    /// Other instances of which enough must take the leader for such while the store does not
+    /// confirm it; empty if it needs no support.
+    pub supporters: Vec<InstanceIncarnation>,
     /// Former leaders whose orders may still be on their way to servers, oldest first.
-    pub former: Vec<InstanceIncarnation>,
+    pub former: Vec<FormerLeader>,
     /// Highest fencing token issued so far.
     pub last_fence: u64,
     /// Ranges in ascending order; they cover all keys as soon as the service has a server.
     pub ranges: Vec<KeyRange>,
 }
 
+/// Leader of an earlier term, and the supporters that its record named last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerLeader {
+    /// The instance that led.
+    pub leader: InstanceIncarnation,
+    /// Its supporters; empty if it needed no support.
+    pub supporters: Vec<InstanceIncarnation>,
+}
+
 /// Name and incarnation of an instance; each start of its process begins a new incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct InstanceIncarnation {
@@ -53,6 +65,7 @@
             service: service.into(),
             term: 1,
             leader,
+            supporters: Vec::new(),
             former: Vec::new(),
             last_fence: 0,
             ranges: Vec::new(),
@@ -66,13 +79,17 @@
         range.contains(key).then_some(range)
     }
 
-    /// Returns the record with another leader, under the next term.
+    /// Returns the record with another leader, under the next term. The leader needs no support until
+    /// it names its supporters.
     pub fn with_leader(&self, leader: InstanceIncarnation) -> Self {
         let mut record = self.clone();
         record.term += 1;
-        let former_leader = std::mem::replace(&mut record.leader, leader);
-        record.former.retain(|known| *known != former_leader);
-        record.former.push(former_leader);
+        let former = FormerLeader {
+            leader: std::mem::replace(&mut record.leader, leader),
+            supporters: std::mem::take(&mut record.supporters),
+        };
+        record.former.retain(|known| known.leader != former.leader);
+        record.former.push(former);
         record
     }
 
--- a/crates/routing/src/leader_timing.rs
+++ b/crates/routing/src/leader_timing.rs
@@ -11,6 +11,12 @@
     pub renewal_interval: Duration,
     /// Time after a confirmation by the store for which a leader may send orders.
     pub authority: Duration,
+    /// Part of that time for which it needs no support, and time for which the word of a supporter
+    /// counts.
+    pub support_validity: Duration,
+    /// Time after it has lost its support for which a former leader is assumed to send orders; at
+    /// least the validity of support of every leader.
+    pub former_support: Duration,
     /// Time after its last confirmation for which a former leader is assumed to send orders; at
     /// least the authority of every leader.
     pub former_authority: Duration,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod key_span;
 mod knowledge_age;
 mod leader_moves;
+mod leader_support;
 mod leader_timing;
 mod leader_view;
 mod load_assumptions;
@@ -46,6 +47,7 @@
 mod server_subset;
 mod service_config;
 mod stored_record;
+mod supporter_selection;
 mod suspect_entry;
 mod suspect_report;
 mod typical_occupancy;
@@ -63,8 +65,9 @@
     key_leader::KeyLeader,
     key_planner::{KeyPlan, KeyPlanner},
     key_range::{KeyRange, RangeState},
-    key_record::{InstanceIncarnation, KeyRecord, ServerIncarnation},
+    key_record::{FormerLeader, InstanceIncarnation, KeyRecord, ServerIncarnation},
     knowledge_age::{KnowledgeAge, KnowledgeReport, RefreshStep},
+    leader_support::LeaderSupport,
     leader_timing::LeaderTiming,
     leader_view::{LeaderView, TakeoverStep},
     load_assumptions::LoadAssumptions,
@@ -91,6 +94,7 @@
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
     service_config::ServiceConfig,
     stored_record::{RecordError, StoredRecord},
+    supporter_selection::{SupporterCandidate, SupporterSelection},
     suspect_entry::RequestStanding,
     suspect_report::{CrashVerdict, IncarnationHash, SuspectReport},
     typical_occupancy::TypicalOccupancy,
--- a/crates/routing/src/record_delta.rs
+++ b/crates/routing/src/record_delta.rs
@@ -16,6 +16,8 @@
     pub merges: Vec<u16>,
     /// Whether the list of former leaders is cleared.
     pub clears_former: bool,
+    /// New supporters of the leader, if they change.
+    pub supporters: Option<Vec<InstanceIncarnation>>,
 }
 
 /// Keys of one range that move to another owner under the next fence.
@@ -52,6 +54,9 @@
         if self.clears_former {
             next.former.clear();
         }
+        if let Some(supporters) = &self.supporters {
+            next.supporters.clone_from(supporters);
+        }
         next
     }
 
@@ -66,5 +71,6 @@
             && self.settles.is_empty()
             && self.merges.is_empty()
             && !self.clears_former
+            && self.supporters.is_none()
     }
 }
--- a/crates/routing/src/stored_record.rs
+++ b/crates/routing/src/stored_record.rs
@@ -11,7 +11,12 @@
     service: String,
     term: u64,
     leader: (String, u64),
+    #[serde(default)]
+    supporters: Vec<(String, u64)>,
     former: Vec<(String, u64)>,
+    /// Supporters of each former leader. Builds that know of none leave them out.
+    #[serde(default)]
+    former_supporters: Vec<Vec<(String, u64)>>,
     last_fence: u64,
     servers: Vec<(String, u64)>,
     /// First key, last key, fence, and position of the owner. A moving range has a fifth number:
@@ -41,11 +46,18 @@
         }
         let to_pair =
             |instance: &InstanceIncarnation| (instance.instance.clone(), instance.incarnation);
+        let to_pairs = |instances: &[InstanceIncarnation]| instances.iter().map(to_pair).collect();
+        let former = record.former.iter();
         Self {
             service: record.service.clone(),
             term: record.term,
             leader: to_pair(&record.leader),
-            former: record.former.iter().map(to_pair).collect(),
+            supporters: to_pairs(&record.supporters),
+            former: former
+                .clone()
+                .map(|former| to_pair(&former.leader))
+                .collect(),
+            former_supporters: former.map(|former| to_pairs(&former.supporters)).collect(),
             last_fence: record.last_fence,
             servers: servers
                 .into_iter()
@@ -73,11 +85,21 @@
         for numbers in &stored.ranges {
             ranges.push(decode_range(numbers, &servers)?);
         }
+        let from_pairs = |pairs: Vec<(String, u64)>| pairs.into_iter().map(from_pair).collect();
+        let mut former_supporters = stored.former_supporters;
+        former_supporters.resize(stored.former.len(), Vec::new());
+        let former = stored.former.into_iter().zip(former_supporters);
         let record = Self {
             service: stored.service,
             term: stored.term,
             leader: from_pair(stored.leader),
-            former: stored.former.into_iter().map(from_pair).collect(),
+            supporters: from_pairs(stored.supporters),
+            former: former
+                .map(|(leader, supporters)| FormerLeader {
+                    leader: from_pair(leader),
+                    supporters: from_pairs(supporters),
+                })
+                .collect(),
             last_fence: stored.last_fence,
             ranges,
         };
--- a/crates/routing/tests/former_leaders.rs
+++ b/crates/routing/tests/former_leaders.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 
 const AUTHORITY: Duration = Duration::from_secs(12);
+/// Time for which a leader goes on after the last word of a supporter.
+const SUPPORT: Duration = Duration::from_secs(1);
+/// The same as its successors assume it.
+const SUPPORT_END: Duration = Duration::from_millis(1_050);
 
 fn at(millis: u64) -> MonoTime {
     MonoTime(millis * 1_000)
@@ -22,6 +26,8 @@
         grant_duration: Duration::from_secs(2),
         renewal_interval: Duration::from_millis(550),
         authority: AUTHORITY,
+        support_validity: SUPPORT,
+        former_support: SUPPORT_END,
         former_authority: AUTHORITY,
         retry_delay: Duration::from_millis(300),
     }
@@ -135,3 +141,161 @@
     assert!(!grants_at(&mut leader, 10_500));
     assert!(grants_at(&mut leader, 10_700));
 }
+
+fn supporters() -> Vec<InstanceIncarnation> {
+    ["i3", "i4", "i5", "i6"]
+        .map(|name| instance(name, 1))
+        .into()
+}
+
+/// Leader of term 2 whose predecessor named four supporters.
+fn successor_of_supported_leader() -> KeyLeader {
+    let mut record = first_record(&instance("i1", 1));
+    record.supporters = supporters();
+    let mut leader = KeyLeader::new(instance("i2", 1), timing());
+    leader.adopt(record.clone(), 1, at(1_000));
+    leader.adopt(record.with_leader(instance("i2", 1)), 2, at(4_000));
+    leader
+}
+
+// Guards against keys of a silent server that stay without an owner for 12 s after its leader was
+// lost too, although all other instances follow the next leader.
+#[test]
+fn lost_leader_has_stopped_once_too_few_of_its_supporters_are_left() {
+    let mut leader = successor_of_supported_leader();
+    for name in ["i3", "i4"] {
+        leader.record_peer_term(&instance(name, 1), 2, None, at(4_300));
+    }
+    let whole_authority = at(4_000).after(AUTHORITY).after(max_validity());
+    assert_eq!(leader.former_grants_until(), whole_authority);
+    // A supporter that has restarted speaks for its earlier incarnation, which has ended.
+    leader.record_peer_term(&instance("i5", 2), 2, None, at(4_400));
+    let until = at(4_400).after(SUPPORT_END).after(max_validity());
+    assert_eq!(leader.former_grants_until(), until);
+}
+
+#[test]
+fn supporters_that_do_not_follow_yet_end_no_authority() {
+    let mut leader = successor_of_supported_leader();
+    for name in ["i3", "i4", "i5", "i6"] {
+        leader.record_peer_term(&instance(name, 1), 1, Some(at(3_900)), at(4_300));
+    }
+    let until = leader.former_grants_until();
+    assert_eq!(until, at(4_000).after(AUTHORITY).after(max_validity()));
+}
+
+/// Leader of term 1 that the store has confirmed at 1 s.
+fn supported_leader() -> KeyLeader {
+    let own = instance("i1", 1);
+    let mut record = first_record(&own);
+    record.supporters = supporters();
+    let mut leader = KeyLeader::new(own, timing());
+    leader.adopt(record, 1, at(1_000));
+    leader.confirm_leadership(at(1_000));
+    leader
+}
+
+#[test]
+fn leader_without_the_store_goes_on_while_half_of_its_supporters_follow() {
+    let mut leader = supported_leader();
+    assert!(leader.has_authority(at(1_900)));
+    assert!(!leader.has_authority(at(2_100)));
+    leader.record_peer_term(&instance("i3", 1), 1, Some(at(2_000)), at(2_100));
+    assert!(!leader.has_authority(at(2_100)));
+    leader.record_peer_term(&instance("i4", 1), 1, Some(at(2_000)), at(2_100));
+    assert!(leader.has_authority(at(2_900)));
+    assert!(!leader.has_authority(at(3_100)));
+    leader.record_peer_term(&instance("i3", 1), 1, Some(at(13_000)), at(13_100));
+    leader.record_peer_term(&instance("i4", 1), 1, Some(at(13_000)), at(13_100));
+    assert!(!leader.has_authority(at(13_100)));
+}
+
+// Guards against a leader that counts the word of instances that its successor does not know of as
+// its supporters: restarted ones, and those of a record that may not have been written.
+#[test]
+fn support_counts_from_the_named_incarnations_and_for_each_record_that_may_stand() {
+    let mut leader = supported_leader();
+    let follows = |leader: &mut KeyLeader, name: &str, incarnation| {
+        leader.record_peer_term(&instance(name, incarnation), 1, Some(at(2_000)), at(2_100));
+    };
+    follows(&mut leader, "i3", 1);
+    follows(&mut leader, "i4", 2);
+    assert!(!leader.has_authority(at(2_100)));
+    follows(&mut leader, "i4", 1);
+    assert!(leader.has_authority(at(2_100)));
+    let (record, _) = leader.record().unwrap();
+    let mut next = record.clone();
+    next.supporters = ["i5", "i6"].map(|name| instance(name, 1)).into();
+    leader.begin_write(&next);
+    assert!(!leader.has_authority(at(2_100)));
+    follows(&mut leader, "i5", 1);
+    assert!(leader.has_authority(at(2_100)));
+    leader.adopt(next, 2, at(2_200));
+    assert!(leader.has_authority(at(2_200)));
+}
+
+// Guards against a build that drops the supporters it does not know of: its record names none, and
+// none are assumed.
+#[test]
+fn record_of_a_build_without_supporters_is_read_and_needs_none() {
+    let stored = serde_json::json!({
+        "service": "s", "term": 3, "leader": ["i2", 1], "former": [["i1", 1]], "last_fence": 2,
+        "servers": [["s1", 1]], "ranges": [[0, 65_535, 2, 0]],
+    });
+    let stored: StoredRecord = serde_json::from_value(stored).unwrap();
+    let record = KeyRecord::try_from(stored).unwrap();
+    assert!(record.supporters.is_empty());
+    assert_eq!(record.former[0].leader, instance("i1", 1));
+    assert!(record.former[0].supporters.is_empty());
+}
+
+#[test]
+fn stored_record_keeps_the_supporters_of_each_leader() {
+    let mut record = first_record(&instance("i1", 1));
+    record.supporters = supporters();
+    let mut record = record.with_leader(instance("i2", 1));
+    record.supporters = vec![instance("i7", 1), instance("i8", 1)];
+    let stored = serde_json::to_value(StoredRecord::from(&record)).unwrap();
+    let stored: StoredRecord = serde_json::from_value(stored).unwrap();
+    assert_eq!(KeyRecord::try_from(stored).unwrap(), record);
+}
+
+#[test]
+fn supporters_are_kept_while_they_are_there_and_spread_over_data_centres() {
+    let instances: Vec<InstanceIncarnation> = (1..=6)
+        .map(|number| instance(&format!("i{number}"), 1))
+        .collect();
+    let centres = ["a", "a", "a", "b", "c", "c"];
+    let candidates: Vec<SupporterCandidate<'_>> = instances
+        .iter()
+        .zip(centres)
+        .map(|(instance, data_centre)| SupporterCandidate {
+            instance,
+            data_centre,
+        })
+        .collect();
+    let names = |supporters: Vec<InstanceIncarnation>| -> Vec<String> {
+        supporters
+            .into_iter()
+            .map(|supporter| supporter.instance)
+            .collect()
+    };
+    assert_eq!(
+        names(SupporterSelection::select(&[], &candidates)),
+        ["i1", "i2", "i4", "i5"]
+    );
+    let current = [
+        instances[2].clone(),
+        instances[5].clone(),
+        instance("i9", 1),
+    ];
+    assert_eq!(
+        names(SupporterSelection::select(&current, &candidates)),
+        ["i1", "i3", "i4", "i6"]
+    );
+    assert_eq!(
+        names(SupporterSelection::select(&[], &candidates[..3])),
+        ["i1", "i2"]
+    );
+    assert!(SupporterSelection::select(&[], &candidates[..1]).is_empty());
+}
--- a/crates/routing/tests/key_history/history_parameters.rs
+++ b/crates/routing/tests/key_history/history_parameters.rs
@@ -24,6 +24,12 @@
     /// Steps per thousand in which a server begins to refuse new connections for a while and resets
     /// some of its connections, although it works on.
     pub(crate) refusals_per_mille: u32,
+    /// Whether leaders name supporters, and instances exchange heartbeats.
+    pub(crate) has_heartbeats: bool,
+    /// Time for which the word of a supporter counts, and time for which leaders assume that former
+    /// leaders go on without it.
+    pub(crate) support_ms: u64,
+    pub(crate) assumed_support_ms: u64,
     /// Longest time in milliseconds from the sending of an order until its arrival.
     pub(crate) max_transit_ms: u64,
 }
@@ -39,6 +45,9 @@
             late_orders_per_mille: 60,
             breaks_per_mille: 0,
             refusals_per_mille: 0,
+            has_heartbeats: false,
+            support_ms: 1_000,
+            assumed_support_ms: 1_050,
             max_transit_ms: 40,
         }
     }
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -4,6 +4,7 @@
     fake_server::{BLOCK_KEYS, BLOCKS, FakeServer},
     fake_store::FakeStore,
     history_parameters::HistoryParameters,
+    peer_heartbeats::SentHeartbeat,
     sent_order::SentOrder,
 };
 use geraniummast_model::MonoTime;
@@ -19,6 +20,8 @@
 pub(crate) const SERVERS: [&str; 4] = ["s0", "s1", "s2", "s3"];
 /// Number of steps of one history.
 const STEPS: u64 = 1_500;
+/// Number of instances in histories with heartbeats; in others there are fewer.
+pub(crate) const MAX_INSTANCES: usize = 5;
 
 pub(crate) struct FakeInstance {
     pub(crate) leader: KeyLeader,
@@ -29,6 +32,11 @@
     pub(crate) planned_at: u64,
     pub(crate) confirmed_at: u64,
     pub(crate) started_at: u64,
+    pub(crate) peers_cut_until: u64,
+    /// Times until which the instance is cut off from each server.
+    pub(crate) links_cut_until: Vec<u64>,
+    /// Sending time of the last heartbeat from each instance, and the sender's incarnation.
+    pub(crate) heard: Vec<(u64, u64)>,
     /// Start times of the servers that discovery has reported.
     pub(crate) known_born: Vec<u64>,
     /// Start times of the server incarnations that the connections for grants lead to, 0 without a
@@ -50,6 +58,7 @@
     pub(crate) instances: Vec<FakeInstance>,
     pub(crate) servers: Vec<FakeServer>,
     pub(crate) orders: Vec<SentOrder>,
+    pub(crate) heartbeats: Vec<SentHeartbeat>,
     pub(crate) has_no_faults: bool,
     /// Highest fence under which each block was ever held, and its last holder.
     pub(crate) highest_fences: Vec<(u64, Option<ServerIncarnation>)>,
@@ -67,13 +76,20 @@
             planned_at: 0,
             confirmed_at: 0,
             started_at: 0,
+            peers_cut_until: 0,
+            links_cut_until: vec![0; SERVERS.len()],
+            heard: vec![(0, 0); MAX_INSTANCES],
             known_born: vec![1; SERVERS.len()],
             connection_incarnations: vec![0; SERVERS.len()],
             suspect_until: vec![0; SERVERS.len()],
             health: vec![(1, OrderHealth::default()); SERVERS.len()],
         };
+        let instances = match parameters.has_heartbeats {
+            true => MAX_INSTANCES,
+            false => 3,
+        };
         Self {
-            instances: (0..3).map(instance).collect(),
+            instances: (0..instances).map(instance).collect(),
             servers: SERVERS
                 .iter()
                 .map(|id| FakeServer::new(id, parameters.servers_check_fences))
@@ -84,6 +100,7 @@
             store: FakeStore::default(),
             late_writes: Vec::new(),
             orders: Vec::new(),
+            heartbeats: Vec::new(),
             has_no_faults: false,
             highest_fences: vec![(0, None); BLOCKS],
             last_held_at: vec![0; BLOCKS],
@@ -96,6 +113,8 @@
         for instance in &mut self.instances {
             instance.paused_until = 0;
             instance.store_cut_until = 0;
+            instance.peers_cut_until = 0;
+            instance.links_cut_until = vec![0; SERVERS.len()];
         }
         for server in &mut self.servers {
             if !server.is_up {
@@ -115,6 +134,9 @@
             }
             self.execute_late_writes();
             self.execute_due_orders();
+            if self.parameters.has_heartbeats {
+                self.exchange_heartbeats();
+            }
             for index in 0..self.instances.len() {
                 self.step_instance(index);
             }
@@ -144,7 +166,7 @@
         self.rng.random_range(from..to)
     }
 
-    fn is_alive(&self, index: usize) -> bool {
+    pub(crate) fn is_alive(&self, index: usize) -> bool {
         let instance = &self.instances[index];
         instance.restart_at.is_none() && instance.paused_until <= self.now
     }
@@ -246,7 +268,7 @@
     }
 }
 
-fn instance_of(incarnation: &InstanceIncarnation) -> usize {
+pub(crate) fn instance_of(incarnation: &InstanceIncarnation) -> usize {
     incarnation.instance[1..].parse().unwrap()
 }
 
@@ -255,6 +277,8 @@
         grant_duration: Duration::from_millis(parameters.assumed_grant_ms),
         renewal_interval: Duration::from_millis(900),
         authority: Duration::from_millis(parameters.authority_ms),
+        support_validity: Duration::from_millis(parameters.support_ms),
+        former_support: Duration::from_millis(parameters.assumed_support_ms),
         former_authority: Duration::from_millis(parameters.assumed_authority_ms),
         retry_delay: Duration::from_millis(300),
     }
--- a/crates/routing/tests/key_history/instance_faults.rs
+++ b/crates/routing/tests/key_history/instance_faults.rs
@@ -1,6 +1,8 @@
 //! Instances and servers that are paused, cut off, restarted or lost.
 
-use crate::history_world::{FakeInstance, HistoryWorld, SERVERS, incarnation_of, timing};
+use crate::history_world::{
+    FakeInstance, HistoryWorld, MAX_INSTANCES, SERVERS, incarnation_of, timing,
+};
 use geraniummast_routing::*;
 use rand::RngExt;
 
@@ -43,6 +45,9 @@
                     planned_at: 0,
                     confirmed_at: 0,
                     started_at: self.now,
+                    peers_cut_until: 0,
+                    links_cut_until: vec![0; SERVERS.len()],
+                    heard: vec![(0, 0); MAX_INSTANCES],
                     known_born: self.servers.iter().map(|server| server.born).collect(),
                     connection_incarnations: vec![0; SERVERS.len()],
                     suspect_until: vec![0; SERVERS.len()],
--- a/crates/routing/tests/key_history/main.rs
+++ b/crates/routing/tests/key_history/main.rs
@@ -10,6 +10,7 @@
 mod history_parameters;
 mod history_world;
 mod instance_faults;
+mod peer_heartbeats;
 mod record_writes;
 mod sent_order;
 
@@ -147,6 +148,35 @@
     assert!(!violations(&parameters, SEEDS).is_empty());
 }
 
+/// Histories in which leaders go on without the store while other instances support them.
+fn supported() -> HistoryParameters {
+    HistoryParameters {
+        has_heartbeats: true,
+        authority_ms: 60_000,
+        assumed_authority_ms: 60_000,
+        late_orders_per_mille: 300,
+        breaks_per_mille: 60,
+        ..HistoryParameters::default()
+    }
+}
+
+// Guards against keys that are granted on while a former leader still has the support to renew
+// them: heartbeats are lost and late, and instances are cut off from each other and from the store.
+#[test]
+fn leaders_that_rest_on_their_supporters_leave_one_owner_per_key() {
+    let violations_found = violations(&supported(), SEEDS);
+    assert_no_violations(&violations_found);
+}
+
+#[test]
+fn support_that_counts_longer_than_successors_assume_causes_two_owners() {
+    let parameters = HistoryParameters {
+        support_ms: 60_000,
+        ..supported()
+    };
+    assert!(!violations(&parameters, SEEDS).is_empty());
+}
+
 #[test]
 fn servers_without_fence_check_let_late_orders_cause_violations() {
     let parameters = HistoryParameters {
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -51,6 +51,9 @@
             ..KeyPlanner::default()
         };
         let planned = planner.plan(&settled, &servers, &weights, has_no_grant);
+        if self.parameters.has_heartbeats {
+            delta.supporters = self.due_supporters(index);
+        }
         let mut next = match planned {
             Some(KeyPlan::Initial(distributed)) => distributed,
             Some(KeyPlan::Change(change)) => {
--- a/crates/routing/tests/key_history/sent_order.rs
+++ b/crates/routing/tests/key_history/sent_order.rs
@@ -122,7 +122,8 @@
         let server = self.position_of(incarnation);
         let arrived_at = self.now + self.random_between(0, self.parameters.max_transit_ms);
         let is_late = !self.has_no_faults && self.chance(self.parameters.late_orders_per_mille);
-        let is_lost = !self.has_no_faults && self.chance(40);
+        let is_cut = self.instances[instance].links_cut_until[server] > self.now;
+        let is_lost = !self.has_no_faults && self.chance(40) || is_cut;
         let executed_at = match (is_lost, is_late) {
             (true, _) => u64::MAX,
             (false, true) => arrived_at + self.random_between(2_000, 12_000),
--- a/crates/routing/tests/unsent_grants.rs
+++ b/crates/routing/tests/unsent_grants.rs
@@ -24,6 +24,8 @@
         grant_duration: Duration::from_secs(2),
         renewal_interval: Duration::from_millis(550),
         authority: Duration::from_secs(12),
+        support_validity: Duration::from_secs(1),
+        former_support: Duration::from_millis(1_050),
         former_authority: Duration::from_secs(12),
         retry_delay: Duration::from_millis(300),
     };
