Let few instances act for all while no leader does

Cause: a leader that has lost the store names no watchers, and then all instances watch, 1,100 calls a second at 295; 290 of them tried to take over from an unconfirmed leader in the same 0.1 s, since instances that hear only the leader all have the same rank; while a leader is silent all send heartbeats to all, 92,000 a second.

Change: eight volunteers, by a hash of the names, watch, and are heard by all; ranks count instances that need not be heard, and the wait grows with every rank; instances that make no calls learn of an unstable store from the leader.

The simulation waits between checks as the product does (before: 0.1 s).

--- a/crates/gateway/src/change_path_tests/change_checker.rs
+++ b/crates/gateway/src/change_path_tests/change_checker.rs
@@ -31,23 +31,38 @@
     pub(super) slowest: Duration,
     /// When the store received calls.
     pub(super) calls: Vec<MonoTime>,
+    /// When instances sent heartbeats, one for each receiver.
+    heartbeats: Vec<MonoTime>,
     pub(super) largest_heartbeat: usize,
 }
 
+/// Largest number of times within one second, from `after` the start of the run.
+fn most_per_second(times: &[MonoTime], after: Duration) -> usize {
+    let second = Duration::from_secs(1);
+    let from = ChangeWorld::START.after(after);
+    let until = |at: MonoTime| times.partition_point(|time| *time < at);
+    let later = times.iter().enumerate().filter(|(_, at)| **at >= from);
+    let counts = later.map(|(index, at)| until(at.after(second)) - index);
+    counts.max().unwrap_or_default()
+}
+
 impl ChangeChecker {
     pub(super) fn record_call(&mut self, now: MonoTime) {
         self.calls.push(now);
     }
 
+    pub(super) fn record_heartbeat(&mut self, now: MonoTime) {
+        self.heartbeats.push(now);
+    }
+
     /// Largest number of calls within one second, from `after` the start of the run.
     pub(super) fn most_calls_per_second(&self, after: Duration) -> usize {
-        let second = Duration::from_secs(1);
-        let from = ChangeWorld::START.after(after);
-        let until = |at: MonoTime| self.calls.partition_point(|call| *call < at);
-        let calls = self.calls.iter().enumerate();
-        let later = calls.filter(|(_, at)| **at >= from);
-        let counts = later.map(|(index, at)| until(at.after(second)) - index);
-        counts.max().unwrap_or_default()
+        most_per_second(&self.calls, after)
+    }
+
+    /// Largest number of heartbeats within one second, from `after` the start of the run.
+    pub(super) fn most_heartbeats_per_second(&self, after: Duration) -> usize {
+        most_per_second(&self.heartbeats, after)
     }
 
     /// Number of calls from `after` the start of the run.
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -38,11 +38,7 @@
         let peers = &self.instances[index].peers;
         match peers.random_feed_address(&mut self.rng) {
             Some(address) => self.request(index, WorkerSlot::Check, Self::index_of(address)),
-            None => self.pause(
-                index,
-                WorkerSlot::Check,
-                knowledge_worker::MIN_RETRY_DELAY * 2,
-            ),
+            None => self.retry_check(index),
         }
     }
 
@@ -138,11 +134,7 @@
                 if changed == Some(true) {
                     self.restart_watches(index);
                 }
-                self.pause(
-                    index,
-                    WorkerSlot::Check,
-                    knowledge_worker::MIN_RETRY_DELAY * 2,
-                );
+                self.retry_check(index);
             }
         }
     }
--- a/crates/gateway/src/change_path_tests/heartbeat_path.rs
+++ b/crates/gateway/src/change_path_tests/heartbeat_path.rs
@@ -80,6 +80,7 @@
             ReceivedHeartbeat { heartbeat, updates }
         }));
         for target in targets {
+            self.checker.record_heartbeat(now);
             self.transmit(index, Self::index_of(target), &heartbeat);
         }
         let interval = match is_leader {
@@ -103,7 +104,14 @@
                 .is_some_and(|view| view.silence < LeaderView::SUSPICION_TIMEOUT);
         match address {
             Some(address) if is_heard && !is_leader => vec![address],
-            _ => instance.peers.addresses(),
+            _ if is_leader => instance.peers.addresses(),
+            leader => {
+                let mut targets = instance.peers.exchange_addresses();
+                targets.extend(leader);
+                targets.sort();
+                targets.dedup();
+                targets
+            }
         }
     }
 
--- a/crates/gateway/src/change_path_tests/knowledge_steps.rs
+++ b/crates/gateway/src/change_path_tests/knowledge_steps.rs
@@ -130,6 +130,8 @@
         };
         match step {
             RefreshStep::Wait => {
+                self.instances[instance].check_delay = knowledge_worker::MIN_RETRY_DELAY;
+                let simulated = &self.instances[instance];
                 let age = simulated.knowledge.age(now);
                 self.pause(
                     instance,
@@ -171,13 +173,18 @@
         self.call(instance, WorkerSlot::Check, WorkerState::Calling, next);
     }
 
+    /// Looks at the age again after a call that did not help.
+    pub(super) fn retry_check(&mut self, instance: usize) {
+        let spread = 0.5 + self.rng.random::<f64>();
+        let delay = &mut self.instances[instance].check_delay;
+        let pause = delay.mul_f64(spread);
+        *delay = (*delay * 2).min(knowledge_worker::MAX_RETRY_DELAY);
+        self.pause(instance, WorkerSlot::Check, pause);
+    }
+
     pub(super) fn continue_check(&mut self, instance: usize, answer: Option<&StoreAnswer>) {
         let Some(answer) = answer else {
-            self.pause(
-                instance,
-                WorkerSlot::Check,
-                knowledge_worker::MIN_RETRY_DELAY * 2,
-            );
+            self.retry_check(instance);
             return;
         };
         let kind = self.instances[instance].check.kinds[0];
--- a/crates/gateway/src/change_path_tests/leader_steps.rs
+++ b/crates/gateway/src/change_path_tests/leader_steps.rs
@@ -6,14 +6,10 @@
     simulated_instance::{LeaderRecord, WorkerSlot, WorkerState},
     simulated_store::{StoreAnswer, StoreQuestion},
 };
-use crate::prelude::*;
+use crate::{leader_worker, prelude::*};
 
 /// Time between two looks at the leader.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two attempts to take over, and between two moves of keys.
-const WRITE_INTERVAL: Duration = Duration::from_millis(400);
-/// Time between two attempts to take over while the store is unavailable.
-const OUTAGE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Delay before a failed announcement is repeated.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(500);
 
@@ -21,10 +17,8 @@
     pub(super) fn step_leader(&mut self, instance: usize) {
         let now = self.now;
         let simulated = &self.instances[instance];
-        let pause = match simulated.health.is_unavailable() {
-            true => OUTAGE_INTERVAL,
-            false => WRITE_INTERVAL,
-        };
+        let is_unavailable = simulated.health.is_unavailable();
+        let pause = leader_worker::takeover_pause(is_unavailable, simulated.peers.is_exchanging());
         let is_due = now.since(simulated.asked_leader_at) >= pause;
         let writes = match simulated.is_leading() {
             true => self.busy_until > now,
--- a/crates/gateway/src/change_path_tests/mod.rs
+++ b/crates/gateway/src/change_path_tests/mod.rs
@@ -167,6 +167,46 @@
     assert!(calls <= 60, "{calls} calls in a second");
 }
 
+// Guards against a store that is asked by all instances as long as it does not answer, and against
+// take-overs by all of them although the leader is heard.
+#[test]
+fn few_of_300_instances_ask_a_store_that_answers_none() {
+    let outage = Duration::from_secs(8);
+    let checker = ChangeWorld::new(PathSettings {
+        script: vec![(Duration::from_secs(4), WorldFault::RefuseCalls(outage))],
+        changes: 0,
+        ..PathSettings::calm(0, 300)
+    })
+    .run();
+    println!("{checker}");
+    assert!(checker.violations.is_empty(), "{:?}", checker.violations);
+    let calls = checker.calls_after(Duration::from_secs(4));
+    assert!(calls <= 800, "{calls} calls");
+}
+
+// Guards against all instances watching the store, and sending heartbeats to all others, as soon as
+// the leader is lost.
+#[test]
+fn few_of_300_instances_watch_the_store_after_the_leader_is_lost() {
+    let kill = WorldFault::Kill(FaultTarget::Leader, Duration::from_secs(8));
+    let checker = ChangeWorld::new(PathSettings {
+        script: vec![(Duration::from_secs(4), kill)],
+        changes: 0,
+        duration: Duration::from_secs(9),
+        ..PathSettings::calm(0, 300)
+    })
+    .run();
+    println!("{checker}");
+    assert!(checker.violations.is_empty(), "{:?}", checker.violations);
+    let calls = checker.calls_after(Duration::from_secs(4));
+    assert!(calls <= 100, "{calls} calls");
+    let heartbeats = checker.most_heartbeats_per_second(Duration::from_secs(4));
+    assert!(
+        heartbeats <= 300 * 60,
+        "{heartbeats} heartbeats in a second"
+    );
+}
+
 // Guards against a change that stays unknown while the connections to the store are silent, although
 // the store answers on new ones.
 #[test]
--- a/crates/gateway/src/change_path_tests/simulated_instance.rs
+++ b/crates/gateway/src/change_path_tests/simulated_instance.rs
@@ -1,7 +1,9 @@
 //! One instance: the product's types with which it decides, and where each of its workers stands.
 
 use super::simulated_store::SimulatedStore;
-use crate::{object_watcher, peer_heartbeat::RecordUpdate, prelude::*, update_router};
+use crate::{
+    knowledge_worker, object_watcher, peer_heartbeat::RecordUpdate, prelude::*, update_router,
+};
 
 /// Work that an instance does in a loop of its own, one call or pause at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +85,8 @@
     pub(super) turns: [u64; 9],
     /// Failed calls since the last answered one.
     pub(super) failures: u32,
+    /// Mean delay after the next check that does not help.
+    pub(super) check_delay: Duration,
     /// Idle connections to the store: since when, and whether they have gone silent.
     pub(super) idle: Vec<(MonoTime, bool)>,
     /// Watches that began before this are never answered.
@@ -128,6 +132,7 @@
             states: [WorkerState::Paused; 9],
             turns: [0; 9],
             failures: 0,
+            check_delay: knowledge_worker::MIN_RETRY_DELAY,
             idle: Vec::new(),
             watches_lost_at: MonoTime::default(),
             calls_lost_at: MonoTime::default(),
--- a/crates/gateway/src/change_path_tests/store_path.rs
+++ b/crates/gateway/src/change_path_tests/store_path.rs
@@ -39,6 +39,12 @@
             began_at: self.now,
             is_void,
         };
+        if self.store_refuses_until > self.now {
+            let transit = self.transit();
+            self.checker.record_call(self.now);
+            self.schedule_in(transit, WorldEvent::GiveUp(call));
+            return;
+        }
         self.schedule_in(timeout, WorldEvent::GiveUp(call.clone()));
         if state == WorkerState::Watching {
             let interval = crate::object_watcher::WATCHER_CHECK_INTERVAL;
@@ -50,6 +56,15 @@
         }
     }
 
+    /// Has the store refuse all calls for a time, and end those that are open.
+    pub(super) fn refuse_calls(&mut self, span: Duration) {
+        self.store_refuses_until = self.now.after(span);
+        for call in std::mem::take(&mut self.open_watches) {
+            let transit = self.transit();
+            self.schedule_in(transit, WorldEvent::GiveUp(call));
+        }
+    }
+
     pub(super) fn receive_call(&mut self, call: StoreCall) {
         self.checker.record_call(self.now);
         let before = self.store.revision;
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -29,6 +29,8 @@
     /// The leader moves keys.
     MoveKeys(Duration),
     CutStore(FaultTarget, Duration),
+    /// The store refuses all calls of all instances.
+    RefuseCalls(Duration),
     CutPeers(FaultTarget, Vec<usize>, Duration),
     Suspend(FaultTarget, Duration),
     Kill(FaultTarget, Duration),
@@ -106,6 +108,10 @@
                 self.instances[index].calls_lost_at = now;
                 self.disturb(index, now.after(span));
             }
+            WorldFault::RefuseCalls(span) => {
+                self.refuse_calls(span);
+                (0..self.instances.len()).for_each(|index| self.disturb(index, now.after(span)));
+            }
             WorldFault::CutPeers(target, peers, span) => {
                 let index = self.target(target);
                 let cuts = peers.into_iter().map(|peer| (index, peer, now.after(span)));
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -239,7 +239,8 @@
 
     /// How long entries that expire now stay in use.
     pub(crate) fn expiry_grace(&self) -> Duration {
-        match self.store.health.is_unstable(self.now()) {
+        let now = self.now();
+        match self.store.health.is_unstable(now) || self.peers.lock().is_store_unstable(now) {
             true => Self::EXPIRY_GRACE,
             false => Duration::ZERO,
         }
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -60,6 +60,8 @@
     knowledge: Option<KnowledgeWire>,
     #[prost(message, repeated, tag = "21")]
     pub(crate) rests: Vec<KnownRestWire>,
+    #[prost(bool, tag = "22")]
+    store_unstable: bool,
 }
 
 #[derive(prost::Message)]
@@ -131,6 +133,7 @@
             revisions: heartbeat.revisions.to_vec(),
             live_count: heartbeat.live_count,
             store_lost: heartbeat.store_lost,
+            store_unstable: heartbeat.store_unstable,
             servers_lost: heartbeat.servers_lost,
             isolated: heartbeat.isolated,
             sent_at_us: heartbeat.sent_at.0,
@@ -258,6 +261,7 @@
             yields: wire.yields,
             live_count: wire.live_count,
             store_lost: wire.store_lost,
+            store_unstable: wire.store_unstable,
             servers_lost: wire.servers_lost,
             isolated: wire.isolated,
             sent_at: MonoTime(wire.sent_at_us),
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -29,7 +29,9 @@
         log_age(&node, &mut old_since, now);
         let is_source = node.is_leading();
         let instances = node.instance_count();
-        let step = if is_confirmation_due(&node, now) || node.store.health.is_retry_due(now) {
+        let is_exchanging = node.peers.lock().is_exchanging();
+        let is_retry_due = node.store.health.is_retry_due(is_exchanging, now);
+        let step = if is_confirmation_due(&node, now) || is_retry_due {
             RefreshStep::AskStore
         } else if node.is_recently_started() {
             // The seeds tell what they know.
--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -94,17 +94,21 @@
     log::info!(service, has_authority, confirmed_age_ms, supporters; "authority of this leader");
 }
 
+/// Time between two attempts to take over. Instances that are not among the few that act for all
+/// others try rarely while the store is unavailable to them.
+pub(crate) fn takeover_pause(is_store_unavailable: bool, is_exchanging: bool) -> Duration {
+    match (is_store_unavailable, is_exchanging) {
+        (false, _) => Duration::from_millis(400),
+        (true, true) => Duration::from_millis(1_500),
+        (true, false) => Duration::from_secs(5),
+    }
+}
+
 /// Takes over leadership when there is no key record or its leader is lost.
 async fn consider_takeover(node: &Arc<GatewayNode>, service: &str, state: &mut LeaderLoopState) {
-    /// Time between two attempts to take over.
-    const RETRY_INTERVAL: Duration = Duration::from_millis(400);
-    /// Time between two attempts while the store is unavailable.
-    const OUTAGE_RETRY_INTERVAL: Duration = Duration::from_millis(1_500);
     let now = node.now();
-    let pause = match node.store.health.is_unavailable() {
-        true => OUTAGE_RETRY_INTERVAL,
-        false => RETRY_INTERVAL,
-    };
+    let is_exchanging = node.peers.lock().is_exchanging();
+    let pause = takeover_pause(node.store.health.is_unavailable(), is_exchanging);
     if node.is_stopping() || now.since(state.store_asked_at) < pause {
         return;
     }
--- a/crates/gateway/src/peer_heartbeat.rs
+++ b/crates/gateway/src/peer_heartbeat.rs
@@ -23,6 +23,8 @@
     pub(crate) live_count: u32,
     /// Whether the store is unavailable to the sender.
     pub(crate) store_lost: bool,
+    /// Whether the store failed so recently for the sender that entries of live servers may be missing.
+    pub(crate) store_unstable: bool,
     /// Whether the sender does not reach the servers of some data centre.
     pub(crate) servers_lost: bool,
     /// Of a leader: instances that do not reach the servers of some data centre.
--- a/crates/gateway/src/peer_leaders.rs
+++ b/crates/gateway/src/peer_leaders.rs
@@ -1,7 +1,6 @@
 //! Which instance leads or comes first, as heartbeats tell.
 
-use crate::{peer_state::PeerState, prelude::*};
-use xxhash_rust::xxh3::xxh3_64;
+use crate::{peer_positions::order_of, peer_state::PeerState, prelude::*};
 
 /// The first live instance by name.
 pub(crate) enum FirstInstance {
@@ -12,13 +11,18 @@
 }
 
 impl PeerTable {
-    /// The first instance by name among those with a recent heartbeat and this one.
+    /// The first by name of the volunteers with a recent heartbeat, which are heard by all.
     pub(crate) fn first_instance(&self, now: MonoTime) -> FirstInstance {
         let mut first_since = self.started_at;
         let mut first: Option<&PeerState> = None;
-        for peer in self.peers.values() {
-            let is_before = first.map_or(self.own_name.as_str(), |peer| peer.record.name.as_str());
-            if peer.record.name.as_str() >= is_before {
+        let is_volunteer = self.is_volunteer();
+        let others = self.peers.values();
+        for peer in others.filter(|peer| self.volunteers.contains(&peer.record.name)) {
+            let is_before = match first {
+                Some(first) => peer.record.name < first.record.name,
+                None => !is_volunteer || peer.record.name < self.own_name,
+            };
+            if !is_before {
                 continue;
             }
             match peer.heard_within(now, Self::RECENT_WINDOW) {
@@ -64,7 +68,7 @@
             hears_peers: self.peers.is_empty() || self.live_count(now) > 1,
             is_leaving: current
                 .is_some_and(|peer| peer.heartbeat.is_stopping || peer.heartbeat.yields),
-            rank: self.rank(service, leader, now),
+            rank: self.rank(leader, silence, now),
         }
     }
 
@@ -118,27 +122,29 @@
     }
 
     /// Position of this instance in the order of takeover: first the watchers that the leader
-    /// assigned, then the other live instances by a hash of their names.
-    fn rank(&self, service: &str, leader: &InstanceIncarnation, now: MonoTime) -> usize {
+    /// assigned, then the other instances. Those that tell all others that they are alive while a
+    /// leader is silent count only if they are heard then.
+    fn rank(&self, leader: &InstanceIncarnation, silence: Duration, now: MonoTime) -> usize {
         let successors = self
             .assignments
             .get(&leader.instance)
-            .map(|assignment| &assignment.successors);
-        let named = successors
-            .into_iter()
-            .flatten()
-            .position(|name| *name == self.own_name);
-        if let Some(position) = named {
+            .map_or(&[][..], |assignment| &assignment.successors);
+        if let Some(position) = successors.iter().position(|name| *name == self.own_name) {
             return position;
         }
-        let score = |name: &str| xxh3_64(format!("{service}/{name}").as_bytes());
-        let own = score(&self.own_name);
-        let before = self.peers.iter().filter(|(name, peer)| {
-            **name != leader.instance
+        let is_exchange_due = silence >= LeaderView::SUSPICION_TIMEOUT;
+        let own_order = order_of(&self.own_name);
+        let before = self.peers.values().filter(|peer| {
+            let name = &peer.record.name;
+            let is_silent = is_exchange_due
+                && self.volunteers.contains(name)
+                && !peer.heard_within(now, Self::RECENT_WINDOW);
+            peer.order < own_order
                 && !peer.heartbeat.is_stopping
-                && peer.heard_within(now, Self::RECENT_WINDOW)
-                && score(name) < own
+                && !is_silent
+                && *name != leader.instance
+                && !successors.contains(name)
         });
-        before.count() + successors.map_or(0, Vec::len)
+        before.count() + successors.len()
     }
 }
--- a/crates/gateway/src/peer_state.rs
+++ b/crates/gateway/src/peer_state.rs
@@ -13,6 +13,8 @@
     pub(crate) revision: u64,
     pub(crate) heard_at: Option<MonoTime>,
     pub(crate) heartbeat: PeerHeartbeat,
+    /// Place in the order in which instances act for all others.
+    pub(crate) order: u64,
     pub(crate) clock: PeerClock,
 }
 
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -3,6 +3,7 @@
 use crate::{
     peer_clock::PeerClock,
     peer_heartbeat::PeerHeartbeat,
+    peer_positions::order_of,
     peer_state::{PeerState, WatcherAssignment},
     prelude::*,
 };
@@ -15,6 +16,8 @@
     pub(crate) data_centre: String,
     /// Position of this instance by name, among those of its data centre and among all.
     pub(crate) positions: InstancePositions,
+    /// Names of the first known instances in the order in which they act for all others.
+    pub(crate) volunteers: Vec<String>,
     pub(crate) started_at: MonoTime,
     pub(crate) peers: IndexMap<String, PeerState>,
     /// Time since which other instances report newer revisions than known here.
@@ -38,6 +41,7 @@
         self.own_name = own_name.into();
         self.data_centre = data_centre.into();
         self.started_at = now;
+        self.update_positions();
     }
 
     /// Adds or replaces an instance by its record from the store.
@@ -67,6 +71,7 @@
                 incarnation: record.incarnation,
                 ..PeerHeartbeat::default()
             },
+            order: order_of(&record.name),
             record,
             clock: PeerClock::default(),
         };
@@ -155,7 +160,8 @@
         source.zip(self.behind_since)
     }
 
-    /// Whether this instance should watch the store itself.
+    /// Whether this instance should watch the store itself: a leader assigns it, or it is one of few
+    /// that do so while no leader assigns any, or it hears nobody.
     pub(crate) fn should_watch(&self, leads: bool, now: MonoTime) -> bool {
         let assignments: Vec<&WatcherAssignment> = self
             .assignments
@@ -164,13 +170,15 @@
                 now.since(assignment.received_at) < WatcherSelection::LEADER_TIMEOUT
             })
             .collect();
-        let is_assigned = |assignment: &&WatcherAssignment| {
-            assignment.watchers.is_empty() || assignment.watchers.contains(&self.own_name)
-        };
+        let is_assigned =
+            |assignment: &&WatcherAssignment| assignment.watchers.contains(&self.own_name);
+        let is_unassigned = |assignment: &&WatcherAssignment| assignment.watchers.is_empty();
+        let lacks_watchers = assignments.is_empty() || assignments.iter().any(is_unassigned);
+        let stands_in = lacks_watchers && (self.is_exchanging() || !self.hears_any(now));
         let is_behind = self
             .behind_since
             .is_some_and(|since| now.since(since) >= Self::MAX_LAG);
-        leads || is_behind || assignments.is_empty() || assignments.iter().any(is_assigned)
+        leads || is_behind || stands_in || assignments.iter().any(is_assigned)
     }
 
     /// Instances that this one, as a leader, assigns to watch the store; empty when all should.
@@ -207,6 +215,17 @@
             .collect()
     }
 
+    /// Whether a leader, from which this instance learns of servers, says that entries of live ones
+    /// may be missing.
+    pub(crate) fn is_store_unstable(&self, now: MonoTime) -> bool {
+        self.peers.values().any(|peer| {
+            let mut leaderships = peer.heartbeat.leaderships.iter();
+            peer.heartbeat.store_unstable
+                && peer.heard_within(now, WatcherSelection::LEADER_TIMEOUT)
+                && leaderships.any(|status| status.is_leader)
+        })
+    }
+
     /// Number of instances that share budgets, this one included: those that a leader hears or, if
     /// more, all announced ones, since an instance without heartbeats may still serve requests.
     pub(crate) fn instance_count(&self) -> usize {
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     peer_heartbeat::{LeadershipStatus, PeerHeartbeat, ServiceTimeReport},
+    peer_leaders::FirstInstance,
     prelude::*,
 };
 
@@ -90,6 +91,89 @@
     assert!(table.should_watch(false, at(2_200)));
 }
 
+// Guards against live servers that are dropped with the entries which lapse in an outage of the
+// store, by the many instances that make no calls and see nothing of it.
+#[test]
+fn leader_tells_of_an_unstable_store_until_it_is_not_heard_any_more() {
+    let mut table = table();
+    let told = |leads| PeerHeartbeat {
+        store_unstable: true,
+        ..heartbeat("p1", 10, leads)
+    };
+    table.apply_heartbeat(told(false), at(1_000));
+    assert!(
+        !table.is_store_unstable(at(1_100)),
+        "it is the word of one that others do not follow"
+    );
+    table.apply_heartbeat(told(true), at(2_000));
+    assert!(table.is_store_unstable(at(2_900)));
+    assert!(!table.is_store_unstable(at(3_200)));
+    table.apply_heartbeat(heartbeat("p1", 10, true), at(3_300));
+    assert!(!table.is_store_unstable(at(3_400)));
+}
+
+/// Table of an instance that has learnt of `count` others, `i000` to the last of which it has heard
+/// `heard` at 1 s.
+fn large_table(own: &str, count: usize, heard: impl Fn(&str) -> bool) -> PeerTable {
+    let mut table = PeerTable::default();
+    table.init(own, "a", MonoTime::default());
+    for number in 0..count {
+        let name = format!("i{number:03}");
+        let record = InstanceRecord {
+            name: name.clone(),
+            incarnation: 1,
+            address: SocketAddr::from(([127, 0, 1, (number / 200) as u8], 1 + number as u16)),
+            feed_address: SocketAddr::from(([127, 0, 0, 1], 1 + number as u16)),
+            relay_address: None,
+            data_centre: "a".into(),
+            processor_share: 1.0,
+        };
+        table.insert(record, 1 + number as u64, MonoTime::default());
+        if heard(&name) {
+            table.apply_heartbeat(heartbeat(&name, 10, false), at(1_000));
+        }
+    }
+    table
+}
+
+// Guards against a service without a leader for which all instances watch the store, ask each other
+// or count as the first.
+#[test]
+fn few_of_295_instances_act_for_all_while_no_leader_does() {
+    let names: Vec<String> = (0..295).map(|number| format!("i{number:03}")).collect();
+    let volunteers = large_table("i000", 295, |_| false).volunteers;
+    assert_eq!(volunteers.len(), WatcherSelection::MAX_VOLUNTEERS);
+    let mut watching = 0;
+    let mut sent = 0;
+    let mut firsts = 0;
+    for own in names.iter().step_by(7).chain(&volunteers) {
+        let table = large_table(own, 295, |name| volunteers.iter().any(|one| one == name));
+        let is_volunteer = volunteers.contains(own);
+        assert_eq!(table.should_watch(false, at(1_100)), is_volunteer, "{own}");
+        watching += usize::from(is_volunteer);
+        sent += table.exchange_addresses().len();
+        let is_first = matches!(table.first_instance(at(1_100)), FirstInstance::Own(_));
+        firsts += usize::from(is_first);
+    }
+    assert!(watching >= volunteers.len());
+    assert!(firsts <= 2, "{firsts}: at most the same one twice");
+    assert!(
+        sent <= 2 * volunteers.len() * 295 + 295 * volunteers.len(),
+        "{sent}"
+    );
+}
+
+#[test]
+fn instance_that_hears_nobody_watches_the_store() {
+    let names: Vec<String> = (0..40).map(|number| format!("i{number:03}")).collect();
+    let other = names
+        .iter()
+        .find(|own| !large_table(own, 40, |_| false).is_volunteer());
+    let table = large_table(other.unwrap(), 40, |name| name == "i001" || name == "i002");
+    assert!(!table.should_watch(false, at(1_100)));
+    assert!(table.should_watch(false, at(1_700)));
+}
+
 /// A leader that hears few instances must not enlarge each instance's share of the budgets.
 #[test]
 fn instance_count_with_isolated_leader_includes_announced_instances() {
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -1,7 +1,8 @@
 //! Sends and receives heartbeats.
 //!
-//! Leaders of keys send to all instances. The others send to the leaders only, and to all while a
-//! leader is silent. The number of messages thus grows linearly with the number of instances.
+//! Leaders of keys send to all instances. The others send to the leaders only. While a leader is
+//! silent, those that may take over first send to all instances, and the others to them. The number
+//! of messages thus grows linearly with the number of instances.
 
 use crate::{
     heartbeat_content,
@@ -160,6 +161,7 @@
         incarnation: node.own_incarnation.incarnation,
         is_stopping: node.is_stopping(),
         store_lost: node.store.health.is_unavailable(),
+        store_unstable: node.store.health.is_unstable(now),
         servers_lost: node.reach.lock().is_any_lost(),
         revisions: node.mirror.lock().latest_revisions(),
         sent_at: now,
@@ -303,12 +305,20 @@
         .filter(|status| !status.is_leader)
         .collect();
     let all_heard = others.into_iter().zip(leaders).all(is_leader_heard);
-    if is_leader || leaders.is_empty() || !all_heard {
+    if is_leader {
         return peers.addresses();
     }
-    leaders
+    let leaders: Vec<SocketAddr> = leaders
         .iter()
         .flatten()
         .filter_map(|(leader, _)| peers.address_of(&leader.instance))
-        .collect()
+        .collect();
+    if !leaders.is_empty() && all_heard {
+        return leaders;
+    }
+    let mut targets = peers.exchange_addresses();
+    targets.extend(leaders);
+    targets.sort();
+    targets.dedup();
+    targets
 }
--- a/crates/gateway/src/store_health.rs
+++ b/crates/gateway/src/store_health.rs
@@ -26,8 +26,10 @@
     const RECOVERY_TIME: Duration = Duration::from_millis(2_300);
 
     /// Time after a failed call after which an instance that makes no calls asks an unavailable
-    /// store again.
+    /// store again, if it is one of few.
     const RETRY_INTERVAL: Duration = Duration::from_millis(2_500);
+    /// The same for the many others.
+    const RARE_RETRY_INTERVAL: Duration = Duration::from_secs(10);
 
     /// Records an answered call.
     pub(crate) fn record_success(&self, now: MonoTime) {
@@ -73,9 +75,14 @@
             || state.recovered_at.is_some_and(is_recent)
     }
 
-    /// Whether the store counts as unavailable and should be asked again.
-    pub(crate) fn is_retry_due(&self, now: MonoTime) -> bool {
+    /// Whether the store counts as unavailable and should be asked again. `is_exchanging` is whether
+    /// this instance is one of few that act for all others while no leader does.
+    pub(crate) fn is_retry_due(&self, is_exchanging: bool, now: MonoTime) -> bool {
+        let interval = match is_exchanging {
+            true => Self::RETRY_INTERVAL,
+            false => Self::RARE_RETRY_INTERVAL,
+        };
         let state = self.state.lock();
-        state.unavailable_since.is_some() && now.since(state.failed_at) >= Self::RETRY_INTERVAL
+        state.unavailable_since.is_some() && now.since(state.failed_at) >= interval
     }
 }
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -69,6 +69,7 @@
         }),
         live_count: 3,
         store_lost: false,
+        store_unstable: true,
         servers_lost: true,
         leaving: vec![incarnation("s4")],
         isolated: vec!["p3".into()],
--- a/crates/routing/src/leader_view.rs
+++ b/crates/routing/src/leader_view.rs
@@ -39,8 +39,11 @@
     const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_800);
     /// Additional silence for an instance that hears no peers, since the fault may be its own.
     const ISOLATION_DELAY: Duration = Duration::from_secs(3);
-    /// Highest rank that adds to the wait.
-    const MAX_RANK: usize = 8;
+    /// The same for each rank from `TAIL_RANK` on. Those before it may all be unable to take over, but
+    /// as many as all instances together must not try to.
+    const TAIL_RANK_STEP: Duration = Duration::from_millis(100);
+    /// Rank from which on the additional silence grows more slowly.
+    const TAIL_RANK: usize = 8;
 
     /// Decides whether this instance takes over. It does so at once from its own earlier
     /// incarnation or, as the first in rank, from a leader that leaves; otherwise once the leader
@@ -49,7 +52,9 @@
         if self.is_own_earlier_incarnation {
             return TakeoverStep::TakeOver;
         }
-        let rank_delay = Self::RANK_STEP * self.rank.min(Self::MAX_RANK) as u32;
+        let tail = self.rank.saturating_sub(Self::TAIL_RANK) as u32;
+        let rank_delay =
+            Self::RANK_STEP * self.rank.min(Self::TAIL_RANK) as u32 + Self::TAIL_RANK_STEP * tail;
         let isolation_delay = match self.hears_peers {
             true => Duration::ZERO,
             false => Self::ISOLATION_DELAY,
--- a/crates/routing/src/watcher_selection.rs
+++ b/crates/routing/src/watcher_selection.rs
@@ -2,7 +2,8 @@
 //!
 //! A pending watch counts as a call, and the store's rate limits grow more slowly than the number
 //! of instances. Only the leader of the keys and a few others watch the store; the rest receive
-//! changes from them. An instance that does not hear from the leader watches the store itself.
+//! changes from them. While no leader assigns watchers, a few volunteers watch; an instance that
+//! hears nobody watches too.
 
 use crate::prelude::*;
 
@@ -25,6 +26,10 @@
     /// Number of instances that watch besides the leader, so that a watcher remains when two fail
     /// at the same time.
     pub const EXTRA_WATCHERS: usize = 2;
+    /// Number of instances that stand in for a leader's watchers while no leader assigns any, and
+    /// that all others hear while a leader is silent. A third of all instances may be cut off from the
+    /// store; that all of these are among them is then less likely than one in 5,000.
+    pub const MAX_VOLUNTEERS: usize = 8;
     /// Silence of the leader after which an instance watches the store itself.
     pub const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
 
