Ask the volunteers, which ask the store, when what an instance knows gets too old

Cause: four random instances of 300 ask the store, and nobody knows which.

Change: the volunteers ask the store (3.5 expected) and are asked by the others; 0.9 of the others ask it too.

--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -36,7 +36,7 @@
 
     pub(super) fn ask_peer(&mut self, index: usize) {
         let peers = &self.instances[index].peers;
-        match peers.random_feed_address(&mut self.rng) {
+        match peers.random_feed_address(&mut self.rng, self.now) {
             Some(address) => self.request(index, WorkerSlot::Check, Self::index_of(address)),
             None => self.retry_check(index),
         }
--- a/crates/gateway/src/change_path_tests/knowledge_steps.rs
+++ b/crates/gateway/src/change_path_tests/knowledge_steps.rs
@@ -125,8 +125,9 @@
             RefreshStep::Wait
         } else {
             let instances = simulated.peers.instance_count();
+            let is_asked = simulated.peers.is_exchanging();
             let knowledge = &simulated.knowledge;
-            knowledge.next_step(is_source, instances, now, draw)
+            knowledge.next_step(is_source, is_asked, instances, now, draw)
         };
         match step {
             RefreshStep::Wait => {
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -38,7 +38,7 @@
             RefreshStep::Wait
         } else {
             let knowledge = node.knowledge.lock();
-            knowledge.next_step(is_source, instances, now, rand::random())
+            knowledge.next_step(is_source, is_exchanging, instances, now, rand::random())
         };
         match step {
             RefreshStep::Wait => {
@@ -113,7 +113,11 @@
 }
 
 async fn ask_peer(node: &Arc<GatewayNode>, connection: &mut Option<FeedConnection>) {
-    let Some(address) = node.peers.lock().random_feed_address(&mut rand::rng()) else {
+    let Some(address) = node
+        .peers
+        .lock()
+        .random_feed_address(&mut rand::rng(), node.now())
+    else {
         return;
     };
     match feed_client::request_updates(node, connection, address, PEER_TIMEOUT).await {
--- a/crates/gateway/src/peer_positions.rs
+++ b/crates/gateway/src/peer_positions.rs
@@ -32,14 +32,16 @@
         if self.is_exchanging() {
             return self.addresses();
         }
-        let exchanging: IndexSet<&String> =
-            self.volunteers.iter().chain(self.successors()).collect();
-        let addresses = exchanging
-            .into_iter()
-            .filter_map(|name| self.address_of(name));
+        let addresses = self.exchanging().filter_map(|name| self.address_of(name));
         addresses.collect()
     }
 
+    /// Names of the instances that tell all others that they are alive while a leader is silent.
+    pub(crate) fn exchanging(&self) -> impl Iterator<Item = &String> {
+        let names: IndexSet<&String> = self.volunteers.iter().chain(self.successors()).collect();
+        names.into_iter()
+    }
+
     /// Instances that leaders have named as their successors.
     fn successors(&self) -> impl Iterator<Item = &String> {
         let assignments = self.assignments.values();
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -163,22 +163,26 @@
     /// Whether this instance should watch the store itself: a leader assigns it, or it is one of few
     /// that do so while no leader assigns any, or it hears nobody.
     pub(crate) fn should_watch(&self, leads: bool, now: MonoTime) -> bool {
-        let assignments: Vec<&WatcherAssignment> = self
-            .assignments
-            .values()
-            .filter(|assignment| {
-                now.since(assignment.received_at) < WatcherSelection::LEADER_TIMEOUT
-            })
-            .collect();
         let is_assigned =
-            |assignment: &&WatcherAssignment| assignment.watchers.contains(&self.own_name);
-        let is_unassigned = |assignment: &&WatcherAssignment| assignment.watchers.is_empty();
-        let lacks_watchers = assignments.is_empty() || assignments.iter().any(is_unassigned);
-        let stands_in = lacks_watchers && (self.is_exchanging() || !self.hears_any(now));
+            |assignment: &WatcherAssignment| assignment.watchers.contains(&self.own_name);
+        let stands_in = self.lacks_watchers(now) && (self.is_exchanging() || !self.hears_any(now));
         let is_behind = self
             .behind_since
             .is_some_and(|since| now.since(since) >= Self::MAX_LAG);
-        leads || is_behind || stands_in || assignments.iter().any(is_assigned)
+        leads || is_behind || stands_in || self.recent_assignments(now).any(is_assigned)
+    }
+
+    /// Assignments of the leaders that are heard.
+    fn recent_assignments(&self, now: MonoTime) -> impl Iterator<Item = &WatcherAssignment> {
+        self.assignments.values().filter(move |assignment| {
+            now.since(assignment.received_at) < WatcherSelection::LEADER_TIMEOUT
+        })
+    }
+
+    /// Whether no leader is heard, or one that names no watchers.
+    fn lacks_watchers(&self, now: MonoTime) -> bool {
+        let mut recent = self.recent_assignments(now).peekable();
+        recent.peek().is_none() || recent.any(|assignment| assignment.watchers.is_empty())
     }
 
     /// Instances that this one, as a leader, assigns to watch the store; empty when all should.
@@ -272,12 +276,27 @@
         (longest, reporters)
     }
 
-    /// Feed address of any other instance that is not stopping.
-    pub(crate) fn random_feed_address(&self, rng: &mut impl rand::Rng) -> Option<SocketAddr> {
-        let peers = self.peers.values();
-        let running = peers.filter(|peer| !peer.heartbeat.is_stopping);
-        let addresses = running.map(|peer| peer.record.feed_address);
-        addresses.choose(rng)
+    /// Feed address of another instance that is not stopping: one that stands in for a leader's
+    /// watchers or, while there are watchers, just as often any.
+    pub(crate) fn random_feed_address(
+        &self,
+        rng: &mut impl rand::RngExt,
+        now: MonoTime,
+    ) -> Option<SocketAddr> {
+        let is_running = |peer: &&PeerState| !peer.heartbeat.is_stopping;
+        let address = |peer: &PeerState| peer.record.feed_address;
+        let stand_ins = self.exchanging().filter_map(|name| self.peers.get(name));
+        let stand_ins = match self.lacks_watchers(now) || rng.random() {
+            true => stand_ins.filter(is_running).map(address).choose(rng),
+            false => None,
+        };
+        stand_ins.or_else(|| {
+            self.peers
+                .values()
+                .filter(is_running)
+                .map(address)
+                .choose(rng)
+        })
     }
 
     /// Heartbeat address of one instance.
--- a/crates/routing/src/knowledge_age.rs
+++ b/crates/routing/src/knowledge_age.rs
@@ -55,8 +55,11 @@
     /// its report is on the way for none, so that reports which go in circles would confirm each
     /// other.
     pub const MAX_HOPS: usize = 2;
-    /// Expected number of instances that ask the store when the knowledge of all gets too old.
-    const STORE_ASKERS: f64 = 4.0;
+    /// Expected number of those that others ask which ask the store when the knowledge of all gets too
+    /// old.
+    const STORE_ASKERS: f64 = 3.5;
+    /// The same of all other instances, in case that none of those reaches the store.
+    const OTHER_ASKERS: f64 = 0.9;
 
     /// Records that the change with this revision is known.
     pub fn record_change(&mut self, revision: u64) {
@@ -126,11 +129,12 @@
         self.coverage.covers(revision)
     }
 
-    /// What an instance does now. `is_source` is whether others learn from it; `draw` is uniform
-    /// in 0 to 1.
+    /// What an instance does now. `is_source` is whether others learn from it, `is_asked` whether it
+    /// is one of the few that others ask; `draw` is uniform in 0 to 1.
     pub fn next_step(
         &self,
         is_source: bool,
+        is_asked: bool,
         instances: usize,
         now: MonoTime,
         draw: f64,
@@ -141,7 +145,12 @@
         match is_source {
             true if is_doubted || age >= Self::CHECK_AGE => RefreshStep::AskStore,
             false if is_doubted || age >= Self::MAX_AGE => {
-                match draw * instances as f64 <= Self::STORE_ASKERS {
+                let asked = instances.min(WatcherSelection::MAX_VOLUNTEERS);
+                let askers = match is_asked {
+                    true => Self::STORE_ASKERS / asked as f64,
+                    false => Self::OTHER_ASKERS / instances as f64,
+                };
+                match draw <= askers {
                     true => RefreshStep::AskStore,
                     false => RefreshStep::AskPeer,
                 }
--- a/crates/routing/tests/knowledge_age.rs
+++ b/crates/routing/tests/knowledge_age.rs
@@ -1,7 +1,7 @@
 //! Age of what an instance knows, as its own calls and other instances confirm it.
 
 use geraniummast_model::MonoTime;
-use geraniummast_routing::{KnowledgeAge, KnowledgeReport, RefreshStep};
+use geraniummast_routing::{KnowledgeAge, KnowledgeReport, RefreshStep, WatcherSelection};
 use std::time::Duration;
 
 fn at(ms: u64) -> MonoTime {
@@ -37,7 +37,7 @@
     assert!(!age.covers(14));
     assert_eq!(age_ms(&age, 1_200), 1_200);
     assert_eq!(
-        age.next_step(true, 8, at(1_200), 0.9),
+        age.next_step(true, true, 8, at(1_200), 0.9),
         RefreshStep::AskStore
     );
     age.record_complete(14);
@@ -102,11 +102,14 @@
     age.observe(at(1_000), 1);
     age.doubt(at(1_100));
     assert_eq!(
-        age.next_step(false, 1, at(1_100), 0.5),
+        age.next_step(false, true, 1, at(1_100), 0.5),
         RefreshStep::AskStore
     );
     age.observe(at(1_200), 1);
-    assert_eq!(age.next_step(false, 1, at(1_300), 0.5), RefreshStep::Wait);
+    assert_eq!(
+        age.next_step(false, true, 1, at(1_300), 0.5),
+        RefreshStep::Wait
+    );
 }
 
 #[test]
@@ -114,14 +117,22 @@
     const DRAWS: u32 = 200_000;
     let age = KnowledgeAge::default();
     for instances in [1, 8, 12, 87, 300, 7_800] {
-        let draws = (0..DRAWS).map(|draw| f64::from(draw) / f64::from(DRAWS));
-        let steps = draws.map(|draw| age.next_step(false, instances, at(1_700), draw));
-        let asking = steps.filter(|step| *step == RefreshStep::AskStore).count();
-        let expected = asking as f64 / f64::from(DRAWS) * instances as f64;
+        let share = |is_asked| {
+            let draws = (0..DRAWS).map(|draw| f64::from(draw) / f64::from(DRAWS));
+            let steps =
+                draws.map(|draw| age.next_step(false, is_asked, instances, at(1_700), draw));
+            let asking = steps.filter(|step| *step == RefreshStep::AskStore).count();
+            assert!(asking > 0);
+            asking as f64 / f64::from(DRAWS)
+        };
+        let asked = instances.min(WatcherSelection::MAX_VOLUNTEERS);
+        let expected = share(true) * asked as f64 + share(false) * (instances - asked) as f64;
         assert!(expected <= 4.5, "{expected} of {instances}");
-        assert!(asking > 0);
     }
-    assert_eq!(age.next_step(false, 300, at(1_699), 0.0), RefreshStep::Wait);
+    assert_eq!(
+        age.next_step(false, true, 300, at(1_699), 0.0),
+        RefreshStep::Wait
+    );
 }
 
 // Guards against an instance that has just started on a machine that has just started: its clock is
