Check the incarnations of many servers by one list of the store

Cause: a new grant connection is used after the store, asked once it is open, has confirmed the server's incarnation, and each connection asked by itself.

--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -3,7 +3,7 @@
 //! Lock order: mirror, routes, roster, servers, usable, services, keys, peers, suspects, reach, knowledge, then the
 //! locks inside a server or a service. No lock is held across an await.
 
-use crate::{prelude::*, relay_client::HelperTable};
+use crate::{incarnation_checks::IncarnationChecks, prelude::*, relay_client::HelperTable};
 use async_net::UdpSocket;
 use std::sync::OnceLock;
 
@@ -39,6 +39,8 @@
     pub(crate) reach_checked: Event,
     /// Requests under which servers crashed.
     pub(crate) suspects: StateMutex<QuarantineTable>,
+    /// Checks of servers' incarnations that wait for the store.
+    pub(crate) incarnation_checks: IncarnationChecks,
     /// Notified when the store's record of quarantined requests should be updated.
     pub(crate) quarantine_changed: Event,
     /// Socket for datagrams to other instances, once it is bound.
@@ -129,6 +131,7 @@
             reach: StateMutex::default(),
             reach_checked: Event::new(),
             suspects: StateMutex::default(),
+            incarnation_checks: IncarnationChecks::default(),
             quarantine_changed: Event::new(),
             peer_socket: OnceLock::new(),
             keys_changed: Event::new(),
--- a/crates/gateway/src/grant_connections.rs
+++ b/crates/gateway/src/grant_connections.rs
@@ -4,7 +4,7 @@
 //! which needs a higher fence. A new connection is therefore used only after the store, read once
 //! the connection is open, has confirmed the incarnation that the grants are meant for.
 
-use crate::prelude::*;
+use crate::{incarnation_checks::IncarnationCheck, prelude::*};
 
 /// Verified connections of a leader to one incarnation of one server.
 pub(crate) struct GrantConnections {
@@ -20,13 +20,6 @@
     Unverified(&'static str),
 }
 
-/// Result of comparing the incarnation in the store with the expected one.
-enum IncarnationCheck {
-    Same,
-    Other,
-    Unknown,
-}
-
 impl GrantConnections {
     /// Largest number of idle connections kept.
     const MAX_IDLE: usize = 2;
@@ -34,9 +27,6 @@
     const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
     /// Longest time to open a connection.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-    /// Longest wait for the store's answer about the server's incarnation: a renewal has to be sent
-    /// before the previous grant expires.
-    const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
     /// Creates a set without connections.
     pub(crate) fn new() -> Self {
@@ -48,7 +38,7 @@
     /// Returns an idle connection, or opens and verifies a new one.
     pub(crate) async fn take(
         &self,
-        node: &GatewayNode,
+        node: &Arc<GatewayNode>,
         server: &ServerRuntime,
     ) -> Result<HttpConnection, ConnectError> {
         if let Some(connection) = self.idle.take(node.now()) {
@@ -66,7 +56,7 @@
         if node.is_only_store_unavailable() && !may_have_restarted {
             return Ok(connection);
         }
-        match check_incarnation(node, server.incarnation()).await {
+        match node.incarnation_checks.check(node, server.incarnation()).await {
             IncarnationCheck::Same => Ok(connection),
             IncarnationCheck::Other => Err(ConnectError::Unverified(
                 "store lists another incarnation of the server",
@@ -88,20 +78,3 @@
         self.idle.close_expired(now);
     }
 }
-
-/// Compares an incarnation of a server with the one in the store.
-async fn check_incarnation(node: &GatewayNode, expected: &ServerIncarnation) -> IncarnationCheck {
-    let read = async { Some(node.store.read(ObjectKind::Servers, &expected.id).await) };
-    let timeout = async {
-        Timer::after(GrantConnections::CHECK_TIMEOUT).await;
-        None
-    };
-    let Some(Ok(Some(object))) = future::or(read, timeout).await else {
-        return IncarnationCheck::Unknown;
-    };
-    match ServerBody::read(&object) {
-        Ok(entry) if entry.incarnation == *expected => IncarnationCheck::Same,
-        Ok(_) => IncarnationCheck::Other,
-        Err(_) => IncarnationCheck::Unknown,
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,9 @@
 mod heartbeat_wire;
 mod hop_headers;
 mod idle_list;
+mod incarnation_checks;
+#[cfg(test)]
+mod incarnation_checks_tests;
 mod instance_record;
 mod key_view;
 mod knowledge_wire;
@@ -112,6 +115,8 @@
 #[cfg(test)]
 mod test_node;
 #[cfg(test)]
+mod test_store;
+#[cfg(test)]
 mod unexpected_error_tests;
 mod update_router;
 #[cfg(test)]
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -57,7 +57,7 @@
 }
 
 async fn renew_range(
-    node: &GatewayNode,
+    node: &Arc<GatewayNode>,
     service: &str,
     server: &ServerRuntime,
     range: &KeyRange,
@@ -119,7 +119,7 @@
 
 /// Grants a moved range to its new owner.
 async fn grant_moved_range(
-    node: &GatewayNode,
+    node: &Arc<GatewayNode>,
     service: &str,
     server: &ServerRuntime,
     range: &KeyRange,
@@ -138,7 +138,7 @@
 
 /// Takes a grant connection to the server. Logs and counts a failure, and then returns `None`.
 async fn take_connection(
-    node: &GatewayNode,
+    node: &Arc<GatewayNode>,
     service: &str,
     server: &ServerRuntime,
     range: &KeyRange,
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -3,13 +3,9 @@
 use crate::{
     object_mirror::position_of,
     prelude::*,
-    record_writer, store_check, test_node,
+    record_writer, store_check, test_node, test_store,
     update_router::{self, UpdateSource},
 };
-use std::{
-    io::{BufRead, BufReader, Read, Write},
-    net::TcpListener,
-};
 
 const SERVICE: &str = "s";
 const REVISION: u64 = 5;
@@ -24,55 +20,10 @@
     }
 }
 
-/// A store that gives these answers in turn, each a status and a body, on any connection.
-fn start_store(answers: Vec<(u16, serde_json::Value)>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        let mut answers = answers.into_iter();
-        while let Ok((mut stream, _)) = listener.accept() {
-            let mut reader = BufReader::new(stream.try_clone().unwrap());
-            while let Some(length) = read_head(&mut reader) {
-                let mut body = vec![0; length];
-                reader.read_exact(&mut body).unwrap();
-                let Some((status, answer)) = answers.next() else {
-                    return;
-                };
-                let answer = answer.to_string();
-                let length = answer.len();
-                write!(
-                    stream,
-                    "HTTP/1.1 {status} Answer\r\ncontent-length: {length}\r\n\r\n{answer}"
-                )
-                .unwrap();
-            }
-        }
-    });
-    address
-}
-
-/// Reads the head of a request; returns the length of its body, or `None` at the connection's end.
-fn read_head(reader: &mut impl BufRead) -> Option<usize> {
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim().to_lowercase();
-        if line.is_empty() {
-            return Some(length);
-        }
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-    }
-}
-
 /// An instance that leads the service and knows all changes up to `REVISION`, of a store that gives
 /// these answers.
 fn leading_node(answers: Vec<(u16, serde_json::Value)>) -> Arc<GatewayNode> {
-    let node = Arc::new(test_node::build_with_store(start_store(answers)));
+    let node = Arc::new(test_node::build_with_store(test_store::start(answers)));
     for kind in [
         ObjectKind::Servers,
         ObjectKind::Configuration,
--- /dev/null
+++ b/crates/gateway/src/test_store.rs
@@ -0,0 +1,55 @@
+//! A store for tests that gives prepared answers.
+
+use crate::prelude::*;
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::TcpListener,
+};
+
+/// Answers in their order, each a status and a body.
+pub(crate) type StoreAnswers = Vec<(u16, serde_json::Value)>;
+
+/// Starts a store that gives these answers in turn, on any connection.
+pub(crate) fn start(answers: StoreAnswers) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut answers = answers.into_iter();
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            while let Some(length) = read_head(&mut reader) {
+                let mut body = vec![0; length];
+                reader.read_exact(&mut body).unwrap();
+                let Some((status, answer)) = answers.next() else {
+                    return;
+                };
+                let answer = answer.to_string();
+                let length = answer.len();
+                write!(
+                    stream,
+                    "HTTP/1.1 {status} Answer\r\ncontent-length: {length}\r\n\r\n{answer}"
+                )
+                .unwrap();
+            }
+        }
+    });
+    address
+}
+
+/// Reads the head of a request; returns the length of its body, or `None` at the connection's end.
+fn read_head(reader: &mut impl BufRead) -> Option<usize> {
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim().to_lowercase();
+        if line.is_empty() {
+            return Some(length);
+        }
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+}
