Let the seeds tell starting instances what they know before these list the store

Cause: an instance waits 150 ms for a seed. Seeds start at the same time, and answer hundreds of instances with all objects, encoded anew for each.

Change: instances that are no seeds wait 0.5 to 1.5 s, and ask the next seed 150 ms after a failure; a seed encodes all objects once for all that know nothing. Such a reply carries an age only if it is current.

--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -48,12 +48,15 @@
         if !instance.is_recently_started(self.now) && known[..2].iter().all(|known| *known > 0) {
             return;
         }
-        let count = self.instances.len();
-        let seed = (index + 1 + self.rng.random_range(0..3)) % count;
-        match seed == index {
-            true => self.pause(index, WorkerSlot::Seeds, feed_client::SEED_POLL_INTERVAL),
-            false => self.request(index, WorkerSlot::Seeds, seed),
-        }
+        let seed = self.rng.random_range(0..Self::SEEDS);
+        self.request(index, WorkerSlot::Seeds, seed);
+    }
+
+    /// Number of instances that all others know as seeds: the first ones.
+    const SEEDS: usize = 3;
+
+    pub(super) fn asks_seeds(index: usize) -> bool {
+        index >= Self::SEEDS
     }
 
     /// Asks another instance for updates.
--- a/crates/gateway/src/change_path_tests/leader_steps.rs
+++ b/crates/gateway/src/change_path_tests/leader_steps.rs
@@ -103,8 +103,11 @@
     }
 
     pub(super) fn finish_announcement(&mut self, instance: usize, answer: Option<&StoreAnswer>) {
-        if answer.is_none() {
-            self.pause(instance, WorkerSlot::Announce, ANNOUNCE_DELAY);
+        match answer {
+            Some(_) => {
+                self.next_turn(instance, WorkerSlot::Announce, WorkerState::Paused);
+            }
+            None => self.pause(instance, WorkerSlot::Announce, ANNOUNCE_DELAY),
         }
     }
 }
--- a/crates/gateway/src/change_path_tests/mod.rs
+++ b/crates/gateway/src/change_path_tests/mod.rs
@@ -207,6 +207,27 @@
     );
 }
 
+// Guards against all instances listing and watching the store when all of them start at the same
+// time, although three seeds could tell them.
+#[test]
+fn few_of_300_instances_list_the_store_when_all_start() {
+    let kill = |index| {
+        let fault = WorldFault::Kill(FaultTarget::Instance(index), Duration::from_secs(4));
+        (Duration::from_secs(4), fault)
+    };
+    let checker = ChangeWorld::new(PathSettings {
+        script: (0..300).map(kill).collect(),
+        changes: 0,
+        ..PathSettings::calm(0, 300)
+    })
+    .run();
+    println!("{checker}");
+    assert!(checker.violations.is_empty(), "{:?}", checker.violations);
+    let calls = checker.calls_after(Duration::from_secs(4));
+    // Each instance announces itself by one call.
+    assert!(calls <= 300 + 100, "{calls} calls");
+}
+
 // Guards against a change that stays unknown while the connections to the store are silent, although
 // the store answers on new ones.
 #[test]
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -156,8 +156,9 @@
     /// Starts the workers of a process, at times that differ a little.
     pub(super) fn start_workers(&mut self, index: usize) {
         let is_new = self.instances[index].started_at == self.now;
-        let grace = match is_new && self.settings.instances > 1 {
-            true => object_watcher::SEED_GRACE,
+        let asks_seeds = is_new && Self::asks_seeds(index);
+        let grace = match asks_seeds {
+            true => object_watcher::seed_patience(self.rng.random()),
             false => Duration::ZERO,
         };
         for slot in [
@@ -172,7 +173,7 @@
             let delay = self.transit() * 50;
             self.pause(index, slot, delay);
         }
-        if is_new && self.settings.instances > 1 {
+        if asks_seeds {
             self.pause(index, WorkerSlot::Seeds, Duration::ZERO);
         }
         self.next_turn(index, WorkerSlot::Poll, WorkerState::Listening);
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -81,7 +81,8 @@
         let answer = request_updates(&node, &mut connection, seed, REQUEST_TIMEOUT).await;
         node.is_seed_reachable
             .store(answer.is_some(), Ordering::Relaxed);
-        if answer.is_none() {
+        let is_answered = answer.is_some();
+        if !is_answered {
             // A late reply must not be taken for that to the next request.
             connection = None;
             seed_index += 1;
@@ -90,7 +91,11 @@
         if !node.is_recently_started() && known[..2].iter().all(|revision| *revision > 0) {
             return;
         }
-        Timer::after(SEED_POLL_INTERVAL).await;
+        let pause = match is_answered {
+            true => SEED_POLL_INTERVAL,
+            false => RETRY_DELAY,
+        };
+        Timer::after(pause).await;
     }
 }
 
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -48,6 +48,30 @@
     }
 }
 
+/// Encodes what the sender of a request lacks.
+fn reply_to(node: &GatewayNode, request: FeedRequest) -> Bytes {
+    let now = node.now();
+    let (synced, latest) = (request.synced_revisions, request.latest_revisions);
+    let mirror = node.mirror.lock();
+    let (objects, is_current) = match synced == [0; 3] {
+        true => node.full_reply.lock().encode(&mirror, now),
+        false => {
+            let wire = FeedReplyWire::from(mirror.deltas(synced, latest));
+            (Bytes::from(prost::Message::encode_to_vec(&wire)), true)
+        }
+    };
+    drop(mirror);
+    if !is_current {
+        return objects;
+    }
+    let report = node.knowledge.lock().report(now);
+    let mut tail = FeedReplyWire::from(Vec::new());
+    tail.knowledge = Some(report.into());
+    // Encoded messages one after the other are one message with the fields of both.
+    let mut reply = objects.to_vec();
+    prost::Message::encode(&tail, &mut reply).map_or(objects, |()| Bytes::from(reply))
+}
+
 async fn serve_connection(node: &GatewayNode, mut frames: FeedFrames) {
     loop {
         let idle = async {
@@ -66,15 +90,7 @@
             }
             return;
         };
-        let deltas = node
-            .mirror
-            .lock()
-            .deltas(request.synced_revisions, request.latest_revisions);
-        let report = node.knowledge.lock().report(node.now());
-        let mut reply = FeedReplyWire::from(deltas);
-        reply.knowledge = Some(report.into());
-        let reply = prost::Message::encode_to_vec(&reply);
-        if frames.send(Bytes::from(reply)).await.is_err() {
+        if frames.send(reply_to(node, request)).await.is_err() {
             return;
         }
     }
--- /dev/null
+++ b/crates/gateway/src/full_reply_tests.rs
@@ -0,0 +1,69 @@
+//! The reply to instances that know nothing yet.
+
+use crate::{
+    feed_wire::FeedReplyWire, full_reply::FullReply, mirror_delta::MirrorDelta, prelude::*,
+};
+
+const KINDS: [ObjectKind; 3] = [
+    ObjectKind::Servers,
+    ObjectKind::Configuration,
+    ObjectKind::Records,
+];
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime(millis * 1_000)
+}
+
+/// Lists `count` objects of a kind as of a revision.
+fn list(mirror: &mut ObjectMirror, kind: ObjectKind, count: u64, revision: u64) {
+    let objects = (1..=count).map(|number| PlatformObject {
+        name: format!("o{number}"),
+        revision: number,
+        spec: serde_json::json!({ "number": number }),
+        status: serde_json::Value::Null,
+    });
+    let page = ObjectPage {
+        objects: objects.collect(),
+        has_more: false,
+        revision,
+    };
+    mirror.apply(kind, &StoreUpdate::List(page));
+}
+
+fn objects(bytes: &Bytes) -> usize {
+    let wire = <FeedReplyWire as prost::Message>::decode(bytes.clone()).unwrap();
+    let deltas = Vec::<MirrorDelta>::try_from(wire).unwrap();
+    deltas.iter().map(|delta| delta.changed.len()).sum()
+}
+
+// Guards against an instance that takes what it got for complete as of the reply, although the
+// objects were encoded for another instance before a change.
+#[test]
+fn reply_that_was_encoded_before_a_change_is_told_from_a_current_one() {
+    let mut mirror = ObjectMirror::default();
+    for kind in KINDS {
+        list(&mut mirror, kind, 10, 20);
+    }
+    let mut reply = FullReply::default();
+    let (first, is_current) = reply.encode(&mirror, at(1_000));
+    assert!(is_current);
+    assert_eq!(objects(&first), 30);
+    assert_eq!(reply.encode(&mirror, at(9_000)), (first.clone(), true));
+    list(&mut mirror, ObjectKind::Servers, 11, 21);
+    assert_eq!(reply.encode(&mirror, at(1_050)), (first, false));
+    let (later, is_current) = reply.encode(&mirror, at(1_200));
+    assert!(is_current);
+    assert_eq!(objects(&later), 31);
+}
+
+#[test]
+fn reply_without_a_kind_is_not_sent_once_that_kind_is_known() {
+    let mut mirror = ObjectMirror::default();
+    list(&mut mirror, ObjectKind::Servers, 10, 20);
+    let mut reply = FullReply::default();
+    assert_eq!(objects(&reply.encode(&mirror, at(1_000)).0), 10);
+    list(&mut mirror, ObjectKind::Configuration, 1, 20);
+    let (later, is_current) = reply.encode(&mirror, at(1_010));
+    assert!(is_current);
+    assert_eq!(objects(&later), 11);
+}
--- a/crates/gateway/src/grant_connections.rs
+++ b/crates/gateway/src/grant_connections.rs
@@ -56,7 +56,11 @@
         if node.is_only_store_unavailable() && !may_have_restarted {
             return Ok(connection);
         }
-        match node.incarnation_checks.check(node, server.incarnation()).await {
+        match node
+            .incarnation_checks
+            .check(node, server.incarnation())
+            .await
+        {
             IncarnationCheck::Same => Ok(connection),
             IncarnationCheck::Other => Err(ConnectError::Unverified(
                 "store lists another incarnation of the server",
--- a/crates/gateway/src/incarnation_checks.rs
+++ b/crates/gateway/src/incarnation_checks.rs
@@ -107,7 +107,10 @@
     let Ok(page) = node.store.list(ObjectKind::Servers).await else {
         return BatchAnswer::Missing;
     };
-    let entries = page.objects.iter().filter_map(|object| ServerBody::read(object).ok());
+    let entries = page
+        .objects
+        .iter()
+        .filter_map(|object| ServerBody::read(object).ok());
     let servers = entries.map(|entry| (entry.incarnation.id.clone(), entry.incarnation));
     BatchAnswer::Listed(Arc::new(servers.collect()))
 }
--- a/crates/gateway/src/incarnation_checks_tests.rs
+++ b/crates/gateway/src/incarnation_checks_tests.rs
@@ -72,7 +72,11 @@
 #[test]
 fn incarnations_are_unknown_without_an_answer_of_the_store() {
     let checks = check_all(vec![(503, serde_json::json!({}))], 20);
-    assert!(checks.iter().all(|check| *check == IncarnationCheck::Unknown));
+    assert!(
+        checks
+            .iter()
+            .all(|check| *check == IncarnationCheck::Unknown)
+    );
 }
 
 #[test]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,9 @@
 mod feed_client;
 mod feed_server;
 mod feed_wire;
+mod full_reply;
+#[cfg(test)]
+mod full_reply_tests;
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -27,8 +27,14 @@
 pub(crate) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Time between two checks whether this instance should watch.
 pub(crate) const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Time that a seed gets to answer before the store is asked.
-pub(crate) const SEED_GRACE: Duration = Duration::from_millis(150);
+/// Time that the seeds get to answer before the store is asked; `draw` is uniform in 0 to 1. When all
+/// instances start at the same time the seeds do too, and those that give up must not do so together.
+pub(crate) fn seed_patience(draw: f64) -> Duration {
+    /// Time in which each of three seeds can be asked.
+    const SHORTEST: Duration = Duration::from_millis(500);
+    const SPREAD: Duration = Duration::from_secs(1);
+    SHORTEST + SPREAD.mul_f64(draw)
+}
 /// Pause between watches of servers, so that entries written together arrive in one batch.
 pub(crate) const SERVERS_BATCH_DELAY: Duration = Duration::from_millis(200);
 
@@ -47,7 +53,7 @@
     let mut backoff = MIN_BACKOFF;
     let mut must_list = false;
     if node.settings.asks_seeds() {
-        Timer::after(SEED_GRACE).await;
+        Timer::after(seed_patience(rand::random())).await;
     }
     loop {
         let known = node.mirror.lock().synced_revisions()[position_of(kind)];
