Send no request on a new connection that the server resets at once

Cause: a server resets connections beyond those that it accepts, fewer while its queue is long. Such a connection opens, the request is written, and the reset leaves open whether it was read.

Test: server_pool_tests, a server that ends each connection when it is opened.

--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -14,9 +14,12 @@
 ) -> AttemptResult {
     let server = &reservation.server;
     let now = node.now();
-    let mut connection = match server.pool.connect(now, call.time_left(now)).await {
+    let is_cautious = state.has_resets(now);
+    let connected = server.pool.connect(now, call.time_left(now), is_cautious);
+    let mut connection = match connected.await {
         Ok(connection) => connection,
         Err(ExchangeError::ConnectionRefused(_)) => {
+            state.record_reset(node.now());
             server.load.lock().record_connection_refused(node.now());
             reach_worker::record_failure(node, &server.entry, ReachFailure::Closed);
             return AttemptResult::Refused;
@@ -58,6 +61,7 @@
             call.progress.attempts_sent.fetch_sub(1, Ordering::Relaxed);
             server.pool.clear();
             if is_new {
+                state.record_reset(now);
                 reach_worker::record_failure(node, &server.entry, ReachFailure::Closed);
             }
             return AttemptResult::NotSent(cause);
@@ -66,6 +70,7 @@
             call.progress.unclear_attempt.store(true, Ordering::Relaxed);
             server.load.lock().record_failure(now);
             if is_new {
+                state.record_reset(now);
                 reach_worker::record_failure(node, &server.entry, ReachFailure::Closed);
             }
             let cause = error.to_string();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -96,6 +96,8 @@
 #[cfg(test)]
 mod server_notices_tests;
 mod server_pool;
+#[cfg(test)]
+mod server_pool_tests;
 mod server_quota;
 mod server_reservation;
 #[cfg(test)]
--- a/crates/gateway/src/service_state.rs
+++ b/crates/gateway/src/service_state.rs
@@ -8,6 +8,8 @@
     pub(crate) budget: StateMutex<RetryBudget>,
     /// Servers that crashed in the last seconds.
     pub(crate) crashes: StateMutex<CrashWindow>,
+    /// When a server last reset a new connection.
+    reset_at: StateMutex<Option<MonoTime>>,
     /// Rate at which requests complete.
     pub(crate) completions: StateMutex<CompletionRate>,
     /// Notified when a server may have room again, or the queue has become shorter.
@@ -45,6 +47,7 @@
                 settings.retry_slack,
             )),
             crashes: StateMutex::default(),
+            reset_at: StateMutex::default(),
             completions: StateMutex::default(),
             slot_freed: Event::new(),
             occupancy: StateMutex::default(),
@@ -54,6 +57,19 @@
         }
     }
 
+    /// Records that a server reset a new connection.
+    pub(crate) fn record_reset(&self, now: MonoTime) {
+        *self.reset_at.lock() = Some(now);
+    }
+
+    /// Whether servers have recently reset new connections, as those do that have too many.
+    pub(crate) fn has_resets(&self, now: MonoTime) -> bool {
+        /// Time for which the load that makes servers reset connections is expected to last.
+        const RESET_TIME: Duration = Duration::from_secs(3);
+        let reset_at = *self.reset_at.lock();
+        reset_at.is_some_and(|at| now.since(at) < RESET_TIME)
+    }
+
     /// Records how long a server took to answer a request, including any queueing there.
     pub(crate) fn record_response_time(&self, took: Duration) {
         let mut mean = self.mean_response_time.lock();
