Encode the feed's replies once for many instances, and let few that lag watch the store

Cause: after each change 294 instances ask the leader for the same objects, which it encodes for each of them; those that lag by 600 ms watch the store, and under that load all lag.

Change: a reply is encoded once per state of the mirror and of the requester; instances that are no volunteers watch after 1.2 s, and ask another instance when their source gave no answer.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -62,11 +62,24 @@
                 connection = None;
                 avoided = Some(address);
                 Timer::after(RETRY_DELAY).await;
+                ask_other(&node).await;
             }
         }
     }
 }
 
+/// Requests updates from an instance that may know them although it has not told so.
+async fn ask_other(node: &Arc<GatewayNode>) {
+    let address = node
+        .peers
+        .lock()
+        .random_feed_address(&mut rand::rng(), node.now());
+    if let Some(address) = address {
+        // Without an answer the next turn asks the source again.
+        request_updates(node, &mut None, address, REQUEST_TIMEOUT / 4).await;
+    }
+}
+
 /// Requests updates from the seed instances during startup, and for longer if the servers or the
 /// configuration are not known by then.
 pub(crate) async fn poll_seeds(node: Arc<GatewayNode>) {
--- a/crates/gateway/src/full_reply_tests.rs
+++ b/crates/gateway/src/feed_replies_tests.rs
@@ -1,7 +1,16 @@
-//! The reply to instances that know nothing yet.
+//! Replies that are encoded once for many instances.
 
 use crate::{
-    feed_wire::FeedReplyWire, full_reply::FullReply, mirror_delta::MirrorDelta, prelude::*,
+    feed_replies::FeedReplies,
+    feed_wire::{FeedReplyWire, FeedRequest},
+    mirror_delta::MirrorDelta,
+    prelude::*,
+};
+
+/// Request of an instance that knows nothing.
+const NEW: FeedRequest = FeedRequest {
+    synced_revisions: [0; 3],
+    latest_revisions: [0; 3],
 };
 
 const KINDS: [ObjectKind; 3] = [
@@ -44,14 +53,14 @@
     for kind in KINDS {
         list(&mut mirror, kind, 10, 20);
     }
-    let mut reply = FullReply::default();
-    let (first, is_current) = reply.encode(&mirror, at(1_000));
+    let mut reply = FeedReplies::default();
+    let (first, is_current) = reply.encode(&mirror, NEW, at(1_000));
     assert!(is_current);
     assert_eq!(objects(&first), 30);
-    assert_eq!(reply.encode(&mirror, at(9_000)), (first.clone(), true));
+    assert_eq!(reply.encode(&mirror, NEW, at(9_000)), (first.clone(), true));
     list(&mut mirror, ObjectKind::Servers, 11, 21);
-    assert_eq!(reply.encode(&mirror, at(1_050)), (first, false));
-    let (later, is_current) = reply.encode(&mirror, at(1_200));
+    assert_eq!(reply.encode(&mirror, NEW, at(1_050)), (first, false));
+    let (later, is_current) = reply.encode(&mirror, NEW, at(1_200));
     assert!(is_current);
     assert_eq!(objects(&later), 31);
 }
@@ -60,10 +69,30 @@
 fn reply_without_a_kind_is_not_sent_once_that_kind_is_known() {
     let mut mirror = ObjectMirror::default();
     list(&mut mirror, ObjectKind::Servers, 10, 20);
-    let mut reply = FullReply::default();
-    assert_eq!(objects(&reply.encode(&mirror, at(1_000)).0), 10);
+    let mut reply = FeedReplies::default();
+    assert_eq!(objects(&reply.encode(&mirror, NEW, at(1_000)).0), 10);
     list(&mut mirror, ObjectKind::Configuration, 1, 20);
-    let (later, is_current) = reply.encode(&mirror, at(1_010));
+    let (later, is_current) = reply.encode(&mirror, NEW, at(1_010));
     assert!(is_current);
     assert_eq!(objects(&later), 11);
 }
+
+#[test]
+fn reply_to_an_instance_that_lags_has_what_changed_since_and_is_always_current() {
+    let mut mirror = ObjectMirror::default();
+    for kind in KINDS {
+        list(&mut mirror, kind, 10, 20);
+    }
+    let mut replies = FeedReplies::default();
+    let lagging = FeedRequest {
+        synced_revisions: [8, 20, 20],
+        latest_revisions: [8, 20, 20],
+    };
+    let (first, _) = replies.encode(&mirror, lagging, at(1_000));
+    assert_eq!(objects(&first), 2);
+    assert_eq!(replies.encode(&mirror, lagging, at(1_010)), (first, true));
+    list(&mut mirror, ObjectKind::Servers, 11, 21);
+    let (later, is_current) = replies.encode(&mirror, lagging, at(1_020));
+    assert!(is_current);
+    assert_eq!(objects(&later), 3);
+}
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -51,15 +51,8 @@
 /// Encodes what the sender of a request lacks.
 fn reply_to(node: &GatewayNode, request: FeedRequest) -> Bytes {
     let now = node.now();
-    let (synced, latest) = (request.synced_revisions, request.latest_revisions);
     let mirror = node.mirror.lock();
-    let (objects, is_current) = match synced == [0; 3] {
-        true => node.full_reply.lock().encode(&mirror, now),
-        false => {
-            let wire = FeedReplyWire::from(mirror.deltas(synced, latest));
-            (Bytes::from(prost::Message::encode_to_vec(&wire)), true)
-        }
-    };
+    let (objects, is_current) = node.feed_replies.lock().encode(&mirror, request, now);
     drop(mirror);
     if !is_current {
         return objects;
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -4,7 +4,7 @@
 //! locks inside a server or a service. No lock is held across an await.
 
 use crate::{
-    full_reply::FullReply, incarnation_checks::IncarnationChecks, prelude::*,
+    feed_replies::FeedReplies, incarnation_checks::IncarnationChecks, prelude::*,
     relay_client::HelperTable,
 };
 use async_net::UdpSocket;
@@ -59,8 +59,8 @@
     /// Notified when a change should be reported to other instances at once.
     pub(crate) heartbeat_due: Event,
     pub(crate) mirror: StateMutex<ObjectMirror>,
-    /// Encoded copy of all that the mirror holds; locked after the mirror.
-    pub(crate) full_reply: StateMutex<FullReply>,
+    /// Encoded copies of what the mirror holds; locked after the mirror.
+    pub(crate) feed_replies: StateMutex<FeedReplies>,
     /// Age of what the mirror holds.
     pub(crate) knowledge: StateMutex<KnowledgeAge>,
     /// Notified when another instance knows more.
@@ -145,7 +145,7 @@
             watch_restart_due: Event::new(),
             heartbeat_due: Event::new(),
             mirror: StateMutex::default(),
-            full_reply: StateMutex::default(),
+            feed_replies: StateMutex::default(),
             knowledge: StateMutex::default(),
             knowledge_doubted: Event::new(),
             started_at: SteadyClock.now(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,11 +20,11 @@
 mod configuration_worker;
 mod discovery_worker;
 mod feed_client;
+mod feed_replies;
+#[cfg(test)]
+mod feed_replies_tests;
 mod feed_server;
 mod feed_wire;
-mod full_reply;
-#[cfg(test)]
-mod full_reply_tests;
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -33,6 +33,8 @@
     const LOST_TIMEOUT: Duration = Duration::from_millis(2_000);
     /// Longest time that an instance may lag behind others before it watches the store itself.
     const MAX_LAG: Duration = Duration::from_millis(600);
+    /// The same for instances that are not among the few that act for all: when they lag, all do.
+    const MAX_LAG_OF_MANY: Duration = Duration::from_millis(1_200);
     /// Time within which every live instance sends a heartbeat once a leader is suspected.
     pub(crate) const RECENT_WINDOW: Duration = Duration::from_millis(600);
 
@@ -166,9 +168,13 @@
         let is_assigned =
             |assignment: &WatcherAssignment| assignment.watchers.contains(&self.own_name);
         let stands_in = self.lacks_watchers(now) && (self.is_exchanging() || !self.hears_any(now));
+        let max_lag = match self.is_exchanging() {
+            true => Self::MAX_LAG,
+            false => Self::MAX_LAG_OF_MANY,
+        };
         let is_behind = self
             .behind_since
-            .is_some_and(|since| now.since(since) >= Self::MAX_LAG);
+            .is_some_and(|since| now.since(since) >= max_lag);
         leads || is_behind || stands_in || self.recent_assignments(now).any(is_assigned)
     }
 
