--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -167,7 +167,8 @@
     pub(crate) fn should_watch(&self, leads: bool, now: MonoTime) -> bool {
         let is_assigned =
             |assignment: &WatcherAssignment| assignment.watchers.contains(&self.own_name);
-        let stands_in = self.lacks_watchers(now) && (self.is_exchanging() || !self.hears_any(now));
+        let is_isolated = !self.hears_any_within(WatcherSelection::LEADER_TIMEOUT, now);
+        let stands_in = self.lacks_watchers(now) && (self.is_exchanging() || is_isolated);
         let max_lag = match self.is_exchanging() {
             true => Self::MAX_LAG,
             false => Self::MAX_LAG_OF_MANY,
@@ -254,8 +255,12 @@
 
     /// Whether any other instance sent a heartbeat recently; also true when no other is known.
     pub(crate) fn hears_any(&self, now: MonoTime) -> bool {
+        self.hears_any_within(Self::RECENT_WINDOW, now)
+    }
+
+    fn hears_any_within(&self, time: Duration, now: MonoTime) -> bool {
         let mut peers = self.peers.values();
-        self.peers.is_empty() || peers.any(|peer| peer.heard_within(now, Self::RECENT_WINDOW))
+        self.peers.is_empty() || peers.any(|peer| peer.heard_within(now, time))
     }
 
     /// Heartbeat addresses of all other instances.
