Move at most as many ranges in a plan as a heartbeat can tell

Cause: a plan that moves more ranges than fit into a datagram is not told; all 294 instances then fetch the whole record from the leader, plan after plan, and those that lag watch the store.

Change: 45 moves a plan, those of servers that leave first. A heartbeat tells 90 ranges, so as many settled ones too.

Test: 100 of 350 servers lost, at most 45 ranges in a plan, all moved by the third.

--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -89,12 +89,14 @@
     }
 }
 
+/// Highest number of moves in one plan. A heartbeat tells all instances of so many, beside as many that
+/// have been settled; more are read by all of them from the leader, one after the other.
+const MAX_MOVES: usize = 45;
+
 impl KeyPlanner {
     /// Number of moves for balance in one plan: one for each fair share of load that servers have too
     /// much, as long as all instances can be told of them at once.
     fn max_moves(&self, loads: &ServerLoads, servers: &[PlannedServer]) -> usize {
-        /// Number of moves that fit into one datagram, beside as many that have just been settled.
-        const MAX_MOVES: usize = 45;
         let excess_shares = loads.excess_shares(servers, self.overload_ratio);
         (excess_shares as usize).clamp(self.min_moves, MAX_MOVES)
     }
@@ -163,7 +165,8 @@
         (!delta.is_empty()).then_some(KeyPlan::Change(delta))
     }
 
-    /// Moves each range whose owner may no longer own keys.
+    /// Moves the ranges whose owners may no longer own keys, up to `MAX_MOVES`; the next plan moves the
+    /// others.
     fn evacuate(
         &self,
         draft: &mut PlanDraft,
@@ -185,7 +188,11 @@
                 continue;
             }
             let released = is_owner_free && range.is_settled();
-            for (first, last) in loads.split_range(&range, servers, weights) {
+            let pieces = loads.split_range(&range, servers, weights);
+            if draft.moves.len() + pieces.len() > MAX_MOVES {
+                return;
+            }
+            for (first, last) in pieces {
                 let position = loads.least_loaded(servers);
                 let weight = total_weight(weights, first, last);
                 loads.add(position, weight, u32::from(last) - u32::from(first) + 1);
@@ -236,7 +243,7 @@
         let mut is_stuck = loads.is_left_out.clone();
         let max_moves = self.max_moves(loads, servers);
         let mut moves = 0;
-        while moves < max_moves {
+        while moves < max_moves && draft.moves.len() < MAX_MOVES {
             let Some(most_loaded) = loads.most_loaded(servers, &is_stuck) else {
                 return;
             };
--- a/crates/routing/tests/key_planner/large_service.rs
+++ b/crates/routing/tests/key_planner/large_service.rs
@@ -77,6 +77,24 @@
     assert!(largest < 0.01, "{largest}");
 }
 
+// Guards against a plan that no heartbeat can tell, so that all instances read the whole record from
+// the leader at the same time while a third of the servers are lost.
+#[test]
+fn ranges_of_many_lost_servers_move_in_plans_that_a_heartbeat_can_tell() {
+    let all = servers(350);
+    let mut record = distributed(&all);
+    let left: Vec<PlannedServer> = all.iter().skip(100).cloned().collect();
+    let is_lost = |range: &&KeyRange| left.iter().all(|one| one.incarnation != range.owner);
+    for _ in 0..3 {
+        let plan = KeyPlanner::default().plan(&record, &left, &even_load(60), |_, _| true);
+        if let Some(KeyPlan::Change(delta)) = &plan {
+            assert!(delta.len() <= 45, "{} ranges", delta.len());
+        }
+        record = settled(plan.unwrap().apply(&record));
+    }
+    assert_eq!(record.ranges.iter().filter(is_lost).count(), 0);
+}
+
 // Guards against an owner that is left without keys, and so without requests, for the sake of fewer
 // ranges.
 #[test]
