Ask the store when other instances do not help in time

Change: from an age of 2 s on, which no calm instance reaches, three in ten asks go to the store, unless it fails for this instance or for one that is heard.

--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -14,8 +14,8 @@
 ) -> AttemptResult {
     let server = &reservation.server;
     let now = node.now();
-    let is_cautious = state.has_resets(now);
-    let connected = server.pool.connect(now, call.time_left(now), is_cautious);
+    let reset_margin = state.has_resets(now).then_some(ServerPool::RESET_MARGIN);
+    let connected = server.pool.connect(now, call.time_left(now), reset_margin);
     let mut connection = match connected.await {
         Ok(connection) => connection,
         Err(ExchangeError::ConnectionRefused(_)) => {
--- a/crates/gateway/src/change_path_tests/heartbeat_path.rs
+++ b/crates/gateway/src/change_path_tests/heartbeat_path.rs
@@ -35,6 +35,7 @@
             instance: instance.record.name.clone(),
             incarnation: instance.record.incarnation,
             store_lost: instance.health.is_unavailable(),
+            store_unstable: instance.health.is_unstable(now),
             revisions: instance.mirror.latest_revisions(),
             sent_at: now.after(instance.clock_offset),
             knowledge: Some(instance.knowledge.report(now)),
--- a/crates/gateway/src/change_path_tests/knowledge_steps.rs
+++ b/crates/gateway/src/change_path_tests/knowledge_steps.rs
@@ -114,6 +114,7 @@
 
     pub(super) fn step_check(&mut self, instance: usize) {
         let draw = self.rng.random();
+        let escalation_draw = self.rng.random();
         let now = self.now;
         let simulated = &self.instances[instance];
         let is_source = simulated.is_leading();
@@ -127,7 +128,10 @@
             let instances = simulated.peers.instance_count();
             let is_asked = simulated.peers.is_exchanging();
             let knowledge = &simulated.knowledge;
-            knowledge.next_step(is_source, is_asked, instances, now, draw)
+            let step = knowledge.next_step(is_source, is_asked, instances, now, draw);
+            let is_failing = simulated.peers.is_store_failing(now);
+            let may_reach_store = !is_failing && !simulated.health.is_unstable(now);
+            knowledge.escalate(step, may_reach_store, now, escalation_draw)
         };
         match step {
             RefreshStep::Wait => {
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -37,8 +37,12 @@
             // The seeds tell what they know.
             RefreshStep::Wait
         } else {
+            let is_failing = node.peers.lock().is_store_failing(now);
+            let may_reach_store = !is_failing && !node.store.health.is_unstable(now);
             let knowledge = node.knowledge.lock();
-            knowledge.next_step(is_source, is_exchanging, instances, now, rand::random())
+            let step =
+                knowledge.next_step(is_source, is_exchanging, instances, now, rand::random());
+            knowledge.escalate(step, may_reach_store, now, rand::random())
         };
         match step {
             RefreshStep::Wait => {
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -237,6 +237,15 @@
         })
     }
 
+    /// Whether another instance says that the store fails for it.
+    pub(crate) fn is_store_failing(&self, now: MonoTime) -> bool {
+        self.peers.values().any(|peer| {
+            let heartbeat = &peer.heartbeat;
+            (heartbeat.store_lost || heartbeat.store_unstable)
+                && peer.heard_within(now, Self::LOST_TIMEOUT)
+        })
+    }
+
     /// Number of instances that share budgets, this one included: those that a leader hears or, if
     /// more, all announced ones, since an instance without heartbeats may still serve requests.
     pub(crate) fn instance_count(&self) -> usize {
--- a/crates/gateway/src/server_pool.rs
+++ b/crates/gateway/src/server_pool.rs
@@ -38,9 +38,9 @@
     /// Timeout of a new connection. Shorter than the time after which a lost packet is sent again.
     const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
     /// Time beyond a round trip within which a server resets a connection that it does not accept.
-    const RESET_MARGIN: Duration = Duration::from_millis(2);
-    /// Longest wait for such a reset.
-    const MAX_RESET_WAIT: Duration = Duration::from_millis(20);
+    pub(crate) const RESET_MARGIN: Duration = Duration::from_millis(2);
+    /// Longest round trip that is waited for.
+    const MAX_ROUND_TRIP: Duration = Duration::from_millis(20);
     /// Maximum size of an answer's body, in bytes.
     const MAX_ANSWER_BYTES: usize = 32 << 20;
 
@@ -55,14 +55,14 @@
         }
     }
 
-    /// Returns an idle connection, or opens a new one within `left`. With `is_cautious` a new one is
-    /// returned only if the server does not reset it at once: a server does so beyond its maximum, and
-    /// nobody could tell whether a request that was already written has run.
+    /// Returns an idle connection, or opens a new one within `left`. With a `reset_margin` a new one is
+    /// returned only if the server does not reset it within a round trip and that time: a server does
+    /// so beyond its maximum, and nobody could tell whether a request that was already written has run.
     pub(crate) async fn connect(
         &self,
         now: MonoTime,
         left: Duration,
-        is_cautious: bool,
+        reset_margin: Option<Duration>,
     ) -> Result<PooledConnection, ExchangeError> {
         if let Some(connection) = self.idle.take(now) {
             return Ok(connection);
@@ -70,9 +70,9 @@
         let timeout = left.min(Self::CONNECT_TIMEOUT);
         let http = HttpConnection::open(&self.workers, &self.dialer, self.address, timeout).await?;
         metrics::counter!(SERVER_CONNECTIONS).increment(1);
-        if is_cautious {
-            let round_trip = SteadyClock.now().since(now);
-            Timer::after((round_trip + Self::RESET_MARGIN).min(Self::MAX_RESET_WAIT)).await;
+        if let Some(margin) = reset_margin {
+            let round_trip = SteadyClock.now().since(now).min(Self::MAX_ROUND_TRIP);
+            Timer::after(round_trip + margin).await;
             if !http.is_open() {
                 let cause = format!("{}: connection reset when it was opened", self.address);
                 return Err(ExchangeError::ConnectionRefused(cause));
--- a/crates/routing/src/knowledge_age.rs
+++ b/crates/routing/src/knowledge_age.rs
@@ -129,6 +129,26 @@
         self.coverage.covers(revision)
     }
 
+    /// Asks the store instead of another instance when those asked so far have not helped in time.
+    /// `may_reach_store` is whether the store has not just failed for this instance.
+    pub fn escalate(
+        &self,
+        step: RefreshStep,
+        may_reach_store: bool,
+        now: MonoTime,
+        draw: f64,
+    ) -> RefreshStep {
+        /// Age from which an instance no longer relies on others.
+        const LATE_AGE: Duration = Duration::from_millis(2_000);
+        /// Share of the instances that ask the store at each attempt: all may be late at once.
+        const STORE_SHARE: f64 = 0.3;
+        let is_late = self.age(now) >= LATE_AGE;
+        match step == RefreshStep::AskPeer && is_late && may_reach_store && draw <= STORE_SHARE {
+            true => RefreshStep::AskStore,
+            false => step,
+        }
+    }
+
     /// What an instance does now. `is_source` is whether others learn from it, `is_asked` whether it
     /// is one of the few that others ask; `draw` is uniform in 0 to 1.
     pub fn next_step(
--- a/crates/routing/tests/knowledge_age.rs
+++ b/crates/routing/tests/knowledge_age.rs
@@ -157,3 +157,33 @@
     age.observe(at(2_000), 400);
     assert_eq!(age_ms(&age, 2_000), 1_000);
 }
+
+// Guards against an instance that goes on asking others which cannot answer, although it could ask the
+// store: with 300 instances and 3,000 servers one had a configuration that was 5.7 s old.
+#[test]
+fn instance_that_others_do_not_help_in_time_asks_the_store() {
+    let mut age = KnowledgeAge::default();
+    age.record_complete(1);
+    age.observe(at(1_000), 1);
+    let step = RefreshStep::AskPeer;
+    assert_eq!(
+        age.escalate(step, true, at(2_900), 0.0),
+        RefreshStep::AskPeer
+    );
+    assert_eq!(
+        age.escalate(step, true, at(3_000), 0.2),
+        RefreshStep::AskStore
+    );
+    assert_eq!(
+        age.escalate(step, true, at(3_000), 0.5),
+        RefreshStep::AskPeer
+    );
+    assert_eq!(
+        age.escalate(step, false, at(3_000), 0.2),
+        RefreshStep::AskPeer
+    );
+    assert_eq!(
+        age.escalate(RefreshStep::Wait, true, at(3_000), 0.2),
+        RefreshStep::Wait
+    );
+}
