--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     knowledge_wire::KnowledgeWire,
+    leadership_wire::{GrantedRangeWire, LeadershipWire},
     load_report_wire::{KeySamplesWire, KnownRestWire, ServiceTimeWire},
     peer_heartbeat::{
         GrantedRange, KeySamples, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
@@ -82,31 +83,6 @@
     report: Option<LimitReportWire>,
 }
 
-#[derive(prost::Message)]
-pub(crate) struct GrantedRangeWire {
-    #[prost(string, tag = "1")]
-    service: String,
-    #[prost(uint32, tag = "2")]
-    first: u32,
-    #[prost(uint64, tag = "3")]
-    fence: u64,
-}
-
-#[derive(prost::Message)]
-struct LeadershipWire {
-    #[prost(string, tag = "1")]
-    service: String,
-    #[prost(uint64, tag = "2")]
-    term: u64,
-    #[prost(bool, tag = "3")]
-    is_leader: bool,
-    #[prost(uint64, tag = "4")]
-    confirmed_ms: u64,
-    /// In microseconds; 0 if no heartbeat has been received.
-    #[prost(uint64, tag = "5")]
-    leader_heard_at_us: u64,
-}
-
 impl PeerHeartbeat {
     /// Encodes the heartbeat as a datagram, without what does not fit.
     pub(crate) fn encode(self) -> Vec<u8> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 #[cfg(test)]
 mod heartbeat_bound_tests;
 mod heartbeat_content;
+mod heartbeat_targets;
 mod heartbeat_wire;
 mod hop_headers;
 mod idle_list;
@@ -44,6 +45,7 @@
 mod knowledge_wire;
 mod knowledge_worker;
 mod leader_worker;
+mod leadership_wire;
 mod load_report_wire;
 mod local_response;
 mod metric_names;
@@ -72,6 +74,7 @@
 mod peer_table;
 #[cfg(test)]
 mod peer_table_tests;
+mod peer_watchers;
 mod peer_worker;
 mod quarantine_worker;
 mod quota_wire;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod key_span;
 mod knowledge_age;
 mod leader_moves;
+mod leader_succession;
 mod leader_support;
 mod leader_timing;
 mod leader_view;
