Tell a reply of the feed that lacks an object from a current one

Callers saw: nothing; found by reading the change. A record that arrives after one of a higher revision raises no revision, so a reply that was encoded before it counted as current, and its receiver took it for complete.

Change: the mirror counts its changes, and a reply is current if the count is that of its encoding. Test: object_that_raises_no_revision_is_in_the_next_reply, which fails with revisions in the place of the count.

--- a/crates/gateway/src/feed_replies.rs
+++ b/crates/gateway/src/feed_replies.rs
@@ -19,7 +19,7 @@
     request: FeedRequest,
     at: MonoTime,
     synced_revisions: [u64; 3],
-    latest_revisions: [u64; 3],
+    version: u64,
     bytes: Bytes,
 }
 
@@ -39,10 +39,7 @@
         now: MonoTime,
     ) -> (Bytes, bool) {
         let synced_revisions = mirror.synced_revisions();
-        let latest_revisions = mirror.latest_revisions();
-        let is_current = |reply: &EncodedReply| {
-            reply.synced_revisions == synced_revisions && reply.latest_revisions == latest_revisions
-        };
+        let is_current = |reply: &EncodedReply| reply.version == mirror.version();
         let is_usable = |reply: &&EncodedReply| {
             let known = reply.synced_revisions.map(|revision| revision > 0);
             let has_all_kinds = known == synced_revisions.map(|revision| revision > 0);
@@ -60,7 +57,7 @@
             request,
             at: now,
             synced_revisions,
-            latest_revisions,
+            version: mirror.version(),
             bytes: bytes.clone(),
         });
         self.replies.truncate(Self::MAX_REPLIES);
--- a/crates/gateway/src/feed_replies_tests.rs
+++ b/crates/gateway/src/feed_replies_tests.rs
@@ -96,3 +96,28 @@
     assert!(is_current);
     assert_eq!(objects(&later), 3);
 }
+
+// Guards against a reply that lacks an object which came later than one of a higher revision, so that
+// no revision tells of it.
+#[test]
+fn object_that_raises_no_revision_is_in_the_next_reply() {
+    let mut mirror = ObjectMirror::default();
+    for kind in KINDS {
+        list(&mut mirror, kind, 10, 20);
+    }
+    let record = |name: &str, revision| PlatformObject {
+        name: name.into(),
+        revision,
+        spec: serde_json::Value::Null,
+        status: serde_json::Value::Null,
+    };
+    let lagging = FeedRequest {
+        synced_revisions: [20; 3],
+        latest_revisions: [20; 3],
+    };
+    let mut replies = FeedReplies::default();
+    mirror.insert(ObjectKind::Records, record("later", 30));
+    assert_eq!(objects(&replies.encode(&mirror, lagging, at(1_000)).0), 1);
+    mirror.insert(ObjectKind::Records, record("earlier", 25));
+    assert_eq!(objects(&replies.encode(&mirror, lagging, at(1_010)).0), 2);
+}
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -10,6 +10,8 @@
 #[derive(Default)]
 pub(crate) struct ObjectMirror {
     kinds: [KindMirror; 3],
+    /// Number of changes of this copy. An object may come without raising any revision.
+    version: u64,
 }
 
 /// Copies of the objects of one kind.
@@ -143,6 +145,7 @@
 impl ObjectMirror {
     /// Applies an update to the objects of a kind.
     pub(crate) fn apply(&mut self, kind: ObjectKind, update: &StoreUpdate) {
+        self.version += 1;
         let mirror = &mut self.kinds[position_of(kind)];
         match update {
             StoreUpdate::List(page) => mirror.apply_list(page),
@@ -150,6 +153,11 @@
         }
     }
 
+    /// Number that grows with each change of this copy.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Highest revisions of any changes seen, by kind.
     pub(crate) fn latest_revisions(&self) -> [u64; 3] {
         [0, 1, 2].map(|position: usize| self.kinds[position].latest_revision)
@@ -231,6 +239,7 @@
     /// Inserts one object from another instance. The synced revision stays, since other changes may
     /// be missing.
     pub(crate) fn insert(&mut self, kind: ObjectKind, object: PlatformObject) {
+        self.version += 1;
         let mirror = &mut self.kinds[position_of(kind)];
         mirror.latest_revision = mirror.latest_revision.max(object.revision);
         let known = mirror.objects.get(&object.name);
@@ -241,6 +250,7 @@
 
     /// Forgets all objects of a kind, since the store has gone back to an earlier revision.
     pub(crate) fn forget(&mut self, kind: ObjectKind) {
+        self.version += 1;
         self.kinds[position_of(kind)] = KindMirror::default();
     }
 
@@ -255,6 +265,7 @@
         let (kind, latest_revision) = (delta.kind, delta.latest_revision);
         let outcome = self.update_from(delta);
         if let DeltaOutcome::Update(_) | DeltaOutcome::UpToDate = outcome {
+            self.version += 1;
             let mirror = &mut self.kinds[position_of(kind)];
             mirror.latest_revision = mirror.latest_revision.max(latest_revision);
         }
