Have watchers tell all instances of changes of servers and configuration

The watchers know at once, but tell the leader only, which fetches the change and tells the others: two more steps than the 0.4 s of margin hold. Before, all instances watched as soon as the leader had noticed.

Change: a watcher whose servers or configuration have changed sends that heartbeat to all. Test: heartbeat_targets_tests.

--- a/crates/gateway/src/heartbeat_targets.rs
+++ b/crates/gateway/src/heartbeat_targets.rs
@@ -1,17 +1,20 @@
 //! Which instances get a heartbeat.
 
 use crate::{
+    object_mirror::position_of,
     peer_heartbeat::{LeadershipStatus, PeerHeartbeat},
     prelude::*,
 };
 
 /// Addresses of the instances that get a heartbeat. `leaders` are those of the services that this
-/// instance does not lead, in the order of the heartbeat, with the time since which they lead.
+/// instance does not lead, in the order of the heartbeat, with the time since which they lead. `told`
+/// are the revisions of its last heartbeat.
 pub(crate) fn targets(
     node: &GatewayNode,
     peers: &PeerTable,
     heartbeat: &PeerHeartbeat,
     leaders: &[Option<(InstanceIncarnation, MonoTime)>],
+    told: [u64; 3],
     now: MonoTime,
 ) -> Vec<SocketAddr> {
     let is_leader = heartbeat.leaderships.iter().any(|status| status.is_leader);
@@ -29,7 +32,7 @@
         .filter(|status| !status.is_leader)
         .collect();
     let all_heard = others.into_iter().zip(leaders).all(is_leader_heard);
-    if is_leader {
+    if is_leader || has_news(peers, heartbeat.revisions, told, now) {
         return peers.addresses();
     }
     let leaders: Vec<SocketAddr> = leaders
@@ -46,3 +49,11 @@
     targets.dedup();
     targets
 }
+
+/// Whether this instance has learnt by its own watch of servers or a configuration that all others
+/// have to know in time, although the leader may be cut off from the store without having noticed.
+fn has_news(peers: &PeerTable, revisions: [u64; 3], told: [u64; 3], now: MonoTime) -> bool {
+    let kinds = [ObjectKind::Servers, ObjectKind::Configuration].map(position_of);
+    let has_changed = kinds.iter().any(|kind| revisions[*kind] > told[*kind]);
+    has_changed && peers.should_watch(false, now)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,8 @@
 mod heartbeat_bound_tests;
 mod heartbeat_content;
 mod heartbeat_targets;
+#[cfg(test)]
+mod heartbeat_targets_tests;
 mod heartbeat_wire;
 mod hop_headers;
 mod idle_list;
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -137,6 +137,7 @@
 /// Sends heartbeats at intervals, and early when a change is due.
 pub(crate) async fn send(node: Arc<GatewayNode>, socket: UdpSocket) {
     let mut turn = 0;
+    let mut told = [0; 3];
     loop {
         let due = node.heartbeat_due.listen();
         Timer::after(MIN_INTERVAL).await;
@@ -148,13 +149,19 @@
             Timer::after(interval).await;
         })
         .await;
-        send_heartbeat(&node, &socket, turn).await;
+        told = send_heartbeat(&node, &socket, turn, told).await;
         turn += 1;
     }
 }
 
-/// Sends one heartbeat to the instances that need it.
-async fn send_heartbeat(node: &GatewayNode, socket: &UdpSocket, turn: usize) {
+/// Sends one heartbeat to the instances that need it. `told` are the revisions of the last one;
+/// returns those of this one.
+async fn send_heartbeat(
+    node: &GatewayNode,
+    socket: &UdpSocket,
+    turn: usize,
+    told: [u64; 3],
+) -> [u64; 3] {
     let now = node.now();
     let mut heartbeat = PeerHeartbeat {
         instance: node.settings.name.clone(),
@@ -237,13 +244,15 @@
         if is_leader {
             heartbeat.isolated = peers.isolated_peers(now);
         }
-        heartbeat_targets::targets(node, &peers, &heartbeat, &leaders, now)
+        heartbeat_targets::targets(node, &peers, &heartbeat, &leaders, told, now)
     };
+    let revisions = heartbeat.revisions;
     let datagram = heartbeat.encode();
     for target in targets {
         // A send error is ignored like a lost datagram: the next heartbeat follows.
         let _ = socket.send_to(&datagram, target).await;
     }
+    revisions
 }
 
 /// Whether this instance has led each of its services for `YIELD_AFTER`.
