Read the era that the store states, and log and count each change of it

Answers whose era differs from the one in force are logged and counted now; no decision reads it yet.

--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -22,6 +22,8 @@
 pub(crate) const SERVER_CONNECTIONS: &str = "geraniummast_server_connections_total";
 /// Calls to the platform's store, by kind and result.
 pub(crate) const STORE_CALLS: &str = "geraniummast_store_calls_total";
+/// Answers of the store whose era is not the one in force, by what they state.
+pub(crate) const STORE_ERAS: &str = "geraniummast_store_eras_total";
 /// Time since what this instance knows of the store was known to be complete, in seconds.
 pub(crate) const KNOWLEDGE_AGE: &str = "geraniummast_knowledge_age_seconds";
 /// Grants and releases sent to servers, by kind and result.
--- a/crates/gateway/src/object_client.rs
+++ b/crates/gateway/src/object_client.rs
@@ -7,6 +7,7 @@
     http: HttpClient,
     clock: SteadyClock,
     pub(crate) health: StoreHealth,
+    era: StateMutex<EraTracker>,
 }
 
 /// Reason why a store call gave no result.
@@ -34,6 +35,7 @@
             http: HttpClient::new(pool, TcpDialer::direct(), address),
             clock: SteadyClock,
             health: StoreHealth::default(),
+            era: StateMutex::default(),
         }
     }
 
@@ -140,6 +142,7 @@
         limits: ExchangeLimits,
     ) -> Result<Response<Bytes>, StoreCallError> {
         let request = request.map(Full::new);
+        let asked_at = self.clock.now();
         let result = self.http.exchange_within(request, limits).await;
         let now = self.clock.now();
         let outcome = match &result {
@@ -158,13 +161,46 @@
             (Err(error), _) => self.health.record_failure(now, &format!("{kind}: {error}")),
         }
         match result {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.observe_era(kind, EraHeader::read(response.headers()), asked_at);
+                Ok(response)
+            }
             Err(error @ (ExchangeError::ConnectionRefused(_) | ExchangeError::NotSent(_))) => {
                 Err(StoreCallError::Unavailable(error.to_string()))
             }
             Err(error) => Err(StoreCallError::Unclear(error.to_string())),
         }
     }
+
+    /// Takes note of the era that an answer states.
+    fn observe_era(&self, call: &'static str, notice: EraNotice, asked_at: MonoTime) {
+        let now = self.clock.now();
+        let mut tracker = self.era.lock();
+        let verdict = tracker.observe(notice, asked_at, now);
+        let StoreEra {
+            number: era,
+            stated,
+        } = tracker.era();
+        drop(tracker);
+        let kind = match (notice, verdict) {
+            (EraNotice::Malformed, _) => {
+                log::warn!(call, era; "store states an era that cannot be read");
+                "malformed"
+            }
+            (_, EraVerdict::Begun { before }) if before == StoreEra::default() => return,
+            (_, EraVerdict::Begun { before }) => {
+                let before = before.number;
+                log::warn!(call, before, era, stated; "store has begun a new era");
+                "begun"
+            }
+            (_, EraVerdict::Stale) => {
+                log::warn!(call, era, stated; "answer of the store is of another era");
+                "stale"
+            }
+            (_, EraVerdict::Current) => return,
+        };
+        metrics::counter!(STORE_ERAS, "kind" => kind).increment(1);
+    }
 }
 
 fn parse<T>(body: &[u8]) -> Result<T, StoreCallError>
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_verdict;
 mod completion_rate;
 mod crash_window;
+mod era_tracker;
 mod former_leaders;
 mod grant_ledger;
 mod incarnation_status;
@@ -60,6 +61,7 @@
     answer_verdict::{AnswerFacts, AnswerVerdict},
     completion_rate::CompletionRate,
     crash_window::CrashWindow,
+    era_tracker::{EraNotice, EraTracker, EraVerdict, StoreEra},
     former_leaders::FormerLeaders,
     grant_ledger::GrantLedger,
     incarnation_status::IncarnationStatus,
