Measure in the soak when all keys are held again after a restore

`--restores` restores the store from older copies and does nothing else; every 10 ms the sampled keys without a holder are counted, up to 10 s or the next restore. `--beside-restores` draws random faults beside restores.

--- a/crates/soak/src/changes_beside.rs
+++ b/crates/soak/src/changes_beside.rs
@@ -84,8 +84,8 @@
             NewerKind::Poison => poison_requests(&mut rng, plan),
             NewerKind::Cuts => cuts(&mut rng, plan),
             NewerKind::Notices => notices(&mut rng, plan),
-            NewerKind::Restored => restores(&mut rng, plan),
-            NewerKind::Silences => silences(&mut rng, plan),
+            NewerKind::Restored => Self::restores(&mut rng, plan, Self::RESTORE_PAUSE_MS),
+            NewerKind::Silences => silences(Self::restores(&mut rng, plan, Self::RESTORE_PAUSE_MS)),
         });
         events.sort_by_key(|(at, _)| *at);
         events
@@ -201,26 +201,11 @@
     events
 }
 
-/// Restores of the store from older copies, one after the other.
-fn restores(rng: &mut StdRng, plan: &SoakPlan) -> Vec<(Duration, FaultEvent)> {
-    let mut events = Vec::new();
-    let mut at = random_time(rng, 500..2_000);
-    while at < plan.fault_duration {
-        let drill = RestoreDrill::random(rng);
-        let pause = random_time(rng, 1_000..5_000);
-        let ends_at = at + drill.duration();
-        events.push((at, FaultEvent::Restore(drill)));
-        at = ends_at + pause;
-    }
-    events
-}
-
-/// The silences of `restores`.
-fn silences(rng: &mut StdRng, plan: &SoakPlan) -> Vec<(Duration, FaultEvent)> {
-    let drills = restores(rng, plan).into_iter();
+/// The silences of the store's restores.
+fn silences(restores: Vec<(Duration, FaultEvent)>) -> Vec<(Duration, FaultEvent)> {
     let without_restore = |(at, event)| match event {
         FaultEvent::Restore(drill) => drill.silences(at),
         other => vec![(at, other)],
     };
-    drills.flat_map(without_restore).collect()
+    restores.into_iter().flat_map(without_restore).collect()
 }
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -82,16 +82,18 @@
     /// Returns the faults of a plan, each with its time after the start of the injection.
     pub(crate) fn for_plan(plan: &SoakPlan) -> Vec<(Duration, Self)> {
         match plan.scenario {
-            FaultScenario::Random => {
-                let mut rng = StdRng::seed_from_u64(plan.seed);
-                let mut events = Self::schedule(&mut rng, plan.fault_duration);
-                events.extend(Self::limits(&mut rng, plan.fault_duration));
-                // Drawn apart, so that the schedules of earlier seeds stay as they were.
-                let mut rng = StdRng::seed_from_u64(!plan.seed);
-                events.extend(Self::further_faults(&mut rng, plan));
+            FaultScenario::Random => Self::random_faults(plan),
+            FaultScenario::RandomBesideRestores => {
+                let mut events = Self::random_faults(plan);
+                let mut rng = StdRng::seed_from_u64(plan.seed.rotate_left(32));
+                events.extend(Self::restores(&mut rng, plan, Self::RESTORE_PAUSE_MS));
                 events.sort_by_key(|(at, _)| *at);
                 events
             }
+            FaultScenario::StoreRestores => {
+                let mut rng = StdRng::seed_from_u64(plan.seed);
+                Self::restores(&mut rng, plan, Self::LONG_RESTORE_PAUSE_MS)
+            }
             FaultScenario::RepeatedAnswers => {
                 Self::server_faults(plan, plan.servers * 2, BackendFault::Repeating)
             }
@@ -193,6 +195,17 @@
         }
     }
 
+    fn random_faults(plan: &SoakPlan) -> Vec<(Duration, Self)> {
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let mut events = Self::schedule(&mut rng, plan.fault_duration);
+        events.extend(Self::limits(&mut rng, plan.fault_duration));
+        // Drawn apart, so that the schedules of earlier seeds stay as they were.
+        let mut rng = StdRng::seed_from_u64(!plan.seed);
+        events.extend(Self::further_faults(&mut rng, plan));
+        events.sort_by_key(|(at, _)| *at);
+        events
+    }
+
     /// Cuts instances off from the servers in each way: each alone at first, then all but one.
     fn cuts_in_turn(plan: &SoakPlan) -> Vec<(Duration, Self)> {
         const CUT_TIME: Duration = Duration::from_secs(8);
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -73,6 +73,29 @@
         (0..count).map(&mut draw).collect()
     }
 
+    /// Time from a restore of the store to the next copy, in milliseconds.
+    pub(crate) const RESTORE_PAUSE_MS: std::ops::Range<u64> = 1_000..5_000;
+    /// The same, long enough that all keys are served again meanwhile.
+    pub(crate) const LONG_RESTORE_PAUSE_MS: std::ops::Range<u64> = 6_000..8_000;
+
+    /// Draws restores of the store from older copies, all through the run of a plan.
+    pub(crate) fn restores(
+        rng: &mut StdRng,
+        plan: &SoakPlan,
+        pause_ms: std::ops::Range<u64>,
+    ) -> Vec<(Duration, Self)> {
+        let mut events = Vec::new();
+        let mut at = Duration::from_millis(rng.random_range(500..2_000));
+        while at < plan.fault_duration {
+            let drill = RestoreDrill::random(rng);
+            let pause = Duration::from_millis(rng.random_range(pause_ms.clone()));
+            let ends_at = at + drill.duration();
+            events.push((at, Self::Restore(drill)));
+            at = ends_at + pause;
+        }
+        events
+    }
+
     fn random(rng: &mut StdRng) -> Self {
         let number = rng.random_range(0..1_000);
         let duration = Duration::from_millis(rng.random_range(200..4_000));
--- a/crates/soak/src/key_recovery.rs
+++ b/crates/soak/src/key_recovery.rs
@@ -25,9 +25,14 @@
     /// Distance between two sampled keys.
     const SAMPLE_STEP: usize = 64;
 
+    /// Keys that are sampled.
+    fn sampled_keys() -> impl Iterator<Item = u16> {
+        (0..=u16::MAX).step_by(Self::SAMPLE_STEP)
+    }
+
     /// Records the keys that a server holds as it crashes.
     pub(crate) fn record_crash(&mut self, keys: &BackendKeys, now: MonoTime) {
-        for key in (0..=u16::MAX).step_by(Self::SAMPLE_STEP) {
+        for key in Self::sampled_keys() {
             if keys.valid_fence(key, now).is_some() {
                 self.lost.entry(key).or_insert(now);
             }
@@ -52,6 +57,30 @@
     }
 }
 
+/// Measures how long after a restore of the store keys are without a holder, until the next restore.
+pub(crate) async fn watch_restore(world: Arc<SoakWorld>) {
+    /// Time within which all keys are held again; longer than any grant.
+    const PERIOD: Duration = Duration::from_secs(10);
+    const STEP: Duration = Duration::from_millis(10);
+    let era = || world.store.objects.lock().unwrap().era();
+    let (restored_at, restored_in) = (SteadyClock.now(), era());
+    let keys: Vec<u16> = KeyRecovery::sampled_keys().collect();
+    let mut times = vec![Duration::ZERO; keys.len()];
+    loop {
+        let elapsed = SteadyClock.now().since(restored_at);
+        if elapsed > PERIOD || era() != restored_in {
+            break;
+        }
+        for (time, is_held) in times.iter_mut().zip(world.ledger.are_held(&keys)) {
+            if !is_held {
+                *time = elapsed;
+            }
+        }
+        Timer::after(STEP).await;
+    }
+    world.ledger.restore_times.lock().unwrap().extend(times);
+}
+
 impl RecoveryTimes {
     /// Distribution of `times`; `None` if there are none.
     pub(crate) fn of(mut times: Vec<Duration>) -> Option<Self> {
@@ -70,7 +99,7 @@
         let (median, p99) = (self.median.as_millis(), self.p99.as_millis());
         write!(
             f,
-            "keys of crashed servers granted again: {} sampled, median {median} ms, 99 in 100 within {p99} ms",
+            "{} sampled, median {median} ms, 99 in 100 within {p99} ms",
             self.count
         )
     }
--- a/crates/soak/src/restore_drill.rs
+++ b/crates/soak/src/restore_drill.rs
@@ -5,7 +5,7 @@
 //! have left since remove theirs again. Servers that have ended write nothing: their entries of the
 //! copy lapse.
 
-use crate::prelude::*;
+use crate::{key_recovery, prelude::*};
 
 /// Restores of the store from one copy, and what becomes of the watches that are open meanwhile.
 #[derive(Clone, Debug, PartialEq)]
@@ -97,6 +97,10 @@
         let mut rewrites = Vec::new();
         for pause in self.pauses.iter().copied().chain([Duration::ZERO]) {
             self.restore(world, &copy).await;
+            if world.plan.scenario == FaultScenario::StoreRestores {
+                let measured = key_recovery::watch_restore(world.clone());
+                rewrites.push(world.pool.spawn_cancellable(measured));
+            }
             let seed = rng.random();
             rewrites.push(world.pool.spawn_cancellable(rewrite(world.clone(), seed)));
             Timer::after(pause).await;
--- a/crates/soak/src/soak_arguments.rs
+++ b/crates/soak/src/soak_arguments.rs
@@ -21,8 +21,9 @@
 
 Usage:
   geraniummast-soak [--seeds N] [--first SEED] [--seed SEED] [--instances N] [--servers N]
-                    [--seconds S] [--crashes] [--changes-beside KIND]
-                    [--changes-at-paused-helpers] [--daemon PATH] [--logs FOLDER]
+                    [--seconds S] [--crashes] [--restores] [--beside-restores]
+                    [--changes-beside KIND] [--changes-at-paused-helpers] [--daemon PATH]
+                    [--logs FOLDER]
 
 Options:
   --seeds N       number of consecutive seeds to run, 1 by default
@@ -33,6 +34,10 @@
   --servers N     servers in each of the two main services, 6 by default
   --seconds S     duration of the fault injection in seconds, 12 by default
   --crashes       crash servers only, to measure when their keys are granted again
+  --restores      restore the store from older copies only, to measure when all keys are
+                  served again
+  --beside-restores
+                  random faults beside restores of the store from older copies
   --changes-beside KIND
                   change the configuration and have servers leave all through the run, beside
                   faults of one kind: limits, poison, cuts, notices, restored (the store
@@ -74,6 +79,10 @@
                 Long("servers") => arguments.servers = parser.value()?.parse()?,
                 Long("seconds") => arguments.fault_seconds = parser.value()?.parse()?,
                 Long("crashes") => arguments.scenario = FaultScenario::ServerCrashes,
+                Long("restores") => arguments.scenario = FaultScenario::StoreRestores,
+                Long("beside-restores") => {
+                    arguments.scenario = FaultScenario::RandomBesideRestores;
+                }
                 Long("changes-beside") => {
                     let kind = parser.value()?.parse_with(NewerKind::with_label)?;
                     arguments.scenario = FaultScenario::ChangesBeside(kind);
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -15,6 +15,9 @@
     pub(crate) violations: Mutex<Vec<String>>,
     /// Limits that servers named.
     pub(crate) limits: Mutex<Vec<LimitPeriod>>,
+    /// Times from a restore of the store until sampled keys were held again, zero for those that
+    /// were held all the while.
+    pub(crate) restore_times: Mutex<Vec<Duration>>,
     /// Crashes by poison requests, each with the number of the request.
     pub(crate) poison_crashes: Mutex<Vec<(usize, MonoTime)>>,
     /// Keys of crashed servers.
@@ -260,6 +263,19 @@
         }
     }
 
+    /// Whether any server holds each of some keys now.
+    pub(crate) fn are_held(&self, keys: &[u16]) -> Vec<bool> {
+        let now = SteadyClock.now();
+        let mut are_held = vec![false; keys.len()];
+        for backend in self.backends.lock().unwrap().iter() {
+            let granted = backend.keys.lock().unwrap();
+            for (is_held, key) in are_held.iter_mut().zip(keys) {
+                *is_held |= granted.valid_fence(*key, now).is_some();
+            }
+        }
+        are_held
+    }
+
     fn other_backends(&self, incarnation: &ServerIncarnation) -> Vec<Arc<BackendProcess>> {
         let backends = self.backends.lock().unwrap();
         backends
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -35,6 +35,10 @@
 pub enum FaultScenario {
     /// Random faults drawn from the seed.
     Random,
+    /// The same, beside restores of the store from older copies.
+    RandomBesideRestores,
+    /// The store is restored from older copies, and nothing else happens.
+    StoreRestores,
     /// All instances are stopped in turn while servers leave requests unanswered.
     StopWithUnresponsiveServers,
     /// The instances are stopped one at a time while servers are slow, and each receives all kinds
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -22,6 +22,8 @@
     pub violations: Vec<String>,
     /// Times until sampled keys of crashed servers were granted again.
     pub recovery_times: Vec<Duration>,
+    /// Times from restores of the store until sampled keys were held again.
+    pub restore_times: Vec<Duration>,
     /// Injected faults with their times, for the analysis of a violation.
     pub schedule: Vec<String>,
 }
@@ -34,7 +36,7 @@
 /// Runs all seeds one after the other and prints their results.
 pub(crate) fn run_all(arguments: &SoakArguments) -> ExitCode {
     let mut failed_seeds = Vec::new();
-    let mut recovery_times = Vec::new();
+    let (mut recovery_times, mut restore_times) = (Vec::new(), Vec::new());
     for seed in &arguments.seeds {
         let log_dir = arguments.log_dir.join(format!("seed-{seed}"));
         let plan = SoakPlan {
@@ -57,6 +59,7 @@
             println!("  {rule}: {count} violations");
         }
         recovery_times.extend(&report.recovery_times);
+        restore_times.extend(&report.restore_times);
         if report.violations.is_empty() {
             // Logs are kept only for runs with violations.
             let _ = std::fs::remove_dir_all(&log_dir);
@@ -72,7 +75,10 @@
         failed_seeds.push(*seed);
     }
     if let Some(times) = RecoveryTimes::of(recovery_times) {
-        println!("{times}");
+        println!("keys of crashed servers granted again: {times}");
+    }
+    if let Some(times) = RecoveryTimes::of(restore_times) {
+        println!("keys held again after restores of the store: {times}");
     }
     println!(
         "{} seeds run, {} with violated guarantees: {failed_seeds:?}",
@@ -157,6 +163,7 @@
         served: calls.iter().filter(|call| call.is_served()).count(),
         injected_faults: events.len(),
         recovery_times: world.ledger.recovery.lock().unwrap().times(),
+        restore_times: world.ledger.restore_times.lock().unwrap().clone(),
         violations,
         schedule: events.iter().map(describe).collect(),
     })
