--- a/crates/gateway/src/attempt_history.rs
+++ b/crates/gateway/src/attempt_history.rs
@@ -18,7 +18,7 @@
 /// A key record that named the wrong owner.
 #[derive(Clone, Copy)]
 pub(crate) struct StaleRecord {
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Until when the record is ignored and a newer one is waited for.
     pub(crate) ignored_until: MonoTime,
 }
@@ -28,7 +28,7 @@
     const IGNORE_TIME: Duration = Duration::from_millis(250);
 
     /// Marks the record of `revision` as stale from `now` on.
-    pub(crate) fn new(revision: u64, now: MonoTime) -> Self {
+    pub(crate) fn new(revision: StoreRevision, now: MonoTime) -> Self {
         Self {
             revision,
             ignored_until: now.after(Self::IGNORE_TIME),
--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -201,7 +201,7 @@
             result = result.label(),
             cause,
             took_ms = now.since(reservation.reserved_at).as_millis() as u64,
-            key_revision = reservation.key_revision.unwrap_or_default();
+            key_revision:% = reservation.key_revision.unwrap_or_default();
             "attempt failed"
         );
     }
--- a/crates/gateway/src/change_path_tests/change_checker.rs
+++ b/crates/gateway/src/change_path_tests/change_checker.rs
@@ -13,7 +13,7 @@
     at: MonoTime,
     kind: ObjectKind,
     name: String,
-    revision: u64,
+    revision: StoreRevision,
     is_removed: bool,
 }
 
@@ -23,7 +23,7 @@
     changes: Vec<ConfirmedChange>,
     disturbed_until: IndexMap<usize, MonoTime>,
     /// Latest configuration of each process.
-    configurations: IndexMap<(usize, u64), u64>,
+    configurations: IndexMap<(usize, u64), StoreRevision>,
     pub(super) violations: Vec<String>,
     /// Number of changes that an instance in touch had to have in force.
     pub(super) checks: usize,
@@ -151,7 +151,7 @@
             .mirror
             .object(confirmed.kind, &confirmed.name);
         let is_in_force = match known {
-            Some(object) => object.revision >= confirmed.revision,
+            Some(object) => object.revision >= confirmed.revision.into(),
             // A later removal may be known early.
             None => confirmed.is_removed || self.checker.is_replaced(change),
         };
@@ -174,7 +174,7 @@
         let simulated = &self.instances[instance];
         let name = ObjectKind::CONFIGURATION_NAME;
         let object = simulated.mirror.object(ObjectKind::Configuration, name);
-        let revision = object.map_or(0, |object| object.revision);
+        let revision = object.map_or(StoreRevision::ZERO, |object| object.revision);
         let process = (instance, simulated.record.incarnation);
         let known = self.checker.configurations.entry(process).or_default();
         let before = std::mem::replace(known, revision);
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -45,7 +45,9 @@
     pub(super) fn step_seeds(&mut self, index: usize) {
         let instance = &self.instances[index];
         let known = instance.mirror.synced_revisions();
-        if !instance.is_recently_started(self.now) && known[..2].iter().all(|known| *known > 0) {
+        if !instance.is_recently_started(self.now)
+            && known[..2].iter().all(|known| *known > 0.into())
+        {
             return;
         }
         let seed = self.rng.random_range(0..Self::SEEDS);
--- a/crates/gateway/src/change_path_tests/knowledge_steps.rs
+++ b/crates/gateway/src/change_path_tests/knowledge_steps.rs
@@ -19,9 +19,9 @@
 }
 
 /// Question for the changes of a kind after those that are known.
-fn question(kind: ObjectKind, known: u64, wait: Duration) -> StoreQuestion {
+fn question(kind: ObjectKind, known: StoreRevision, wait: Duration) -> StoreQuestion {
     match known {
-        0 => StoreQuestion::List(kind),
+        StoreRevision::ZERO => StoreQuestion::List(kind),
         after => StoreQuestion::Watch { kind, after, wait },
     }
 }
@@ -54,11 +54,11 @@
         let simulated = &self.instances[instance];
         let known = simulated.mirror.synced_revisions()[position_of(kind)];
         let is_fed = simulated.is_recently_started(self.now) && simulated.is_seed_reachable;
-        if known > 0 && !simulated.should_watch(self.now) || is_fed {
+        if known > StoreRevision::ZERO && !simulated.should_watch(self.now) || is_fed {
             self.pause(instance, slot, object_watcher::WATCHER_CHECK_INTERVAL);
             return;
         }
-        match known == 0 || simulated.must_list[position_of(kind)] {
+        match known == StoreRevision::ZERO || simulated.must_list[position_of(kind)] {
             true => {
                 let list = StoreQuestion::List(kind);
                 self.call(instance, slot, WorkerState::Calling, list);
@@ -162,7 +162,7 @@
         let Some(kind) = simulated.check.kinds.first() else {
             simulated
                 .knowledge
-                .record_complete(simulated.check.revision);
+                .record_complete(simulated.check.revision.into());
             if simulated.check.has_changed {
                 self.restart_watches(instance);
             }
@@ -208,7 +208,7 @@
             StoreUpdate::Changes(changes) => (changes.revision, !changes.events.is_empty()),
         };
         self.apply(instance, kind, &update, true);
-        let is_first = self.instances[instance].check.revision == 0;
+        let is_first = self.instances[instance].check.revision == StoreRevision::ZERO;
         let has_coverage = self.settings.guards.coverage;
         let simulated = &mut self.instances[instance];
         simulated.check.has_changed |= has_changed;
@@ -229,7 +229,7 @@
         let revision = simulated.check.revision;
         let synced = simulated.mirror.synced_revisions();
         while let Some(kind) = simulated.check.kinds.first()
-            && store_check::is_known(&simulated.knowledge, synced, *kind, revision)
+            && store_check::is_known(&simulated.knowledge, synced, *kind, revision.into())
         {
             simulated.check.kinds.remove(0);
         }
--- a/crates/gateway/src/change_path_tests/leader_steps.rs
+++ b/crates/gateway/src/change_path_tests/leader_steps.rs
@@ -61,7 +61,10 @@
             Some(StoreAnswer::Written(object)) => {
                 let record: LeaderRecord = RecordBody::read(object).unwrap();
                 let simulated = &mut self.instances[instance];
-                let base = simulated.leader.as_ref().map_or(0, |(_, base)| *base);
+                let base = simulated
+                    .leader
+                    .as_ref()
+                    .map_or(StoreRevision::ZERO, |(_, base)| *base);
                 if simulated.is_leading() {
                     simulated.published.push((base, object.revision, now));
                 }
--- a/crates/gateway/src/change_path_tests/simulated_instance.rs
+++ b/crates/gateway/src/change_path_tests/simulated_instance.rs
@@ -53,7 +53,7 @@
 #[derive(Default)]
 pub(super) struct CheckProgress {
     pub(super) asked_at: MonoTime,
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     pub(super) has_changed: bool,
     /// Kinds that are still to be fetched, the current one first.
     pub(super) kinds: Vec<ObjectKind>,
@@ -68,11 +68,11 @@
     pub(super) health: StoreHealth,
     pub(super) started_at: MonoTime,
     pub(super) is_seed_reachable: bool,
-    pub(super) leader: Option<(LeaderRecord, u64)>,
+    pub(super) leader: Option<(LeaderRecord, StoreRevision)>,
     pub(super) led_since: MonoTime,
     pub(super) confirmed_at: Option<MonoTime>,
     /// Record changes that heartbeats tell: base revision, revision and time of each.
-    pub(super) published: Vec<(u64, u64, MonoTime)>,
+    pub(super) published: Vec<(StoreRevision, StoreRevision, MonoTime)>,
     pub(super) check: CheckProgress,
     pub(super) must_list: [bool; 3],
     pub(super) backoffs: [Duration; 3],
@@ -146,8 +146,8 @@
         for (kind, page) in store.pages() {
             self.apply(kind, &StoreUpdate::List(page), true, now);
         }
-        self.knowledge.record_complete(store.revision);
-        self.knowledge.observe(now, store.revision);
+        self.knowledge.record_complete(store.revision.into());
+        self.knowledge.observe(now, store.revision.into());
     }
 
     pub(super) fn own_incarnation(&self) -> InstanceIncarnation {
@@ -251,7 +251,7 @@
     }
 
     /// Adopts a key record that is newer than the known one.
-    pub(super) fn adopt(&mut self, record: LeaderRecord, revision: u64, now: MonoTime) {
+    pub(super) fn adopt(&mut self, record: LeaderRecord, revision: StoreRevision, now: MonoTime) {
         let known = self.leader.as_ref();
         if known.is_some_and(|(_, known)| *known >= revision) {
             return;
--- a/crates/gateway/src/change_path_tests/simulated_store.rs
+++ b/crates/gateway/src/change_path_tests/simulated_store.rs
@@ -8,11 +8,11 @@
 /// Objects and history of the store.
 #[derive(Default)]
 pub(super) struct SimulatedStore {
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     kinds: [IndexMap<String, PlatformObject>; 3],
     history: Vec<(ObjectKind, ObjectEvent)>,
     /// Revision up to which the history is gone.
-    compacted: u64,
+    compacted: StoreRevision,
 }
 
 /// Call of an instance, without those parts that do not matter.
@@ -21,14 +21,14 @@
     List(ObjectKind),
     Watch {
         kind: ObjectKind,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     },
     Read(String),
     /// Writes a record, if it still has the revision; `None` writes in any case.
     Write {
         name: String,
-        base: Option<u64>,
+        base: Option<StoreRevision>,
         spec: serde_json::Value,
     },
 }
@@ -62,7 +62,7 @@
         name: &str,
         spec: Option<&serde_json::Value>,
     ) -> PlatformObject {
-        self.revision += 1;
+        self.revision = self.revision.next();
         let object = PlatformObject {
             name: name.into(),
             revision: self.revision,
@@ -141,7 +141,7 @@
         }
     }
 
-    fn changes(&self, kind: ObjectKind, after: u64) -> Option<ObjectChanges> {
+    fn changes(&self, kind: ObjectKind, after: StoreRevision) -> Option<ObjectChanges> {
         let later = self
             .history
             .iter()
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -193,7 +193,7 @@
     }
 
     fn configure(&mut self) {
-        let spec = serde_json::json!({ "version": self.store.revision });
+        let spec = serde_json::json!({ "version": self.store.revision.number });
         let name = ObjectKind::CONFIGURATION_NAME;
         self.write(ObjectKind::Configuration, name, Some(&spec));
     }
--- a/crates/gateway/src/configuration_worker.rs
+++ b/crates/gateway/src/configuration_worker.rs
@@ -25,7 +25,7 @@
         Ok(table) => table,
         Err(error) => {
             log::warn!(
-                object_revision = object.revision,
+                object_revision:% = object.revision,
                 cause = error.to_string().as_str();
                 "configuration cannot be read; the last good one stays in force"
             );
@@ -38,7 +38,7 @@
         log::info!(
             revision,
             routes,
-            object_revision = object.revision,
+            object_revision:% = object.revision,
             source = source.label();
             "configuration in force"
         );
--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -61,7 +61,7 @@
         Err(error) => {
             log::warn!(
                 server = object.name.as_str(),
-                object_revision = object.revision,
+                object_revision:% = object.revision,
                 cause = error.to_string().as_str();
                 "entry of a server cannot be read and is left out"
             );
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -30,6 +30,8 @@
     deltas: Vec<MirrorDelta>,
     /// Age of what the instance knows.
     knowledge: Option<KnowledgeReport>,
+    /// Era of the store that the instance knows.
+    era: Option<StoreEra>,
 }
 
 /// Requests updates from peers whose heartbeats report newer revisions.
@@ -101,7 +103,11 @@
             seed_index += 1;
         }
         let known = node.mirror.lock().synced_revisions();
-        if !node.is_recently_started() && known[..2].iter().all(|revision| *revision > 0) {
+        if !node.is_recently_started()
+            && known[..2]
+                .iter()
+                .all(|revision| *revision > StoreRevision::ZERO)
+        {
             return;
         }
         let pause = match is_answered {
@@ -133,8 +139,12 @@
     };
     let asked_at = node.now();
     let reply = future::or(exchange(connection, address, request), timeout).await?;
+    if let Some(era) = reply.era {
+        node.store.learn_era(era);
+    }
     let (mut changed, mut is_incomplete) = (false, false);
-    for delta in reply.deltas {
+    for mut delta in reply.deltas {
+        delta.assume_era(node.store.era().number);
         let kind = delta.kind;
         let outcome = node.mirror.lock().take_over(delta);
         match outcome {
@@ -180,6 +190,7 @@
     let wire = <FeedReplyWire as prost::Message>::decode(reply.freeze()).ok()?;
     Some(FeedReply {
         knowledge: wire.knowledge.map(KnowledgeReport::from),
+        era: wire.era.map(StoreEra::from),
         deltas: wire.try_into().ok()?,
     })
 }
--- a/crates/gateway/src/feed_replies.rs
+++ b/crates/gateway/src/feed_replies.rs
@@ -18,7 +18,7 @@
 struct EncodedReply {
     request: FeedRequest,
     at: MonoTime,
-    synced_revisions: [u64; 3],
+    synced_revisions: [StoreRevision; 3],
     version: u64,
     bytes: Bytes,
 }
@@ -41,10 +41,13 @@
         let synced_revisions = mirror.synced_revisions();
         let is_current = |reply: &EncodedReply| reply.version == mirror.version();
         let is_usable = |reply: &&EncodedReply| {
-            let known = reply.synced_revisions.map(|revision| revision > 0);
-            let has_all_kinds = known == synced_revisions.map(|revision| revision > 0);
+            let known = reply
+                .synced_revisions
+                .map(|revision| revision > StoreRevision::ZERO);
+            let has_all_kinds =
+                known == synced_revisions.map(|revision| revision > StoreRevision::ZERO);
             let is_young = now.since(reply.at) < Self::MAX_FULL_AGE;
-            let is_full = request.synced_revisions == [0; 3];
+            let is_full = request.synced_revisions == [StoreRevision::ZERO; 3];
             reply.request == request && (is_current(reply) || is_full && is_young && has_all_kinds)
         };
         if let Some(reply) = self.replies.iter().find(is_usable) {
--- a/crates/gateway/src/feed_replies_tests.rs
+++ b/crates/gateway/src/feed_replies_tests.rs
@@ -9,8 +9,8 @@
 
 /// Request of an instance that knows nothing.
 const NEW: FeedRequest = FeedRequest {
-    synced_revisions: [0; 3],
-    latest_revisions: [0; 3],
+    synced_revisions: [StoreRevision::ZERO; 3],
+    latest_revisions: [StoreRevision::ZERO; 3],
 };
 
 const KINDS: [ObjectKind; 3] = [
@@ -27,14 +27,14 @@
 fn list(mirror: &mut ObjectMirror, kind: ObjectKind, count: u64, revision: u64) {
     let objects = (1..=count).map(|number| PlatformObject {
         name: format!("o{number}"),
-        revision: number,
+        revision: number.into(),
         spec: serde_json::json!({ "number": number }),
         status: serde_json::Value::Null,
     });
     let page = ObjectPage {
         objects: objects.collect(),
         has_more: false,
-        revision,
+        revision: revision.into(),
     };
     mirror.apply(kind, &StoreUpdate::List(page));
 }
@@ -85,8 +85,8 @@
     }
     let mut replies = FeedReplies::default();
     let lagging = FeedRequest {
-        synced_revisions: [8, 20, 20],
-        latest_revisions: [8, 20, 20],
+        synced_revisions: [8.into(), 20.into(), 20.into()],
+        latest_revisions: [8.into(), 20.into(), 20.into()],
     };
     let (first, _) = replies.encode(&mirror, lagging, at(1_000));
     assert_eq!(objects(&first), 2);
@@ -112,12 +112,12 @@
         status: serde_json::Value::Null,
     };
     let lagging = FeedRequest {
-        synced_revisions: [20; 3],
-        latest_revisions: [20; 3],
+        synced_revisions: [20.into(); 3],
+        latest_revisions: [20.into(); 3],
     };
     let mut replies = FeedReplies::default();
-    mirror.insert(ObjectKind::Records, record("later", 30));
+    mirror.insert(ObjectKind::Records, record("later", 30.into()));
     assert_eq!(objects(&replies.encode(&mirror, lagging, at(1_000)).0), 1);
-    mirror.insert(ObjectKind::Records, record("earlier", 25));
+    mirror.insert(ObjectKind::Records, record("earlier", 25.into()));
     assert_eq!(objects(&replies.encode(&mirror, lagging, at(1_010)).0), 2);
 }
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -51,15 +51,17 @@
 /// Encodes what the sender of a request lacks.
 fn reply_to(node: &GatewayNode, request: FeedRequest) -> Bytes {
     let now = node.now();
+    let era = node.store.era();
+    let request = request.assume_era(era.number);
     let mirror = node.mirror.lock();
     let (objects, is_current) = node.feed_replies.lock().encode(&mirror, request, now);
     drop(mirror);
-    if !is_current {
-        return objects;
-    }
-    let report = node.knowledge.lock().report(now);
     let mut tail = FeedReplyWire::from(Vec::new());
-    tail.knowledge = Some(report.into());
+    tail.era = Some(era.into());
+    if is_current {
+        let report = node.knowledge.lock().report(now);
+        tail.knowledge = Some(report.into());
+    }
     // Encoded messages one after the other are one message with the fields of both.
     let mut reply = objects.to_vec();
     prost::Message::encode(&tail, &mut reply).map_or(objects, |()| Bytes::from(reply))
--- a/crates/gateway/src/feed_wire.rs
+++ b/crates/gateway/src/feed_wire.rs
@@ -1,6 +1,7 @@
 //! Protobuf messages of the feed between instances.
 
 use crate::{
+    era_wire::EraWire,
     knowledge_wire::KnowledgeWire,
     mirror_delta::{MirrorDelta, RemainingObjects},
     object_mirror::{OBJECT_KINDS, position_of},
@@ -11,9 +12,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FeedRequest {
     /// Revisions up to which the requester knows all changes, by kind.
-    pub(crate) synced_revisions: [u64; 3],
+    pub(crate) synced_revisions: [StoreRevision; 3],
     /// Highest revisions that the requester has seen, by kind.
-    pub(crate) latest_revisions: [u64; 3],
+    pub(crate) latest_revisions: [StoreRevision; 3],
+}
+
+impl FeedRequest {
+    /// Takes revisions that were sent without an era to be of the given one.
+    pub(crate) fn assume_era(self, era: u64) -> Self {
+        Self {
+            synced_revisions: self.synced_revisions.map(|revision| revision.or_era(era)),
+            latest_revisions: self.latest_revisions.map(|revision| revision.or_era(era)),
+        }
+    }
 }
 
 #[derive(prost::Message)]
@@ -22,6 +33,11 @@
     synced_revisions: Vec<u64>,
     #[prost(uint64, repeated, tag = "2")]
     latest_revisions: Vec<u64>,
+    /// Eras of the revisions; missing from builds that know of none.
+    #[prost(uint64, repeated, tag = "3")]
+    synced_eras: Vec<u64>,
+    #[prost(uint64, repeated, tag = "4")]
+    latest_eras: Vec<u64>,
 }
 
 #[derive(prost::Message)]
@@ -30,6 +46,9 @@
     deltas: Vec<MirrorDeltaWire>,
     #[prost(message, optional, tag = "2")]
     pub(crate) knowledge: Option<KnowledgeWire>,
+    /// Era that the sender knows; missing from builds that know of none.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) era: Option<EraWire>,
 }
 
 #[derive(prost::Message)]
@@ -49,6 +68,10 @@
     is_partial: bool,
     #[prost(message, repeated, tag = "7")]
     removed: Vec<RemovedObjectWire>,
+    #[prost(uint64, tag = "8")]
+    synced_era: u64,
+    #[prost(uint64, tag = "9")]
+    latest_era: u64,
 }
 
 #[derive(prost::Message)]
@@ -57,6 +80,8 @@
     revision: u64,
     #[prost(string, tag = "2")]
     name: String,
+    #[prost(uint64, tag = "3")]
+    era: u64,
 }
 
 impl MirrorDeltaWire {
@@ -67,7 +92,11 @@
                 self.is_partial = true;
                 let wires = removed
                     .into_iter()
-                    .map(|(revision, name)| RemovedObjectWire { revision, name });
+                    .map(|(revision, name)| RemovedObjectWire {
+                        revision: revision.number,
+                        era: revision.era,
+                        name,
+                    });
                 self.removed = wires.collect();
             }
         }
@@ -79,7 +108,7 @@
             true => RemainingObjects::AllExcept(
                 std::mem::take(&mut self.removed)
                     .into_iter()
-                    .map(|wire| (wire.revision, wire.name))
+                    .map(|wire| (StoreRevision::new(wire.era, wire.revision), wire.name))
                     .collect(),
             ),
         }
@@ -96,13 +125,17 @@
     spec: String,
     #[prost(string, tag = "4")]
     status: String,
+    #[prost(uint64, tag = "5")]
+    era: u64,
 }
 
 impl From<FeedRequest> for FeedRequestWire {
     fn from(request: FeedRequest) -> Self {
         Self {
-            synced_revisions: request.synced_revisions.to_vec(),
-            latest_revisions: request.latest_revisions.to_vec(),
+            synced_revisions: numbers(request.synced_revisions),
+            latest_revisions: numbers(request.latest_revisions),
+            synced_eras: eras(request.synced_revisions),
+            latest_eras: eras(request.latest_revisions),
         }
     }
 }
@@ -111,18 +144,39 @@
     type Error = Vec<u64>;
 
     fn try_from(wire: FeedRequestWire) -> Result<Self, Vec<u64>> {
+        let synced: [u64; 3] = wire.synced_revisions.try_into()?;
+        let latest: [u64; 3] = wire.latest_revisions.try_into()?;
         Ok(Self {
-            synced_revisions: wire.synced_revisions.try_into()?,
-            latest_revisions: wire.latest_revisions.try_into()?,
+            synced_revisions: with_eras(synced, &wire.synced_eras),
+            latest_revisions: with_eras(latest, &wire.latest_eras),
         })
     }
 }
 
+/// Revisions as sent by builds that know of no eras.
+pub(crate) fn numbers(revisions: [StoreRevision; 3]) -> Vec<u64> {
+    revisions.map(|revision| revision.number).to_vec()
+}
+
+/// Eras of revisions.
+pub(crate) fn eras(revisions: [StoreRevision; 3]) -> Vec<u64> {
+    revisions.map(|revision| revision.era).to_vec()
+}
+
+/// Joins revisions and their eras; missing ones are zero.
+pub(crate) fn with_eras(numbers: [u64; 3], eras: &[u64]) -> [StoreRevision; 3] {
+    [0, 1, 2].map(|position: usize| {
+        let era = eras.get(position).copied().unwrap_or_default();
+        StoreRevision::new(era, numbers[position])
+    })
+}
+
 impl From<Vec<MirrorDelta>> for FeedReplyWire {
     fn from(deltas: Vec<MirrorDelta>) -> Self {
         let object = |object: PlatformObject| ObjectWire {
             name: object.name,
-            revision: object.revision,
+            revision: object.revision.number,
+            era: object.revision.era,
             spec: object.spec.to_string(),
             status: object.status.to_string(),
         };
@@ -132,8 +186,10 @@
                 .map(|delta| {
                     let mut wire = MirrorDeltaWire {
                         kind: position_of(delta.kind) as u32,
-                        synced_revision: delta.synced_revision,
-                        latest_revision: delta.latest_revision,
+                        synced_revision: delta.synced_revision.number,
+                        synced_era: delta.synced_revision.era,
+                        latest_revision: delta.latest_revision.number,
+                        latest_era: delta.latest_revision.era,
                         changed: delta.changed.into_iter().map(object).collect(),
                         ..MirrorDeltaWire::default()
                     };
@@ -142,6 +198,7 @@
                 })
                 .collect(),
             knowledge: None,
+            era: None,
         }
     }
 }
@@ -162,13 +219,13 @@
                     spec: serde_json::from_str(&object.spec)?,
                     status: serde_json::from_str(&object.status)?,
                     name: object.name,
-                    revision: object.revision,
+                    revision: StoreRevision::new(object.era, object.revision),
                 });
             }
             deltas.push(MirrorDelta {
                 kind: *kind,
-                synced_revision: delta.synced_revision,
-                latest_revision: delta.latest_revision,
+                synced_revision: StoreRevision::new(delta.synced_era, delta.synced_revision),
+                latest_revision: StoreRevision::new(delta.latest_era, delta.latest_revision),
                 remaining,
                 changed,
             });
--- a/crates/gateway/src/heartbeat_bound_tests.rs
+++ b/crates/gateway/src/heartbeat_bound_tests.rs
@@ -21,7 +21,7 @@
     let mut heartbeat = PeerHeartbeat {
         instance: "instance-000".into(),
         incarnation: 1_700_000_000_000,
-        revisions: [1_000_001, 1_000_002, 1_000_003],
+        revisions: [1_000_001.into(), 1_000_002.into(), 1_000_003.into()],
         sent_at: MonoTime(77_000_000),
         knowledge: Some(KnowledgeReport {
             age: Duration::from_millis(14),
@@ -50,8 +50,8 @@
         });
         heartbeat.record_updates.push(RecordUpdate {
             service: service.clone(),
-            base_revision: 1_000_000,
-            revision: 1_000_001,
+            base_revision: 1_000_000.into(),
+            revision: 1_000_001.into(),
             delta: RecordDelta {
                 moves: moves.collect(),
                 ..RecordDelta::default()
--- a/crates/gateway/src/heartbeat_targets.rs
+++ b/crates/gateway/src/heartbeat_targets.rs
@@ -14,7 +14,7 @@
     peers: &PeerTable,
     heartbeat: &PeerHeartbeat,
     leaders: &[Option<(InstanceIncarnation, MonoTime)>],
-    told: [u64; 3],
+    told: [StoreRevision; 3],
     now: MonoTime,
 ) -> Vec<SocketAddr> {
     let is_leader = heartbeat.leaderships.iter().any(|status| status.is_leader);
@@ -52,7 +52,12 @@
 
 /// Whether this instance has learnt by its own watch of servers or a configuration that all others
 /// have to know in time, although the leader may be cut off from the store without having noticed.
-fn has_news(peers: &PeerTable, revisions: [u64; 3], told: [u64; 3], now: MonoTime) -> bool {
+fn has_news(
+    peers: &PeerTable,
+    revisions: [StoreRevision; 3],
+    told: [StoreRevision; 3],
+    now: MonoTime,
+) -> bool {
     let kinds = [ObjectKind::Servers, ObjectKind::Configuration].map(position_of);
     let has_changed = kinds.iter().any(|kind| revisions[*kind] > told[*kind]);
     has_changed && peers.should_watch(false, now)
--- a/crates/gateway/src/heartbeat_targets_tests.rs
+++ b/crates/gateway/src/heartbeat_targets_tests.rs
@@ -37,7 +37,7 @@
             data_centre: "dc1".into(),
             processor_share: 1.0,
         };
-        peers.insert(record, 1, now);
+        peers.insert(record, 1.into(), now);
     }
     peers.apply_heartbeat(
         PeerHeartbeat {
@@ -55,11 +55,19 @@
     };
     let heartbeat = PeerHeartbeat {
         leaderships: leadership(false),
-        revisions,
+        revisions: revisions.map(StoreRevision::from),
         ..PeerHeartbeat::default()
     };
     let leaders = [Some((leader, now))];
-    heartbeat_targets::targets(&node, &peers, &heartbeat, &leaders, [5, 5, 5], now).len()
+    heartbeat_targets::targets(
+        &node,
+        &peers,
+        &heartbeat,
+        &leaders,
+        [5.into(), 5.into(), 5.into()],
+        now,
+    )
+    .len()
 }
 
 // Guards against a server that gets requests 3,037 ms after the store has confirmed that it leaves: the
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -1,6 +1,8 @@
 //! Protobuf encoding of heartbeats, one datagram each.
 
 use crate::{
+    era_wire::EraWire,
+    feed_wire::{eras, numbers, with_eras},
     knowledge_wire::KnowledgeWire,
     leadership_wire::{GrantedRangeWire, LeadershipWire},
     load_report_wire::{KeySamplesWire, KnownRestWire, ServiceTimeWire},
@@ -63,6 +65,11 @@
     pub(crate) rests: Vec<KnownRestWire>,
     #[prost(bool, tag = "22")]
     store_unstable: bool,
+    /// Eras of the revisions; missing from builds that know of none.
+    #[prost(uint64, repeated, tag = "23")]
+    eras: Vec<u64>,
+    #[prost(message, optional, tag = "24")]
+    era: Option<EraWire>,
 }
 
 #[derive(prost::Message)]
@@ -106,7 +113,9 @@
             incarnation: heartbeat.incarnation,
             is_stopping: heartbeat.is_stopping,
             yields: heartbeat.yields,
-            revisions: heartbeat.revisions.to_vec(),
+            revisions: numbers(heartbeat.revisions),
+            eras: eras(heartbeat.revisions),
+            era: heartbeat.era.map(EraWire::from),
             live_count: heartbeat.live_count,
             store_lost: heartbeat.store_lost,
             store_unstable: heartbeat.store_unstable,
@@ -186,7 +195,7 @@
     type Error = std::num::TryFromIntError;
 
     fn try_from(wire: HeartbeatWire) -> Result<Self, Self::Error> {
-        let revision = |position| wire.revisions.get(position).copied().unwrap_or_default();
+        let revision = |position: usize| wire.revisions.get(position).copied().unwrap_or_default();
         let mut key_samples = Vec::with_capacity(wire.key_samples.len());
         for sample in wire.key_samples {
             let keys: Result<Vec<u16>, _> = sample.keys.into_iter().map(u16::try_from).collect();
@@ -230,7 +239,8 @@
             limits: limits.collect(),
             suspects: suspects.collect(),
             leaving: leaving.collect(),
-            revisions: [revision(0), revision(1), revision(2)],
+            revisions: with_eras([0, 1, 2].map(revision), &wire.eras),
+            era: wire.era.map(StoreEra::from),
             instance: wire.instance,
             incarnation: wire.incarnation,
             is_stopping: wire.is_stopping,
--- a/crates/gateway/src/incarnation_checks_tests.rs
+++ b/crates/gateway/src/incarnation_checks_tests.rs
@@ -23,7 +23,7 @@
     let (spec, status) = ServerBody::write(&entry);
     PlatformObject {
         name: entry.incarnation.id,
-        revision: 1,
+        revision: 1.into(),
         spec,
         status,
     }
@@ -56,7 +56,7 @@
     let page = ObjectPage {
         objects,
         has_more: false,
-        revision: 9,
+        revision: 9.into(),
     };
     let checks = check_all(vec![(200, page.to_value())], 60);
     for (number, check) in checks.into_iter().enumerate() {
--- a/crates/gateway/src/key_view.rs
+++ b/crates/gateway/src/key_view.rs
@@ -26,9 +26,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PublishedDelta {
     /// Revision of the record before the change.
-    pub(crate) base_revision: u64,
+    pub(crate) base_revision: StoreRevision,
     /// Revision of the record after the change.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     pub(crate) delta: RecordDelta,
     /// Time at which the change was written.
     pub(crate) at: MonoTime,
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -89,9 +89,9 @@
 /// and configuration. Key records come in heartbeats, one by one.
 pub(crate) fn confirm(
     knowledge: &mut KnowledgeAge,
-    synced: [u64; 3],
+    synced: [StoreRevision; 3],
     report: KnowledgeReport,
-    revisions: [u64; 3],
+    revisions: [StoreRevision; 3],
     sent_at: MonoTime,
 ) {
     let knows_all = |kind| synced[position_of(kind)] >= revisions[position_of(kind)];
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod change_path_tests;
 mod configuration_worker;
 mod discovery_worker;
+mod era_wire;
 mod feed_client;
 mod feed_replies;
 #[cfg(test)]
--- a/crates/gateway/src/mirror_delta.rs
+++ b/crates/gateway/src/mirror_delta.rs
@@ -5,21 +5,37 @@
 /// Difference between two mirrors in the objects of one kind.
 pub(crate) struct MirrorDelta {
     pub(crate) kind: ObjectKind,
-    pub(crate) synced_revision: u64,
-    pub(crate) latest_revision: u64,
+    pub(crate) synced_revision: StoreRevision,
+    pub(crate) latest_revision: StoreRevision,
     /// Objects that still exist, of those that the receiver knows.
     pub(crate) remaining: RemainingObjects,
     /// Objects that changed after the receiver's synced revision.
     pub(crate) changed: Vec<PlatformObject>,
 }
 
+impl MirrorDelta {
+    /// Takes revisions that were sent without an era to be of the given one.
+    pub(crate) fn assume_era(&mut self, era: u64) {
+        self.synced_revision = self.synced_revision.or_era(era);
+        self.latest_revision = self.latest_revision.or_era(era);
+        for object in &mut self.changed {
+            object.revision = object.revision.or_era(era);
+        }
+        if let RemainingObjects::AllExcept(removed) = &mut self.remaining {
+            for (revision, _) in removed {
+                *revision = revision.or_era(era);
+            }
+        }
+    }
+}
+
 /// Which of the receiver's objects still exist.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum RemainingObjects {
     /// Only the objects with these names.
     Listed(Vec<String>),
     /// All objects except these, given with the revisions of their removal.
-    AllExcept(Vec<(u64, String)>),
+    AllExcept(Vec<(StoreRevision, String)>),
 }
 
 /// Result of comparing a delta from another instance with the local mirror.
@@ -35,8 +51,8 @@
 /// Update by changed and removed objects, up to a revision.
 pub(crate) fn changes_from(
     changed: Vec<PlatformObject>,
-    removed: Vec<(u64, String)>,
-    revision: u64,
+    removed: Vec<(StoreRevision, String)>,
+    revision: StoreRevision,
 ) -> DeltaOutcome {
     let changed = changed.into_iter().map(|object| ObjectEvent {
         object,
--- a/crates/gateway/src/node_keys.rs
+++ b/crates/gateway/src/node_keys.rs
@@ -45,7 +45,11 @@
 
     /// Range that contains a key, the revision of its record, and whether the owner serves the
     /// range.
-    pub(crate) fn key_range(&self, service: &str, key: u16) -> Option<(KeyRange, u64, bool)> {
+    pub(crate) fn key_range(
+        &self,
+        service: &str,
+        key: u16,
+    ) -> Option<(KeyRange, StoreRevision, bool)> {
         let keys = self.keys.lock();
         let view = keys.get(service)?;
         let (record, revision) = view.leader.record()?;
@@ -54,7 +58,7 @@
     }
 
     /// Revision of a service's key record, if there is one.
-    pub(crate) fn key_revision(&self, service: &str) -> Option<u64> {
+    pub(crate) fn key_revision(&self, service: &str) -> Option<StoreRevision> {
         let keys = self.keys.lock();
         Some(keys.get(service)?.leader.record()?.1)
     }
--- a/crates/gateway/src/object_client.rs
+++ b/crates/gateway/src/object_client.rs
@@ -8,6 +8,8 @@
     clock: SteadyClock,
     pub(crate) health: StoreHealth,
     era: StateMutex<EraTracker>,
+    /// Notified when a new era begins, as an answer of the store or another instance tells.
+    pub(crate) era_begun: Event,
 }
 
 /// Reason why a store call gave no result.
@@ -36,6 +38,7 @@
             clock: SteadyClock,
             health: StoreHealth::default(),
             era: StateMutex::default(),
+            era_begun: Event::new(),
         }
     }
 
@@ -52,6 +55,10 @@
             let has_more = page.has_more && !page.objects.is_empty();
             listed = Some(match listed {
                 None => page,
+                Some(listed) if listed.revision.era != page.revision.era => {
+                    let cause = "store was restored between two pages".into();
+                    return Err(StoreCallError::Unavailable(cause));
+                }
                 Some(mut listed) => {
                     listed.objects.extend(page.objects);
                     // A watch from the first page's revision reports changes between the pages.
@@ -65,15 +72,23 @@
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after the revision `after`.
+    /// Waits up to `wait` for changes of a kind after the revision `after`. Of what comes after a
+    /// revision of an earlier era, the store has no history.
     pub(crate) async fn watch(
         &self,
         kind: ObjectKind,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> Result<ObjectChanges, StoreCallError> {
-        let request = StoreRequest::watch(kind, after, wait);
-        self.read_body("watch", request, wait).await
+        if after.era != self.era().number {
+            return Err(StoreCallError::Compacted);
+        }
+        let request = StoreRequest::watch(kind, after.number, wait);
+        let changes: ObjectChanges = self.read_body("watch", request, wait).await?;
+        match changes.revision.era == after.era {
+            true => Ok(changes),
+            false => Err(StoreCallError::Compacted),
+        }
     }
 
     /// Reads one object; `None` if it does not exist.
@@ -83,24 +98,51 @@
         name: &str,
     ) -> Result<Option<PlatformObject>, StoreCallError> {
         let limits = Self::limits(Self::TIMEOUT, Self::REUSED_TIMEOUT);
-        let response = self
+        let (response, era) = self
             .exchange("read", StoreRequest::read(kind, name), limits)
             .await?;
         match response.status() {
-            StatusCode::OK => parse(response.body()).map(Some),
+            StatusCode::OK => parse(response.body(), era).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(StoreCallError::Unavailable(format!("status {status}"))),
         }
     }
 
-    /// Sends one write.
-    pub(crate) async fn write(
+    /// Creates an object.
+    pub(crate) async fn create(
         &self,
-        request: Request<Bytes>,
+        kind: ObjectKind,
+        name: &str,
+        spec: &serde_json::Value,
     ) -> Result<WriteAnswer, StoreCallError> {
+        let (answer, _) = self.write(StoreRequest::create(kind, name, spec)).await?;
+        Ok(answer)
+    }
+
+    /// Replaces an object if it is still at `revision`. The store gives revisions of an earlier era
+    /// out again: one of them says nothing about the object that it has now.
+    pub(crate) async fn replace(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        revision: StoreRevision,
+        spec: &serde_json::Value,
+    ) -> Result<WriteAnswer, StoreCallError> {
+        if revision.era != self.era().number {
+            return Ok(WriteAnswer::Conflict);
+        }
+        let request = StoreRequest::replace(kind, name, revision.number, spec);
+        let (answer, era) = self.write(request).await?;
+        match era == revision.era {
+            true => Ok(answer),
+            false => Ok(WriteAnswer::Conflict),
+        }
+    }
+
+    async fn write(&self, request: Request<Bytes>) -> Result<(WriteAnswer, u64), StoreCallError> {
         let limits = Self::limits(Self::TIMEOUT, Self::TIMEOUT);
-        let response = self.exchange("write", request, limits).await?;
-        Ok(WriteAnswer::from(&response))
+        let (response, era) = self.exchange("write", request, limits).await?;
+        Ok((WriteAnswer::read(&response, era), era))
     }
 
     async fn read_body<T>(
@@ -110,7 +152,7 @@
         wait: Duration,
     ) -> Result<T, StoreCallError>
     where
-        T: for<'a> TryFrom<&'a [u8], Error = BodyError>,
+        T: for<'a> TryFrom<EraBody<'a>, Error = BodyError>,
     {
         let timeout = Self::TIMEOUT + wait;
         let reused_timeout = match wait < Self::REUSED_TIMEOUT {
@@ -118,9 +160,9 @@
             false => timeout,
         };
         let limits = Self::limits(timeout, reused_timeout);
-        let response = self.exchange(kind, request, limits).await?;
+        let (response, era) = self.exchange(kind, request, limits).await?;
         match response.status() {
-            StatusCode::OK => parse(response.body()),
+            StatusCode::OK => parse(response.body(), era),
             StatusCode::GONE => Err(StoreCallError::Compacted),
             status => Err(StoreCallError::Unavailable(format!("status {status}"))),
         }
@@ -134,13 +176,13 @@
         }
     }
 
-    /// Sends one call.
+    /// Sends one call. Returns the answer and the number of the era of which it is.
     async fn exchange(
         &self,
         kind: &'static str,
         request: Request<Bytes>,
         limits: ExchangeLimits,
-    ) -> Result<Response<Bytes>, StoreCallError> {
+    ) -> Result<(Response<Bytes>, u64), StoreCallError> {
         let request = request.map(Full::new);
         let asked_at = self.clock.now();
         let result = self.http.exchange_within(request, limits).await;
@@ -162,8 +204,15 @@
         }
         match result {
             Ok(response) => {
-                self.observe_era(kind, EraHeader::read(response.headers()), asked_at);
-                Ok(response)
+                let notice = EraHeader::read(response.headers());
+                match self.observe_era(kind, notice, asked_at) {
+                    EraVerdict::Current | EraVerdict::Begun { .. } => {
+                        Ok((response, self.era().number))
+                    }
+                    EraVerdict::Stale => {
+                        Err(StoreCallError::Unclear("answer of another era".into()))
+                    }
+                }
             }
             Err(error @ (ExchangeError::ConnectionRefused(_) | ExchangeError::NotSent(_))) => {
                 Err(StoreCallError::Unavailable(error.to_string()))
@@ -172,42 +221,65 @@
         }
     }
 
+    /// Era of the store that is in force.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era.lock().era()
+    }
+
+    /// Takes over the era that another instance knows, if it is later.
+    pub(crate) fn learn_era(&self, era: StoreEra) {
+        let Some(before) = self.era.lock().learn(era, self.clock.now()) else {
+            return;
+        };
+        self.record_begin("peer", before);
+    }
+
     /// Takes note of the era that an answer states.
-    fn observe_era(&self, call: &'static str, notice: EraNotice, asked_at: MonoTime) {
-        let now = self.clock.now();
-        let mut tracker = self.era.lock();
-        let verdict = tracker.observe(notice, asked_at, now);
+    fn observe_era(&self, call: &'static str, notice: EraNotice, asked_at: MonoTime) -> EraVerdict {
+        let verdict = self.era.lock().observe(notice, asked_at, self.clock.now());
         let StoreEra {
             number: era,
             stated,
-        } = tracker.era();
-        drop(tracker);
+        } = self.era();
         let kind = match (notice, verdict) {
             (EraNotice::Malformed, _) => {
                 log::warn!(call, era; "store states an era that cannot be read");
                 "malformed"
             }
-            (_, EraVerdict::Begun { before }) if before == StoreEra::default() => return,
             (_, EraVerdict::Begun { before }) => {
-                let before = before.number;
-                log::warn!(call, before, era, stated; "store has begun a new era");
-                "begun"
+                self.record_begin(call, before);
+                return verdict;
             }
             (_, EraVerdict::Stale) => {
                 log::warn!(call, era, stated; "answer of the store is of another era");
                 "stale"
             }
-            (_, EraVerdict::Current) => return,
+            (_, EraVerdict::Current) => return verdict,
         };
         metrics::counter!(STORE_ERAS, "kind" => kind).increment(1);
+        verdict
+    }
+
+    /// Logs and counts the beginning of an era, unless it is the first one that is known.
+    fn record_begin(&self, call: &'static str, before: StoreEra) {
+        if before != StoreEra::default() {
+            let StoreEra {
+                number: era,
+                stated,
+            } = self.era();
+            let before = before.number;
+            log::warn!(call, before, era, stated; "store has begun a new era");
+            metrics::counter!(STORE_ERAS, "kind" => "begun").increment(1);
+        }
+        self.era_begun.notify(usize::MAX);
     }
 }
 
-fn parse<T>(body: &[u8]) -> Result<T, StoreCallError>
+fn parse<T>(body: &[u8], era: u64) -> Result<T, StoreCallError>
 where
-    T: for<'a> TryFrom<&'a [u8], Error = BodyError>,
+    T: for<'a> TryFrom<EraBody<'a>, Error = BodyError>,
 {
-    T::try_from(body)
+    T::try_from(EraBody { era, body })
         .map_err(|error| StoreCallError::Unavailable(format!("unreadable body: {error}")))
 }
 
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -18,14 +18,14 @@
 #[derive(Default)]
 struct KindMirror {
     /// Revision up to which all changes are known; `None` before the first list.
-    synced_revision: Option<u64>,
+    synced_revision: Option<StoreRevision>,
     /// Highest revision of any change seen.
-    latest_revision: u64,
+    latest_revision: StoreRevision,
     objects: IndexMap<String, PlatformObject>,
     /// Removed objects with the revisions of their removal, oldest first.
-    removed: VecDeque<(u64, String)>,
+    removed: VecDeque<(StoreRevision, String)>,
     /// Revision after which `removed` holds all removals.
-    removals_known_after: u64,
+    removals_known_after: StoreRevision,
 }
 
 /// All object kinds, in the order of their positions.
@@ -48,7 +48,7 @@
     /// Largest number of removals kept.
     const MAX_REMOVED: usize = 1_024;
 
-    fn record_removal(&mut self, revision: u64, name: String) {
+    fn record_removal(&mut self, revision: StoreRevision, name: String) {
         self.removed.push_back((revision, name));
         if self.removed.len() > Self::MAX_REMOVED
             && let Some((dropped, _)) = self.removed.pop_front()
@@ -118,7 +118,11 @@
     }
 
     /// Update by those of the objects that changed after the revision up to which all is known.
-    fn later_objects(&self, mut objects: Vec<PlatformObject>, synced: u64) -> DeltaOutcome {
+    fn later_objects(
+        &self,
+        mut objects: Vec<PlatformObject>,
+        synced: StoreRevision,
+    ) -> DeltaOutcome {
         objects.retain(|object| {
             let known = self.objects.get(&object.name);
             object.revision > synced && known.is_none_or(|known| known.revision < object.revision)
@@ -130,8 +134,8 @@
     }
 
     /// Which objects still exist, for a receiver that knows all changes up to `known`.
-    fn remaining_since(&self, known: u64) -> RemainingObjects {
-        if known == 0 || known < self.removals_known_after {
+    fn remaining_since(&self, known: StoreRevision) -> RemainingObjects {
+        if known == StoreRevision::ZERO || known < self.removals_known_after {
             return RemainingObjects::Listed(self.objects.keys().cloned().collect());
         }
         let later = self
@@ -159,17 +163,21 @@
     }
 
     /// Highest revisions of any changes seen, by kind.
-    pub(crate) fn latest_revisions(&self) -> [u64; 3] {
+    pub(crate) fn latest_revisions(&self) -> [StoreRevision; 3] {
         [0, 1, 2].map(|position: usize| self.kinds[position].latest_revision)
     }
 
     /// Revisions up to which all changes are known, by kind; zero before the first list.
-    pub(crate) fn synced_revisions(&self) -> [u64; 3] {
+    pub(crate) fn synced_revisions(&self) -> [StoreRevision; 3] {
         [0, 1, 2].map(|position: usize| self.kinds[position].synced_revision.unwrap_or_default())
     }
 
     /// Differences for a receiver that knows all changes up to `synced` and has seen `latest`.
-    pub(crate) fn deltas(&self, synced: [u64; 3], latest: [u64; 3]) -> Vec<MirrorDelta> {
+    pub(crate) fn deltas(
+        &self,
+        synced: [StoreRevision; 3],
+        latest: [StoreRevision; 3],
+    ) -> Vec<MirrorDelta> {
         let mut deltas = Vec::new();
         for kind in OBJECT_KINDS {
             let position = position_of(kind);
@@ -181,7 +189,7 @@
             let has_earlier =
                 mirror.latest_revision > synced[position] && synced_revision > synced[position];
             let has_later = mirror.latest_revision > latest[position];
-            if synced[position] > 0 && !has_earlier && !has_later {
+            if synced[position] > StoreRevision::ZERO && !has_earlier && !has_later {
                 continue;
             }
             deltas.push(MirrorDelta {
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -12,7 +12,7 @@
 fn object(name: usize, revision: u64) -> PlatformObject {
     PlatformObject {
         name: format!("s{name}"),
-        revision,
+        revision: revision.into(),
         spec: serde_json::json!({ "at": revision }),
         status: serde_json::Value::Null,
     }
@@ -23,7 +23,10 @@
         .into_iter()
         .map(|(object, is_removed)| ObjectEvent { object, is_removed })
         .collect();
-    StoreUpdate::Changes(ObjectChanges { events, revision })
+    StoreUpdate::Changes(ObjectChanges {
+        events,
+        revision: revision.into(),
+    })
 }
 
 /// Deltas from `from` for `to`, encoded and decoded as on the wire.
@@ -35,9 +38,9 @@
 }
 
 /// Names and revisions of all objects of a mirror.
-fn content(mirror: &ObjectMirror) -> Vec<(String, u64)> {
-    let deltas = mirror.deltas([0; 3], [0; 3]);
-    let mut content: Vec<(String, u64)> = deltas
+fn content(mirror: &ObjectMirror) -> Vec<(String, StoreRevision)> {
+    let deltas = mirror.deltas([0.into(); 3], [0.into(); 3]);
+    let mut content: Vec<(String, StoreRevision)> = deltas
         .iter()
         .flat_map(|delta| &delta.changed)
         .map(|object| (object.name.clone(), object.revision))
@@ -58,7 +61,7 @@
             &StoreUpdate::List(ObjectPage {
                 objects: first,
                 has_more: false,
-                revision,
+                revision: revision.into(),
             }),
         );
         for _ in 0..60 {
@@ -93,13 +96,13 @@
             &StoreUpdate::List(ObjectPage {
                 objects: (0..500).map(|name| object(name, 10)).collect(),
                 has_more: false,
-                revision: 10,
+                revision: 10.into(),
             }),
         );
     }
     source.apply(KIND, &changes(11, vec![(object(3, 11), true)]));
     let deltas = decoded_deltas(&source, &receiver);
-    let removed = vec![(11, "s3".to_string())];
+    let removed = vec![(11.into(), "s3".to_string())];
     assert_eq!(deltas[0].remaining, RemainingObjects::AllExcept(removed));
     assert!(deltas[0].changed.is_empty());
 }
@@ -114,12 +117,12 @@
             revision,
         })
     };
-    mirror.apply(KIND, &list(6));
+    mirror.apply(KIND, &list(6.into()));
     mirror.insert(KIND, object(1, 9));
     mirror.apply(KIND, &changes(8, vec![(object(1, 8), false)]));
-    assert_eq!(content(&mirror), [("s1".to_string(), 9)]);
-    mirror.apply(KIND, &list(8));
-    assert_eq!(content(&mirror), [("s1".to_string(), 9)]);
+    assert_eq!(content(&mirror), [("s1".to_string(), 9.into())]);
+    mirror.apply(KIND, &list(8.into()));
+    assert_eq!(content(&mirror), [("s1".to_string(), 9.into())]);
 }
 
 /// Mirror that knows all changes up to `revision`, of which the last one was of the object 1.
@@ -130,7 +133,7 @@
         &StoreUpdate::List(ObjectPage {
             objects: vec![object(1, revision)],
             has_more: false,
-            revision,
+            revision: revision.into(),
         }),
     );
     mirror
@@ -156,7 +159,7 @@
     let mut receiver = synced_mirror(10);
     receiver.apply(KIND, &changes(12, Vec::new()));
     take_over(&sender, &mut receiver);
-    assert_eq!(receiver.latest_revisions()[0], 15);
+    assert_eq!(receiver.latest_revisions()[0], 15.into());
     assert_eq!(content(&receiver), content(&sender));
 }
 
@@ -180,7 +183,7 @@
     let added = || (object(2, 11), false);
     mirror.apply(KIND, &changes(12, vec![added(), (object(2, 12), true)]));
     mirror.apply(KIND, &changes(11, vec![added()]));
-    assert_eq!(content(&mirror), [("s1".to_string(), 10)]);
+    assert_eq!(content(&mirror), [("s1".to_string(), 10.into())]);
 }
 
 // Guards against a list of many pages that is overtaken by a watch: what is known to be complete
@@ -194,9 +197,9 @@
         &StoreUpdate::List(ObjectPage {
             objects: vec![object(1, 10)],
             has_more: false,
-            revision: 11,
+            revision: 11.into(),
         }),
     );
-    assert_eq!(mirror.synced_revisions()[0], 12);
+    assert_eq!(mirror.synced_revisions()[0], 12.into());
     assert!(content(&mirror).is_empty());
 }
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -57,11 +57,11 @@
     }
     loop {
         let known = node.mirror.lock().synced_revisions()[position_of(kind)];
-        if known > 0 && !should_watch(&node) || is_fed_by_seeds(&node) {
+        if known > StoreRevision::ZERO && !should_watch(&node) || is_fed_by_seeds(&node) {
             Timer::after(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
-        let next = match known == 0 || must_list {
+        let next = match known == StoreRevision::ZERO || must_list {
             true => list(&node, kind, known).await,
             false => watch(&node, kind, known).await,
         };
@@ -95,18 +95,18 @@
 pub(crate) fn forget_if_restored(
     node: &GatewayNode,
     kind: ObjectKind,
-    known: u64,
-    listed_revision: u64,
+    known: StoreRevision,
+    listed_revision: StoreRevision,
 ) {
     if listed_revision >= known {
         return;
     }
-    log::warn!(kind = kind.label(), known, listed_revision; "store has gone back to an earlier revision");
+    log::warn!(kind = kind.label(), known:%, listed_revision:%; "store has gone back to an earlier revision");
     node.mirror.lock().forget(kind);
     node.knowledge.lock().forget_revisions();
 }
 
-async fn list(node: &Arc<GatewayNode>, kind: ObjectKind, known: u64) -> NextWatch {
+async fn list(node: &Arc<GatewayNode>, kind: ObjectKind, known: StoreRevision) -> NextWatch {
     match node.store.list(kind).await {
         Ok(page) => {
             forget_if_restored(node, kind, known, page.revision);
@@ -117,7 +117,7 @@
     }
 }
 
-async fn watch(node: &Arc<GatewayNode>, kind: ObjectKind, after: u64) -> NextWatch {
+async fn watch(node: &Arc<GatewayNode>, kind: ObjectKind, after: StoreRevision) -> NextWatch {
     let started_at = node.now();
     let watch = async { Some(node.store.watch(kind, after, WATCH_TIMEOUT).await) };
     let interrupted = async {
@@ -139,7 +139,7 @@
             NextWatch::Continue
         }
         Some(Err(StoreCallError::Compacted)) => {
-            log::info!(kind = kind.label(), after; "history is gone, listing again");
+            log::info!(kind = kind.label(), after:%; "history is gone, listing again");
             NextWatch::Relist
         }
         Some(Err(error)) => {
@@ -147,7 +147,7 @@
             if node.log.allow("watch", now) {
                 let waited_ms = now.since(started_at).as_millis() as u64;
                 let cause = error.to_string();
-                log::warn!(kind = kind.label(), after, waited_ms, cause = cause.as_str(); "watch failed");
+                log::warn!(kind = kind.label(), after:%, waited_ms, cause = cause.as_str(); "watch failed");
             }
             NextWatch::BackOff
         }
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -47,7 +47,7 @@
     service: String,
     leads: bool,
     confirmed_age_ms: u64,
-    revision: u64,
+    revision: String,
     record: KeyRecord,
 }
 
@@ -124,7 +124,7 @@
                 .confirmation_age(now)
                 .as_millis()
                 .min(u128::from(u64::MAX)) as u64,
-            revision,
+            revision: revision.to_string(),
             record: record.clone(),
         })
     });
--- a/crates/gateway/src/peer_heartbeat.rs
+++ b/crates/gateway/src/peer_heartbeat.rs
@@ -14,7 +14,9 @@
     /// Of a leader: whether its first successor should take over although the leader is healthy.
     pub(crate) yields: bool,
     /// Latest revisions that the sender knows of servers, configuration and records.
-    pub(crate) revisions: [u64; 3],
+    pub(crate) revisions: [StoreRevision; 3],
+    /// Era of the store that the sender knows; `None` if it does not tell.
+    pub(crate) era: Option<StoreEra>,
     /// When the heartbeat was sent, on the sender's clock.
     pub(crate) sent_at: MonoTime,
     /// Age of what the sender knows; `None` if it does not tell.
@@ -51,6 +53,17 @@
     pub(crate) suspects: Vec<SuspectReport>,
 }
 
+impl PeerHeartbeat {
+    /// Takes revisions that were sent without an era to be of the given one.
+    pub(crate) fn assume_era(&mut self, era: u64) {
+        self.revisions = self.revisions.map(|revision| revision.or_era(era));
+        for update in &mut self.record_updates {
+            update.base_revision = update.base_revision.or_era(era);
+            update.revision = update.revision.or_era(era);
+        }
+    }
+}
+
 /// Leadership of a keyed service, as seen by the sender.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct LeadershipStatus {
@@ -71,9 +84,9 @@
 pub(crate) struct RecordUpdate {
     pub(crate) service: String,
     /// Revision of the record before the change.
-    pub(crate) base_revision: u64,
+    pub(crate) base_revision: StoreRevision,
     /// Revision of the record after the change.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     pub(crate) delta: RecordDelta,
 }
 
--- a/crates/gateway/src/peer_state.rs
+++ b/crates/gateway/src/peer_state.rs
@@ -10,7 +10,7 @@
 pub(crate) struct PeerState {
     pub(crate) record: InstanceRecord,
     /// Revision of the instance record in the store.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     pub(crate) heard_at: Option<MonoTime>,
     pub(crate) heartbeat: PeerHeartbeat,
     /// Place in the order in which instances act for all others.
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -46,7 +46,12 @@
     }
 
     /// Adds or replaces an instance by its record from the store.
-    pub(crate) fn insert(&mut self, record: InstanceRecord, revision: u64, now: MonoTime) {
+    pub(crate) fn insert(
+        &mut self,
+        record: InstanceRecord,
+        revision: StoreRevision,
+        now: MonoTime,
+    ) {
         if record.name == self.own_name {
             return;
         }
@@ -143,7 +148,7 @@
     /// there is one. `avoided` is chosen only if no other instance qualifies.
     pub(crate) fn newer_source(
         &mut self,
-        latest: [u64; 3],
+        latest: [StoreRevision; 3],
         avoided: Option<SocketAddr>,
         now: MonoTime,
     ) -> Option<(SocketAddr, MonoTime)> {
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -6,7 +6,7 @@
     prelude::*,
 };
 
-const KNOWN: [u64; 3] = [10, 10, 10];
+const KNOWN: [StoreRevision; 3] = [StoreRevision { era: 0, number: 10 }; 3];
 
 fn table() -> PeerTable {
     let mut table = PeerTable::default();
@@ -21,7 +21,7 @@
             data_centre: "a".into(),
             processor_share: 1.0,
         };
-        table.insert(record, 1 + number as u64, MonoTime(0));
+        table.insert(record, (1 + number as u64).into(), MonoTime(0));
     }
     table
 }
@@ -30,7 +30,7 @@
     PeerHeartbeat {
         instance: name.into(),
         incarnation: 1,
-        revisions: [10, configuration, 10],
+        revisions: [10.into(), configuration.into(), 10.into()],
         watchers: vec!["p2".into()],
         leaderships: vec![LeadershipStatus {
             service: "s".into(),
@@ -75,7 +75,7 @@
     table.apply_heartbeat(heartbeat("p1", 15, true), at(1_500));
     table.newer_source(KNOWN, None, at(1_500));
     assert!(table.should_watch(false, at(1_700)));
-    table.newer_source([10, 15, 10], None, at(1_800));
+    table.newer_source([10.into(), 15.into(), 10.into()], None, at(1_800));
     assert!(
         !table.should_watch(false, at(1_800)),
         "the instance has caught up"
@@ -128,7 +128,7 @@
             data_centre: "a".into(),
             processor_share: 1.0,
         };
-        table.insert(record, 1 + number as u64, MonoTime::default());
+        table.insert(record, (1 + number as u64).into(), MonoTime::default());
         if heard(&name) {
             table.apply_heartbeat(heartbeat(&name, 10, false), at(1_000));
         }
@@ -235,7 +235,7 @@
         data_centre: "b".into(),
         processor_share: 1.0,
     };
-    table.insert(record, 9, MonoTime(0));
+    table.insert(record, 9.into(), MonoTime(0));
     assert_eq!(table.positions().all, position(1, 4));
     assert_eq!(table.positions().local, position(0, 3));
     table.remove("p1");
@@ -256,7 +256,7 @@
         data_centre: "a".into(),
         processor_share: 1.0,
     };
-    table.insert(record, 9, MonoTime(0));
+    table.insert(record, 9.into(), MonoTime(0));
     assert_eq!(table.helpers(at(500)).local.len(), 1);
     let lost = PeerHeartbeat {
         servers_lost: true,
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -54,6 +54,10 @@
 
 pub(crate) fn handle_heartbeat(node: &GatewayNode, mut heartbeat: PeerHeartbeat) {
     let now = node.now();
+    if let Some(era) = heartbeat.era {
+        node.store.learn_era(era);
+    }
+    heartbeat.assume_era(node.store.era().number);
     for samples in std::mem::take(&mut heartbeat.key_samples) {
         node.with_known_key_view(&samples.service, |view| {
             view.sample_window.add(&samples.keys, samples.total, now);
@@ -137,7 +141,7 @@
 /// Sends heartbeats at intervals, and early when a change is due.
 pub(crate) async fn send(node: Arc<GatewayNode>, socket: UdpSocket) {
     let mut turn = 0;
-    let mut told = [0; 3];
+    let mut told = [StoreRevision::ZERO; 3];
     loop {
         let due = node.heartbeat_due.listen();
         Timer::after(MIN_INTERVAL).await;
@@ -160,8 +164,8 @@
     node: &GatewayNode,
     socket: &UdpSocket,
     turn: usize,
-    told: [u64; 3],
-) -> [u64; 3] {
+    told: [StoreRevision; 3],
+) -> [StoreRevision; 3] {
     let now = node.now();
     let mut heartbeat = PeerHeartbeat {
         instance: node.settings.name.clone(),
@@ -171,6 +175,7 @@
         store_unstable: node.store.health.is_unstable(now),
         servers_lost: node.reach.lock().is_any_lost(),
         revisions: node.mirror.lock().latest_revisions(),
+        era: Some(node.store.era()),
         sent_at: now,
         knowledge: Some(node.knowledge.lock().report(now)),
         ..PeerHeartbeat::default()
--- a/crates/gateway/src/quarantine_worker.rs
+++ b/crates/gateway/src/quarantine_worker.rs
@@ -253,11 +253,14 @@
         let Ok(spec) = RecordBody::write(&StoredQuarantine::from(&record)) else {
             return false;
         };
-        let request = match &known {
-            Some(object) => StoreRequest::replace(kind, name, object.revision, &spec),
-            None => StoreRequest::create(kind, name, &spec),
+        let written = match &known {
+            Some(object) => {
+                let revision = object.revision;
+                node.store.replace(kind, name, revision, &spec).await
+            }
+            None => node.store.create(kind, name, &spec).await,
         };
-        match node.store.write(request).await {
+        match written {
             Ok(WriteAnswer::Written(object)) => {
                 node.mirror.lock().insert(kind, object.clone());
                 let mut table = node.suspects.lock();
--- a/crates/gateway/src/record_update_wire.rs
+++ b/crates/gateway/src/record_update_wire.rs
@@ -21,6 +21,9 @@
     merges: Vec<u32>,
     #[prost(message, optional, tag = "8")]
     supporters: Option<SupporterListWire>,
+    /// Era of both revisions; missing from builds that know of none.
+    #[prost(uint64, tag = "9")]
+    era: u64,
 }
 
 #[derive(prost::Message)]
@@ -101,8 +104,9 @@
             });
         Self {
             service: update.service,
-            base_revision: update.base_revision,
-            revision: update.revision,
+            base_revision: update.base_revision.number,
+            revision: update.revision.number,
+            era: update.revision.era,
             moves: moves.collect(),
             settles: settles.collect(),
             clears_former: update.delta.clears_former,
@@ -141,8 +145,8 @@
         }
         Ok(Self {
             service: wire.service,
-            base_revision: wire.base_revision,
-            revision: wire.revision,
+            base_revision: StoreRevision::new(wire.era, wire.base_revision),
+            revision: StoreRevision::new(wire.era, wire.revision),
             delta,
         })
     }
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -45,7 +45,7 @@
     if let Err(error) = result {
         log::warn!(
             record = object.name.as_str(),
-            object_revision = object.revision,
+            object_revision:% = object.revision,
             cause = error.to_string().as_str();
             "record cannot be read and is left out"
         );
@@ -69,7 +69,7 @@
 }
 
 /// Adopts a key record if it is newer than the known one, and notifies the tasks that wait for it.
-pub(crate) fn adopt(node: &GatewayNode, service: &str, record: KeyRecord, revision: u64) {
+pub(crate) fn adopt(node: &GatewayNode, service: &str, record: KeyRecord, revision: StoreRevision) {
     let now = node.now();
     let leader = record.leader.clone();
     let term = record.term;
@@ -93,12 +93,12 @@
             service,
             leader = leader.instance.as_str(),
             term,
-            revision;
+            revision:%;
             "leader of the keys"
         );
     }
     if node.log.allow("keys", now) {
-        log::info!(service, revision, ranges, moving; "key record in force");
+        log::info!(service, revision:%, ranges, moving; "key record in force");
     }
     node.keys_changed.notify(usize::MAX);
 }
@@ -145,10 +145,7 @@
     spec: &serde_json::Value,
 ) -> Result<bool, StoreCallError> {
     let kind = ObjectKind::Records;
-    let created = node
-        .store
-        .write(StoreRequest::create(kind, name, spec))
-        .await?;
+    let created = node.store.create(kind, name, spec).await?;
     if let WriteAnswer::Written(_) = created {
         return Ok(true);
     }
@@ -157,7 +154,7 @@
     };
     let replaced = node
         .store
-        .write(StoreRequest::replace(kind, name, object.revision, spec))
+        .replace(kind, name, object.revision, spec)
         .await?;
     Ok(matches!(replaced, WriteAnswer::Written(_)))
 }
--- a/crates/gateway/src/record_writer.rs
+++ b/crates/gateway/src/record_writer.rs
@@ -29,9 +29,9 @@
     node: &Arc<GatewayNode>,
     service: &str,
     record: &KeyRecord,
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     reason: &'static str,
-) -> Option<u64> {
+) -> Option<StoreRevision> {
     let asked_at = node.now();
     let name = format!("{}{service}", KeyView::PREFIX);
     let spec = match RecordBody::write(&StoredRecord::from(record)) {
@@ -41,11 +41,11 @@
             return None;
         }
     };
-    let request = match revision {
-        Some(revision) => StoreRequest::replace(ObjectKind::Records, &name, revision, &spec),
-        None => StoreRequest::create(ObjectKind::Records, &name, &spec),
+    let kind = ObjectKind::Records;
+    let result = match revision {
+        Some(revision) => node.store.replace(kind, &name, revision, &spec).await,
+        None => node.store.create(kind, &name, &spec).await,
     };
-    let result = node.store.write(request).await;
     let (outcome, cause) = match &result {
         Ok(WriteAnswer::Written(object)) => {
             let written = PlatformObject {
@@ -77,7 +77,7 @@
             reason,
             outcome,
             cause = cause.as_str(),
-            revision = revision.unwrap_or_default(),
+            revision:% = revision.unwrap_or_default(),
             term = record.term,
             last_fence = record.last_fence,
             ranges = record.ranges.len(),
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -38,7 +38,7 @@
             route,
             reason = reason.label(),
             key = headers.key.map_or(-1, i64::from),
-            key_revision = node.key_revision(service).unwrap_or_default(),
+            key_revision:% = node.key_revision(service).unwrap_or_default(),
             revision = node.route_table().map_or(0, |table| table.revision()),
             after_ms = now.since(arrived_at).as_millis() as u64;
             "request refused"
--- a/crates/gateway/src/server_lookup.rs
+++ b/crates/gateway/src/server_lookup.rs
@@ -239,7 +239,7 @@
     }
 
     /// The server that currently serves a key, and the revision of the record that names it.
-    fn owner_of(&self, key: u16) -> Option<(Arc<ServerRuntime>, u64)> {
+    fn owner_of(&self, key: u16) -> Option<(Arc<ServerRuntime>, StoreRevision)> {
         let (range, revision, is_served) = self.node.key_range(&self.call.service, key)?;
         let is_stale = self
             .history
@@ -255,7 +255,11 @@
     }
 
     /// Reserves a server for the request, unless the server is not expected to finish it in time.
-    fn reserve(&self, server: &Arc<ServerRuntime>, key_revision: Option<u64>) -> LookupOutcome {
+    fn reserve(
+        &self,
+        server: &Arc<ServerRuntime>,
+        key_revision: Option<StoreRevision>,
+    ) -> LookupOutcome {
         let now = self.now;
         let load = server.load.lock();
         let expected = load.expected_completion(now, self.assumptions.reported_only());
--- a/crates/gateway/src/server_lookup_tests.rs
+++ b/crates/gateway/src/server_lookup_tests.rs
@@ -27,7 +27,7 @@
             state: ServerState::Ready,
             warmup_left: Duration::ZERO,
         };
-        let change = RosterChange::Updated(Box::new(entry), 1);
+        let change = RosterChange::Updated(Box::new(entry), 1.into());
         node.roster.lock().apply(change, node.now(), Duration::ZERO);
         node.refresh_servers();
         let server = node.server(&incarnation).unwrap();
--- a/crates/gateway/src/server_notices_tests.rs
+++ b/crates/gateway/src/server_notices_tests.rs
@@ -27,7 +27,7 @@
 /// An instance that knows the server, and the server.
 fn node_with_server() -> (GatewayNode, Arc<ServerRuntime>) {
     let node = test_node::build();
-    let change = RosterChange::Updated(Box::new(entry()), 1);
+    let change = RosterChange::Updated(Box::new(entry()), 1.into());
     node.roster.lock().apply(change, node.now(), Duration::ZERO);
     node.refresh_servers();
     let server = node.server(&entry().incarnation).unwrap();
@@ -111,7 +111,7 @@
         data_centre: "dc1".into(),
         processor_share: 1.0,
     };
-    node.peers.lock().insert(record, 1, node.now());
+    node.peers.lock().insert(record, 1.into(), node.now());
 }
 
 // Guards against keys that stay at a server which wants no requests, and against keys that move on the
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -13,7 +13,7 @@
     pub(crate) has_token: bool,
     /// Revision of the key record that names the server as the owner; `None` for services without
     /// keys.
-    pub(crate) key_revision: Option<u64>,
+    pub(crate) key_revision: Option<StoreRevision>,
     pub(crate) service_state: Arc<ServiceState>,
     pub(crate) clock: SteadyClock,
 }
--- a/crates/gateway/src/server_reservation_tests.rs
+++ b/crates/gateway/src/server_reservation_tests.rs
@@ -4,7 +4,7 @@
 
 const DRAIN_TIME: Duration = Duration::from_millis(1_600);
 
-fn reservation(node: &GatewayNode, key_revision: Option<u64>) -> ServerReservation {
+fn reservation(node: &GatewayNode, key_revision: Option<StoreRevision>) -> ServerReservation {
     let entry = ServerEntry {
         incarnation: ServerIncarnation {
             id: "s1".into(),
@@ -39,7 +39,7 @@
         (Some(1), Duration::from_millis(1_599), true),
         (Some(1), DRAIN_TIME, false),
     ] {
-        let reservation = reservation(&node, key_revision);
+        let reservation = reservation(&node, key_revision.map(StoreRevision::from));
         assert!(reservation.is_still_allowed(at, DRAIN_TIME));
         reservation.server.mark_leaving(at);
         let result = reservation.is_still_allowed(at.after(later), DRAIN_TIME);
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -44,18 +44,21 @@
 /// Whether all changes of a kind up to the store's revision are known.
 pub(crate) fn is_known(
     knowledge: &KnowledgeAge,
-    synced: [u64; 3],
+    synced: [StoreRevision; 3],
     kind: ObjectKind,
-    revision: u64,
+    revision: StoreRevision,
 ) -> bool {
     knowledge.covers(revision) || synced[position_of(kind)] >= revision
 }
 
 /// Fetches the changes of a kind. Returns the store's revision, and whether there were any changes.
-async fn fetch(node: &Arc<GatewayNode>, kind: ObjectKind) -> Result<(u64, bool), StoreCallError> {
+async fn fetch(
+    node: &Arc<GatewayNode>,
+    kind: ObjectKind,
+) -> Result<(StoreRevision, bool), StoreCallError> {
     let known = node.mirror.lock().synced_revisions()[position_of(kind)];
     let update = match known {
-        0 => StoreUpdate::List(node.store.list(kind).await?),
+        StoreRevision::ZERO => StoreUpdate::List(node.store.list(kind).await?),
         _ => match node.store.watch(kind, known, WAIT).await {
             Ok(changes) => StoreUpdate::Changes(changes),
             Err(StoreCallError::Compacted) => StoreUpdate::List(node.store.list(kind).await?),
@@ -74,7 +77,7 @@
 }
 
 /// Confirms the leadership of the services whose record in the store names this instance.
-fn confirm_leadership(node: &GatewayNode, asked_at: MonoTime, revision: u64) {
+fn confirm_leadership(node: &GatewayNode, asked_at: MonoTime, revision: StoreRevision) {
     for service in node.keyed_services() {
         if names_this_instance(node, &service, revision) {
             node.with_key_view(&service, |view| {
@@ -88,7 +91,7 @@
 
 /// Whether the record of a service exists, can be read and names this instance. A record beyond the
 /// store's revision is one that the store has lost.
-fn names_this_instance(node: &GatewayNode, service: &str, revision: u64) -> bool {
+fn names_this_instance(node: &GatewayNode, service: &str, revision: StoreRevision) -> bool {
     let name = format!("{}{service}", KeyView::PREFIX);
     let object = node.mirror.lock().object(ObjectKind::Records, &name);
     let object = object.filter(|object| object.revision <= revision);
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -14,7 +14,7 @@
     let record = KeyRecord::new(SERVICE, node.own_incarnation.clone());
     PlatformObject {
         name: format!("{}{SERVICE}", KeyView::PREFIX),
-        revision: REVISION,
+        revision: REVISION.into(),
         spec: RecordBody::write(&StoredRecord::from(&record)).unwrap(),
         status: serde_json::Value::Null,
     }
@@ -36,17 +36,21 @@
         let page = ObjectPage {
             objects,
             has_more: false,
-            revision: REVISION,
+            revision: REVISION.into(),
         };
         update_router::apply(&node, kind, StoreUpdate::List(page), UpdateSource::Store);
     }
-    node.knowledge.lock().record_complete(REVISION);
+    node.knowledge.lock().record_complete(REVISION.into());
     assert!(node.is_leading());
     node
 }
 
 fn changes(events: Vec<ObjectEvent>, revision: u64) -> serde_json::Value {
-    ObjectChanges { events, revision }.to_value()
+    ObjectChanges {
+        events,
+        revision: revision.into(),
+    }
+    .to_value()
 }
 
 fn confirmation_age(node: &GatewayNode) -> Duration {
@@ -69,7 +73,7 @@
     let event = |is_removed, spec| ObjectEvent {
         object: PlatformObject {
             name: format!("{}{SERVICE}", KeyView::PREFIX),
-            revision: REVISION + 1,
+            revision: (REVISION + 1).into(),
             spec,
             status: serde_json::Value::Null,
         },
@@ -107,17 +111,20 @@
 #[test]
 fn own_write_is_told_to_others_before_it_counts_as_known() {
     let written = PlatformObject {
-        revision: REVISION + 1,
+        revision: (REVISION + 1).into(),
         ..own_record(&test_node::build())
     };
     let node = leading_node(vec![(200, written.to_value())]);
     let record = KeyRecord::new(SERVICE, node.own_incarnation.clone());
-    let write = record_writer::write(&node, SERVICE, &record, Some(REVISION), "plan");
+    let write = record_writer::write(&node, SERVICE, &record, Some(REVISION.into()), "plan");
     let revision = node.workers.block_on(write);
-    assert_eq!(revision, Some(REVISION + 1));
+    assert_eq!(revision, Some((REVISION + 1).into()));
     let told = node.mirror.lock().latest_revisions()[position_of(ObjectKind::Records)];
-    let is_known = node.knowledge.lock().covers(REVISION + 1);
-    assert!(!is_known || told > REVISION, "others are told {told}");
+    let is_known = node.knowledge.lock().covers((REVISION + 1).into());
+    assert!(
+        !is_known || told > REVISION.into(),
+        "others are told {told}"
+    );
 }
 
 // Guards against a watch that stays lost since one call of a check was not answered after another
@@ -126,7 +133,7 @@
 fn watches_are_restarted_for_a_change_though_a_later_call_fails() {
     let found = ObjectEvent {
         object: PlatformObject {
-            revision: REVISION + 1,
+            revision: (REVISION + 1).into(),
             ..own_record(&test_node::build())
         },
         is_removed: false,
@@ -171,20 +178,22 @@
         object,
         is_removed: false,
     };
-    let drains = event(server(ServerState::Draining, REVISION + 2));
+    let drains = event(server(ServerState::Draining, (REVISION + 2).into()));
     let node = leading_node(vec![
         (200, changes(Vec::new(), REVISION + 2)),
         (200, changes(vec![drains], REVISION + 2)),
         (200, changes(Vec::new(), REVISION + 2)),
     ]);
     let joined = ObjectChanges {
-        events: vec![event(server(ServerState::Ready, REVISION + 1))],
-        revision: REVISION + 1,
+        events: vec![event(server(ServerState::Ready, (REVISION + 1).into()))],
+        revision: (REVISION + 1).into(),
     };
     let update = StoreUpdate::Changes(joined);
     update_router::apply(&node, ObjectKind::Servers, update, UpdateSource::Store);
     let confirmed_at = node.now().before(Duration::from_millis(1_500));
-    node.knowledge.lock().observe(confirmed_at, REVISION + 1);
+    node.knowledge
+        .lock()
+        .observe(confirmed_at, (REVISION + 1).into());
     let result = node.workers.block_on(store_check::run(&node));
     assert!(result.is_ok(), "{result:?}");
     let server = node.all_servers().remove(0);
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -57,7 +57,11 @@
         incarnation: 1,
         is_stopping: false,
         yields: true,
-        revisions: [10, 11, 12],
+        revisions: [10.into(), 11.into(), 12.into()],
+        era: Some(StoreEra {
+            number: 4,
+            stated: 2,
+        }),
         sent_at: MonoTime(13),
         rests: vec![KnownRest {
             server: incarnation("s5"),
@@ -83,8 +87,8 @@
         }],
         record_updates: vec![RecordUpdate {
             service: "s".into(),
-            base_revision: 7,
-            revision: 8,
+            base_revision: 7.into(),
+            revision: 8.into(),
             delta,
         }],
         granted_ranges: vec![GrantedRange {
@@ -230,12 +234,12 @@
         status: serde_json::Value::Null,
     };
     let page = ObjectPage {
-        objects: vec![object("a", 3), object("b", 5)],
+        objects: vec![object("a", 3.into()), object("b", 5.into())],
         has_more: false,
-        revision: 6,
+        revision: 6.into(),
     };
     mirror.apply(ObjectKind::Servers, &StoreUpdate::List(page));
-    let reply = FeedReplyWire::from(mirror.deltas([0; 3], [0; 3]));
+    let reply = FeedReplyWire::from(mirror.deltas([0.into(); 3], [0.into(); 3]));
     let frame = prost::Message::encode_to_vec(&reply);
     let mut applied = 0;
     for seed in 0..CASES {
--- a/crates/routing/src/key_leader.rs
+++ b/crates/routing/src/key_leader.rs
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub(crate) struct KnownRecord {
     pub(crate) record: KeyRecord,
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
 }
 
 impl KeyLeader {
@@ -64,14 +64,14 @@
     }
 
     /// Newest known record and its revision.
-    pub fn record(&self) -> Option<(&KeyRecord, u64)> {
+    pub fn record(&self) -> Option<(&KeyRecord, StoreRevision)> {
         self.known
             .as_ref()
             .map(|known| (&known.record, known.revision))
     }
 
     /// Adopts a record if it is newer than the known one; returns whether it was.
-    pub fn adopt(&mut self, record: KeyRecord, revision: u64, now: MonoTime) -> bool {
+    pub fn adopt(&mut self, record: KeyRecord, revision: StoreRevision, now: MonoTime) -> bool {
         if self
             .known
             .as_ref()
--- a/crates/routing/src/knowledge_age.rs
+++ b/crates/routing/src/knowledge_age.rs
@@ -17,7 +17,7 @@
     doubted_at: Option<MonoTime>,
     coverage: RevisionCoverage,
     /// Latest revision that the store has told, and when it was asked.
-    observed: Option<(MonoTime, u64)>,
+    observed: Option<(MonoTime, StoreRevision)>,
 }
 
 /// Age of the knowledge of one instance, as it tells others.
@@ -62,19 +62,19 @@
     const OTHER_ASKERS: f64 = 0.9;
 
     /// Records that the change with this revision is known.
-    pub fn record_change(&mut self, revision: u64) {
+    pub fn record_change(&mut self, revision: StoreRevision) {
         self.coverage.add(revision);
         self.confirm_observed();
     }
 
     /// Records that all changes up to this revision are known.
-    pub fn record_complete(&mut self, revision: u64) {
+    pub fn record_complete(&mut self, revision: StoreRevision) {
         self.coverage.complete(revision);
         self.confirm_observed();
     }
 
     /// Records the store's revision, as the answer to a call that began at `asked_at`.
-    pub fn observe(&mut self, asked_at: MonoTime, revision: u64) {
+    pub fn observe(&mut self, asked_at: MonoTime, revision: StoreRevision) {
         // A revision below the complete ones is that of an earlier call, or of a restored store.
         let is_later = self.observed.is_none_or(|(at, _)| at <= asked_at);
         if is_later && revision >= self.coverage.complete_revision() {
@@ -125,7 +125,7 @@
     }
 
     /// Whether all changes up to this revision are known.
-    pub fn covers(&self, revision: u64) -> bool {
+    pub fn covers(&self, revision: StoreRevision) -> bool {
         self.coverage.covers(revision)
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,6 +48,7 @@
 mod server_selector;
 mod server_subset;
 mod service_config;
+mod store_revision;
 mod stored_record;
 mod supporter_selection;
 mod suspect_entry;
@@ -96,6 +97,7 @@
     server_selector::{SelectionOutcome, ServerCandidate, ServerSelector},
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
     service_config::ServiceConfig,
+    store_revision::StoreRevision,
     stored_record::{RecordError, StoredRecord},
     supporter_selection::{SupporterCandidate, SupporterSelection},
     suspect_entry::RequestStanding,
--- a/crates/routing/src/quarantine_table.rs
+++ b/crates/routing/src/quarantine_table.rs
@@ -19,7 +19,7 @@
     /// Quarantines that have ended but are still in the store's record, and whether this instance
     /// found that out.
     lifted: IndexMap<RequestIdentity, bool>,
-    record_revision: u64,
+    record_revision: StoreRevision,
 }
 
 /// What a report or a server's answer has changed.
@@ -175,7 +175,12 @@
     }
 
     /// Takes over the store's record of `revision`, unless a newer one is known.
-    pub fn apply_record(&mut self, record: &QuarantineRecord, revision: u64, now: MonoTime) {
+    pub fn apply_record(
+        &mut self,
+        record: &QuarantineRecord,
+        revision: StoreRevision,
+        now: MonoTime,
+    ) {
         if revision <= self.record_revision {
             return;
         }
--- a/crates/routing/src/server_roster.rs
+++ b/crates/routing/src/server_roster.rs
@@ -11,13 +11,13 @@
 pub struct ServerRoster {
     servers: IndexMap<String, RosterRow>,
     /// Revisions of removed entries, so that a stale read does not bring them back.
-    removed_revisions: IndexMap<String, u64>,
+    removed_revisions: IndexMap<String, StoreRevision>,
 }
 
 #[derive(Debug)]
 struct RosterRow {
     entry: ServerEntry,
-    revision: u64,
+    revision: StoreRevision,
     /// End of the grace period of an entry that expired around an outage.
     expires_at: Option<MonoTime>,
 }
@@ -26,9 +26,9 @@
 #[derive(Clone, Debug)]
 pub enum RosterChange {
     /// The entry was written at a revision.
-    Updated(Box<ServerEntry>, u64),
+    Updated(Box<ServerEntry>, StoreRevision),
     /// The entry of an identifier was removed, or could not be read, at a revision.
-    Removed(String, u64),
+    Removed(String, StoreRevision),
 }
 
 impl ServerRoster {
@@ -50,8 +50,8 @@
     /// stay.
     pub fn replace_all(
         &mut self,
-        entries: Vec<(ServerEntry, u64)>,
-        revision: u64,
+        entries: Vec<(ServerEntry, StoreRevision)>,
+        revision: StoreRevision,
         now: MonoTime,
         grace_period: Duration,
     ) {
@@ -109,10 +109,13 @@
         self.servers.values().map(|row| &row.entry)
     }
 
-    fn insert_entry(&mut self, entry: ServerEntry, revision: u64) -> bool {
+    fn insert_entry(&mut self, entry: ServerEntry, revision: StoreRevision) -> bool {
         let id = entry.incarnation.id.clone();
         let removed_revision = self.removed_revisions.get(&id).copied().unwrap_or_default();
-        let known_revision = self.servers.get(&id).map_or(0, |row| row.revision);
+        let known_revision = self
+            .servers
+            .get(&id)
+            .map_or(StoreRevision::ZERO, |row| row.revision);
         if revision <= removed_revision || revision <= known_revision {
             return false;
         }
@@ -133,7 +136,7 @@
     fn remove_entry(
         &mut self,
         id: &str,
-        revision: u64,
+        revision: StoreRevision,
         now: MonoTime,
         grace_period: Duration,
     ) -> bool {
--- a/crates/routing/tests/former_leaders.rs
+++ b/crates/routing/tests/former_leaders.rs
@@ -55,11 +55,11 @@
     let (lost, second, third) = (instance("i1", 1), instance("i2", 1), instance("i3", 1));
     let record = first_record(&lost);
     let mut leader = KeyLeader::new(third.clone(), timing());
-    leader.adopt(record.clone(), 1, at(1_000));
+    leader.adopt(record.clone(), 1.into(), at(1_000));
     let record = record.with_leader(second.clone());
-    leader.adopt(record.clone(), 2, at(4_000));
+    leader.adopt(record.clone(), 2.into(), at(4_000));
     let record = record.with_leader(third);
-    leader.adopt(record, 3, at(26_000));
+    leader.adopt(record, 3.into(), at(26_000));
     leader.former_leader_stopped(&second, at(26_100));
     let until = leader.former_grants_until();
     assert!(until <= at(26_100).after(max_validity()), "{until:?}");
@@ -70,8 +70,8 @@
     let (lost, second) = (instance("i1", 1), instance("i2", 1));
     let record = first_record(&lost);
     let mut leader = KeyLeader::new(second.clone(), timing());
-    leader.adopt(record.clone(), 1, at(1_000));
-    leader.adopt(record.with_leader(second), 2, at(4_000));
+    leader.adopt(record.clone(), 1.into(), at(1_000));
+    leader.adopt(record.with_leader(second), 2.into(), at(4_000));
     let until = leader.former_grants_until();
     assert_eq!(until, at(4_000).after(AUTHORITY).after(max_validity()));
 }
@@ -81,7 +81,7 @@
     let (lost, second, third) = (instance("i1", 1), instance("i2", 1), instance("i3", 2));
     let record = first_record(&lost).with_leader(second.clone());
     let mut leader = KeyLeader::new(third.clone(), timing());
-    leader.adopt(record.with_leader(third), 3, at(30_000));
+    leader.adopt(record.with_leader(third), 3.into(), at(30_000));
     leader.former_leader_stopped(&second, at(30_100));
     let until = leader.former_grants_until();
     assert_eq!(until, at(30_000).after(AUTHORITY).after(max_validity()));
@@ -94,14 +94,14 @@
     let record = first_record(&again);
     for reads_each_term in [true, false] {
         let mut leader = KeyLeader::new(third.clone(), timing());
-        leader.adopt(record.clone(), 1, at(1_000));
+        leader.adopt(record.clone(), 1.into(), at(1_000));
         let record = record.with_leader(second.clone());
-        leader.adopt(record.clone(), 2, at(4_000));
+        leader.adopt(record.clone(), 2.into(), at(4_000));
         let record = record.with_leader(again.clone());
         if reads_each_term {
-            leader.adopt(record.clone(), 3, at(18_000));
+            leader.adopt(record.clone(), 3.into(), at(18_000));
         }
-        leader.adopt(record.with_leader(third.clone()), 4, at(20_000));
+        leader.adopt(record.with_leader(third.clone()), 4.into(), at(20_000));
         leader.former_leader_stopped(&second, at(20_100));
         let until = leader.former_grants_until();
         assert_eq!(until, at(20_000).after(AUTHORITY).after(max_validity()));
@@ -117,15 +117,15 @@
     let moved = record.ranges[0].clone();
     let receiver = record.ranges[1].owner.clone();
     let mut leader = KeyLeader::new(own.clone(), timing());
-    leader.adopt(record.clone(), 1, at(1_000));
+    leader.adopt(record.clone(), 1.into(), at(1_000));
     let mut record = record.with_leader(own);
     for range in &mut record.ranges {
         range.state = RangeState::Settled;
     }
-    leader.adopt(record.clone(), 2, at(4_000));
+    leader.adopt(record.clone(), 2.into(), at(4_000));
     leader.confirm_leadership(at(4_000));
     record.assign(moved.first, moved.last, &receiver, false);
-    leader.adopt(record, 3, at(4_500));
+    leader.adopt(record, 3.into(), at(4_500));
     let grants_at = |leader: &mut KeyLeader, millis: u64| {
         let mut is_granted = false;
         for step in leader.due_move_steps(at(millis)) {
@@ -153,8 +153,8 @@
     let mut record = first_record(&instance("i1", 1));
     record.supporters = supporters();
     let mut leader = KeyLeader::new(instance("i2", 1), timing());
-    leader.adopt(record.clone(), 1, at(1_000));
-    leader.adopt(record.with_leader(instance("i2", 1)), 2, at(4_000));
+    leader.adopt(record.clone(), 1.into(), at(1_000));
+    leader.adopt(record.with_leader(instance("i2", 1)), 2.into(), at(4_000));
     leader
 }
 
@@ -190,7 +190,7 @@
     let mut record = first_record(&own);
     record.supporters = supporters();
     let mut leader = KeyLeader::new(own, timing());
-    leader.adopt(record, 1, at(1_000));
+    leader.adopt(record, 1.into(), at(1_000));
     leader.confirm_leadership(at(1_000));
     leader
 }
@@ -230,7 +230,7 @@
     assert!(!leader.has_authority(at(2_100)));
     follows(&mut leader, "i5", 1);
     assert!(leader.has_authority(at(2_100)));
-    leader.adopt(next, 2, at(2_200));
+    leader.adopt(next, 2.into(), at(2_200));
     assert!(leader.has_authority(at(2_200)));
 }
 
--- a/crates/routing/tests/key_history/history_world.rs
+++ b/crates/routing/tests/key_history/history_world.rs
@@ -202,7 +202,7 @@
             let is_leader = record.leader == *self.instances[index].leader.own_incarnation();
             let revision = self.store.revision;
             let instance = &mut self.instances[index];
-            instance.leader.adopt(record, revision, now);
+            instance.leader.adopt(record, revision.into(), now);
             if is_leader && self.now >= instance.confirmed_at + 1_000 {
                 instance.confirmed_at = self.now;
                 instance.leader.confirm_leadership(now);
--- a/crates/routing/tests/key_history/record_writes.rs
+++ b/crates/routing/tests/key_history/record_writes.rs
@@ -70,7 +70,7 @@
         let is_due = next != *record;
         if is_due && leader.has_authority(now) {
             self.instances[index].leader.begin_write(&next);
-            self.write(index, base_revision, next);
+            self.write(index, base_revision.number, next);
         }
     }
 
@@ -90,7 +90,7 @@
         let now = MonoTime(self.now * 1_000);
         let instance = &mut self.instances[index];
         let is_leader = record.leader == *instance.leader.own_incarnation();
-        instance.leader.adopt(record, revision, now);
+        instance.leader.adopt(record, revision.into(), now);
         if is_leader {
             instance.leader.confirm_leadership(now);
         }
--- a/crates/routing/tests/knowledge_age.rs
+++ b/crates/routing/tests/knowledge_age.rs
@@ -15,12 +15,12 @@
 #[test]
 fn knowledge_is_confirmed_for_the_time_of_the_call_if_each_revision_is_known() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(10);
-    age.observe(at(1_000), 12);
+    age.record_complete(10.into());
+    age.observe(at(1_000), 12.into());
     assert_eq!(age_ms(&age, 1_500), 1_500);
-    age.record_change(12);
+    age.record_change(12.into());
     assert_eq!(age_ms(&age, 1_500), 1_500);
-    age.record_change(11);
+    age.record_change(11.into());
     assert_eq!(age_ms(&age, 1_500), 500);
 }
 
@@ -29,39 +29,39 @@
 #[test]
 fn late_change_is_not_hidden_by_a_known_change_after_it() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(10);
+    age.record_complete(10.into());
     for (revision, ms) in [(12, 100), (13, 500), (14, 900)] {
-        age.record_change(revision);
-        age.observe(at(ms), revision);
+        age.record_change(revision.into());
+        age.observe(at(ms), revision.into());
     }
-    assert!(!age.covers(14));
+    assert!(!age.covers(14.into()));
     assert_eq!(age_ms(&age, 1_200), 1_200);
     assert_eq!(
         age.next_step(true, true, 8, at(1_200), 0.9),
         RefreshStep::AskStore
     );
-    age.record_complete(14);
+    age.record_complete(14.into());
     assert_eq!(age_ms(&age, 1_200), 300);
 }
 
 #[test]
 fn revisions_that_the_store_leaves_out_confirm_nothing() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(10);
-    age.record_change(15);
-    age.observe(at(1_000), 15);
-    assert!(!age.covers(11));
+    age.record_complete(10.into());
+    age.record_change(15.into());
+    age.observe(at(1_000), 15.into());
+    assert!(!age.covers(11.into()));
     assert_eq!(age_ms(&age, 2_000), 2_000);
 }
 
 #[test]
 fn older_call_whose_answer_comes_later_is_not_waited_for() {
     let mut age = KnowledgeAge::default();
-    age.observe(at(1_000), 20);
-    age.observe(at(500), 10);
-    age.record_complete(15);
+    age.observe(at(1_000), 20.into());
+    age.observe(at(500), 10.into());
+    age.record_complete(15.into());
     assert_eq!(age_ms(&age, 1_000), 1_000);
-    age.record_complete(20);
+    age.record_complete(20.into());
     assert_eq!(age_ms(&age, 1_000), 0);
 }
 
@@ -83,8 +83,8 @@
 fn reports_that_go_in_circles_do_not_confirm_each_other() {
     const TRANSIT: Duration = Duration::from_millis(70);
     let mut ages = [KnowledgeAge::default(), KnowledgeAge::default()];
-    ages[0].record_complete(1);
-    ages[0].observe(at(0), 1);
+    ages[0].record_complete(1.into());
+    ages[0].observe(at(0), 1.into());
     for turn in 0..100_usize {
         let now = at(turn as u64 * 70);
         let report = ages[turn % 2].report(now);
@@ -98,14 +98,14 @@
 #[test]
 fn instance_that_knows_less_than_another_one_asks_at_once() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(1);
-    age.observe(at(1_000), 1);
+    age.record_complete(1.into());
+    age.observe(at(1_000), 1.into());
     age.doubt(at(1_100));
     assert_eq!(
         age.next_step(false, true, 1, at(1_100), 0.5),
         RefreshStep::AskStore
     );
-    age.observe(at(1_200), 1);
+    age.observe(at(1_200), 1.into());
     assert_eq!(
         age.next_step(false, true, 1, at(1_300), 0.5),
         RefreshStep::Wait
@@ -140,8 +140,8 @@
 #[test]
 fn instance_that_knows_nothing_confirms_nothing() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(10);
-    age.observe(at(90_000), 10);
+    age.record_complete(10.into());
+    age.observe(at(90_000), 10.into());
     let unknowing = KnowledgeAge::default().report(at(300));
     age.confirm_from(unknowing, at(95_000));
     assert_eq!(age_ms(&age, 95_000), 5_000);
@@ -152,9 +152,9 @@
 #[test]
 fn revision_that_has_gone_back_confirms_nothing() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(500);
-    age.observe(at(1_000), 500);
-    age.observe(at(2_000), 400);
+    age.record_complete(500.into());
+    age.observe(at(1_000), 500.into());
+    age.observe(at(2_000), 400.into());
     assert_eq!(age_ms(&age, 2_000), 1_000);
 }
 
@@ -163,8 +163,8 @@
 #[test]
 fn instance_that_others_do_not_help_in_time_asks_the_store() {
     let mut age = KnowledgeAge::default();
-    age.record_complete(1);
-    age.observe(at(1_000), 1);
+    age.record_complete(1.into());
+    age.observe(at(1_000), 1.into());
     let step = RefreshStep::AskPeer;
     assert_eq!(
         age.escalate(step, true, at(2_900), 0.0),
--- a/crates/routing/tests/poison_requests/poison_simulation.rs
+++ b/crates/routing/tests/poison_requests/poison_simulation.rs
@@ -194,7 +194,7 @@
     fn write_record(&mut self, instance: usize, now: MonoTime) {
         self.revision += 1;
         self.outcome.record_writes += 1;
-        self.tables[instance].apply_record(&self.record, self.revision, now);
+        self.tables[instance].apply_record(&self.record, self.revision.into(), now);
     }
 
     /// Ends copies that are due; one that crashes its server takes the others there with it.
@@ -285,7 +285,7 @@
             }
         }
         for table in &mut self.tables {
-            table.apply_record(&self.record, self.revision, now);
+            table.apply_record(&self.record, self.revision.into(), now);
         }
     }
 
--- a/crates/routing/tests/quarantine_table.rs
+++ b/crates/routing/tests/quarantine_table.rs
@@ -33,7 +33,7 @@
 fn store(table: &mut QuarantineTable, now: MonoTime) -> QuarantineRecord {
     let mut record = QuarantineRecord::default();
     assert!(table.update_record(&mut record, false, 1_000));
-    table.apply_record(&record, 1, now);
+    table.apply_record(&record, 1.into(), now);
     record
 }
 
@@ -125,11 +125,11 @@
     assert_eq!(due(&table, 600), RequestStanding::TrialDue(0));
     assert!(record.start_trial(POISON, 0));
     assert!(!record.start_trial(POISON, 0), "another instance was first");
-    table.apply_record(&record, 2, at(600));
+    table.apply_record(&record, 2.into(), at(600));
     assert!(matches!(due(&table, 15_500), RequestStanding::Held(_)));
     assert_eq!(due(&table, 15_600), RequestStanding::TrialDue(1));
     assert!(record.start_trial(POISON, 1));
-    table.apply_record(&record, 3, at(16_000));
+    table.apply_record(&record, 3.into(), at(16_000));
     assert!(matches!(due(&table, 135_000), RequestStanding::Held(_)));
 }
 
@@ -155,10 +155,10 @@
     let stored = StoredQuarantine::from(&record);
     let read = QuarantineRecord::try_from(stored).unwrap();
     assert_eq!(read, record);
-    restarted.apply_record(&read, 9, at(100));
+    restarted.apply_record(&read, 9.into(), at(100));
     let held = restarted.standing(POISON, at(100));
     assert!(matches!(held, RequestStanding::Held(_)), "{held:?}");
-    restarted.apply_record(&QuarantineRecord::default(), 10, at(200));
+    restarted.apply_record(&QuarantineRecord::default(), 10.into(), at(200));
     assert_eq!(restarted.standing(POISON, at(200)), RequestStanding::Clear);
 }
 
@@ -247,8 +247,8 @@
     let first = store(&mut table, at(30));
     let mut second = first.clone();
     second.start_trial(POISON, 0);
-    table.apply_record(&second, 2, at(1_000));
-    table.apply_record(&first, 1, at(1_100));
+    table.apply_record(&second, 2.into(), at(1_000));
+    table.apply_record(&first, 1.into(), at(1_100));
     let later = table.standing(POISON, at(15_900));
     assert!(matches!(later, RequestStanding::Held(_)), "{later:?}");
     assert_eq!(
@@ -264,7 +264,7 @@
     let mut table = table_after(3);
     let record = store(&mut table, at(30));
     table.record_success(POISON, at(700));
-    table.apply_record(&record, 2, at(800));
+    table.apply_record(&record, 2.into(), at(800));
     assert_eq!(table.standing(POISON, at(800)), RequestStanding::Clear);
     let mut next = record;
     assert!(table.update_record(&mut next, false, 1_000));
--- a/crates/routing/tests/server_roster.rs
+++ b/crates/routing/tests/server_roster.rs
@@ -20,7 +20,7 @@
 }
 
 fn put_entry(roster: &mut ServerRoster, id: &str, state: ServerState, revision: u64) -> bool {
-    let change = RosterChange::Updated(Box::new(entry(id, 1, state)), revision);
+    let change = RosterChange::Updated(Box::new(entry(id, 1, state)), revision.into());
     roster.apply(change, MonoTime(0), Duration::ZERO)
 }
 
@@ -49,12 +49,12 @@
     let mut roster = ServerRoster::default();
     put_entry(&mut roster, "s1", ServerState::Ready, 5);
     roster.apply(
-        RosterChange::Removed("s1".into(), 9),
+        RosterChange::Removed("s1".into(), 9.into()),
         MonoTime(0),
         Duration::ZERO,
     );
-    let stale = vec![(entry("s1", 1, ServerState::Ready), 5)];
-    roster.replace_all(stale, 8, MonoTime(0), Duration::ZERO);
+    let stale = vec![(entry("s1", 1, ServerState::Ready), 5.into())];
+    roster.replace_all(stale, 8.into(), MonoTime(0), Duration::ZERO);
     assert!(ids(&roster).is_empty());
 }
 
@@ -62,7 +62,7 @@
 fn list_does_not_remove_newer_entries() {
     let mut roster = ServerRoster::default();
     put_entry(&mut roster, "s1", ServerState::Ready, 12);
-    roster.replace_all(Vec::new(), 10, MonoTime(0), Duration::ZERO);
+    roster.replace_all(Vec::new(), 10.into(), MonoTime(0), Duration::ZERO);
     assert_eq!(ids(&roster), ["s1"]);
 }
 
@@ -71,7 +71,7 @@
     let mut roster = ServerRoster::default();
     put_entry(&mut roster, "s1", ServerState::Ready, 5);
     let grace_period = Duration::from_secs(2);
-    let change = RosterChange::Removed("s1".into(), 5);
+    let change = RosterChange::Removed("s1".into(), 5.into());
     roster.apply(change, MonoTime(1_000_000), grace_period);
     assert!(!roster.remove_expired(MonoTime(2_900_000)));
     assert_eq!(ready_count(&roster), 1);
@@ -85,7 +85,7 @@
     put_entry(&mut roster, "s1", ServerState::Ready, 5);
     let grace_period = Duration::from_secs(2);
     roster.apply(
-        RosterChange::Removed("s1".into(), 5),
+        RosterChange::Removed("s1".into(), 5.into()),
         MonoTime(0),
         grace_period,
     );
@@ -100,7 +100,7 @@
     put_entry(&mut roster, "s1", ServerState::Draining, 5);
     let grace_period = Duration::from_secs(2);
     roster.apply(
-        RosterChange::Removed("s1".into(), 5),
+        RosterChange::Removed("s1".into(), 5.into()),
         MonoTime(0),
         grace_period,
     );
@@ -110,7 +110,7 @@
 #[test]
 fn incarnation_status_follows_later_entries() {
     let mut roster = ServerRoster::default();
-    let change = RosterChange::Updated(Box::new(entry("s1", 5, ServerState::Ready)), 3);
+    let change = RosterChange::Updated(Box::new(entry("s1", 5, ServerState::Ready)), 3.into());
     roster.apply(change, MonoTime(0), Duration::ZERO);
     let incarnation = |id: &str, born| ServerIncarnation {
         id: id.into(),
--- a/crates/routing/tests/unsent_grants.rs
+++ b/crates/routing/tests/unsent_grants.rs
@@ -33,7 +33,7 @@
     record.distribute(&[(crashed.clone(), 1.0)]);
     let fence = record.ranges[0].fence;
     let mut leader = KeyLeader::new(own, timing);
-    leader.adopt(record, 1, at(1_000));
+    leader.adopt(record, 1.into(), at(1_000));
     leader.confirm_leadership(at(1_000));
     let mut attempts = 0;
     for millis in (1_000..9_000).step_by(100) {
--- a/crates/soak/src/store_objects.rs
+++ b/crates/soak/src/store_objects.rs
@@ -32,7 +32,7 @@
         ObjectPage {
             objects: self.objects.iter().filter_map(matching).collect(),
             has_more: false,
-            revision: self.revision,
+            revision: self.revision.into(),
         }
     }
 
@@ -42,10 +42,12 @@
             events: self
                 .history
                 .iter()
-                .filter(|(label, event)| *label == kind.label() && event.object.revision > after)
+                .filter(|(label, event)| {
+                    *label == kind.label() && event.object.revision.number > after
+                })
                 .map(|(_, event)| event.clone())
                 .collect(),
-            revision: self.revision,
+            revision: self.revision.into(),
         })
     }
 
@@ -63,7 +65,7 @@
         spec: serde_json::Value,
     ) -> Result<PlatformObject, WriteError> {
         let current = self.get(kind, name).ok_or(WriteError::NotFound)?.clone();
-        if revision.is_some_and(|revision| revision != current.revision) {
+        if revision.is_some_and(|revision| revision != current.revision.number) {
             return Err(WriteError::Conflict);
         }
         if current.spec == spec {
@@ -96,7 +98,7 @@
         self.revision += 1;
         let object = PlatformObject {
             name: name.into(),
-            revision: self.revision,
+            revision: self.revision.into(),
             spec,
             status,
         };
@@ -111,7 +113,7 @@
         let key = (kind.label(), name.to_string());
         let mut object = self.objects.shift_remove(&key)?;
         self.revision += 1;
-        object.revision = self.revision;
+        object.revision = self.revision.into();
         self.record_change(kind, object.clone(), true);
         Some(object)
     }
@@ -128,7 +130,7 @@
         if self.history.len() > Self::MAX_HISTORY
             && let Some((_, dropped)) = self.history.pop_front()
         {
-            self.compacted_revision = dropped.object.revision;
+            self.compacted_revision = dropped.object.revision.number;
         }
     }
 }
