--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -60,6 +60,7 @@
     spawn(&node, "feed-peers", feed_client::poll_peers);
     spawn(&node, "feed-seeds", feed_client::poll_seeds);
     spawn(&node, "knowledge", knowledge_worker::run);
+    spawn(&node, "eras", era_worker::follow);
     spawn(&node, "discovery", discovery_worker::expire_servers);
     spawn(&node, "announcement", record_worker::announce);
     spawn(&node, "leaders", leader_worker::run);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod configuration_worker;
 mod discovery_worker;
 mod era_wire;
+mod era_worker;
 mod feed_client;
 mod feed_replies;
 #[cfg(test)]
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -3,7 +3,8 @@
 //! A watcher lists the objects and then watches from the list's revision. An instance that is not
 //! assigned to watch is updated by other instances instead. A watch is restarted when another
 //! instance had a newer revision, or when the store answers after a failed call: the watch's own
-//! connection may be dead.
+//! connection may be dead. In a new era of the store the watchers list again: what they know has no
+//! history there, although its revisions may have been given out again.
 
 use crate::{
     object_mirror::position_of,
@@ -123,7 +124,9 @@
     let interrupted = async {
         let maybe_stale = future::or(
             node.watch_restart_due.listen(),
-            node.store.health.wait_recovery(),
+            future::or(node.store.health.wait_recovery(), async {
+                node.store.era_begun.listen().await;
+            }),
         );
         future::or(maybe_stale, wait_until_watch_not_needed(node)).await;
         None
