--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,8 @@
 mod node_servers;
 mod node_stop;
 mod object_client;
+#[cfg(test)]
+mod object_client_tests;
 mod object_mirror;
 #[cfg(test)]
 mod object_mirror_tests;
--- a/crates/gateway/src/test_store.rs
+++ b/crates/gateway/src/test_store.rs
@@ -1,6 +1,7 @@
 //! A store for tests that gives prepared answers.
 
 use crate::prelude::*;
+use http::HeaderMap;
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::TcpListener,
@@ -11,6 +12,21 @@
 
 /// Starts a store that gives these answers in turn, on any connection.
 pub(crate) fn start(answers: StoreAnswers) -> SocketAddr {
+    let answers = answers.into_iter();
+    start_with_headers(answers.map(|answer| (HeaderMap::new(), answer)).collect())
+}
+
+/// The same of a store whose answers each state the era that stands before them.
+pub(crate) fn start_with_eras(answers: Vec<(u64, (u16, serde_json::Value))>) -> SocketAddr {
+    let with_header = |(era, answer)| {
+        let mut headers = HeaderMap::new();
+        EraHeader::set(&mut headers, era);
+        (headers, answer)
+    };
+    start_with_headers(answers.into_iter().map(with_header).collect())
+}
+
+fn start_with_headers(answers: Vec<(HeaderMap, (u16, serde_json::Value))>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
@@ -20,14 +36,18 @@
             while let Some(length) = read_head(&mut reader) {
                 let mut body = vec![0; length];
                 reader.read_exact(&mut body).unwrap();
-                let Some((status, answer)) = answers.next() else {
+                let Some((headers, (status, answer))) = answers.next() else {
                     return;
                 };
                 let answer = answer.to_string();
                 let length = answer.len();
+                let fields = headers.iter();
+                let fields: String = fields
+                    .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().unwrap()))
+                    .collect();
                 write!(
                     stream,
-                    "HTTP/1.1 {status} Answer\r\ncontent-length: {length}\r\n\r\n{answer}"
+                    "HTTP/1.1 {status} Answer\r\n{fields}content-length: {length}\r\n\r\n{answer}"
                 )
                 .unwrap();
             }
