--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -75,8 +75,13 @@
                 objects.insert(name.clone(), object.clone());
             }
         }
-        if self.synced_revision.is_none() {
+        let is_first = self
+            .synced_revision
+            .is_none_or(|synced| synced.era < page.revision.era);
+        if is_first {
+            // What others know of an earlier era may have come later than what was known here.
             self.removals_known_after = page.revision;
+            self.removed.clear();
         }
         let before = std::mem::replace(&mut self.objects, objects);
         for name in before.into_keys() {
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -203,3 +203,33 @@
     assert_eq!(mirror.synced_revisions()[0], 12.into());
     assert!(content(&mirror).is_empty());
 }
+
+// Guards against an object of the earlier era that stays: the sender of the delta never knew it, and
+// the restored store does not have it.
+#[test]
+fn delta_of_a_new_era_removes_what_its_sender_never_knew() {
+    let in_era = |era, number| StoreRevision::new(era, number);
+    let list = |objects: Vec<PlatformObject>, revision| {
+        StoreUpdate::List(ObjectPage {
+            objects,
+            has_more: false,
+            revision,
+        })
+    };
+    let of_era = |era, name: usize, number| PlatformObject {
+        revision: in_era(era, number),
+        ..object(name, number)
+    };
+    let (mut source, mut receiver) = (ObjectMirror::default(), ObjectMirror::default());
+    source.apply(KIND, &list(vec![of_era(1, 1, 5)], in_era(1, 10)));
+    let known = vec![of_era(1, 1, 5), of_era(1, 2, 12)];
+    receiver.apply(KIND, &list(known, in_era(1, 14)));
+    source.apply(KIND, &list(vec![of_era(2, 1, 5)], in_era(2, 8)));
+    for delta in decoded_deltas(&source, &receiver) {
+        if let DeltaOutcome::Update(update) = receiver.take_over(delta) {
+            receiver.apply(KIND, &update);
+        }
+    }
+    assert_eq!(content(&receiver), content(&source));
+    assert_eq!(receiver.synced_revisions(), source.synced_revisions());
+}
