--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,8 @@
 mod change_path_tests;
 mod configuration_worker;
 mod discovery_worker;
+mod era_wire;
+mod era_worker;
 mod feed_client;
 mod feed_replies;
 #[cfg(test)]
@@ -57,6 +59,8 @@
 mod node_servers;
 mod node_stop;
 mod object_client;
+#[cfg(test)]
+mod object_client_tests;
 mod object_mirror;
 #[cfg(test)]
 mod object_mirror_tests;
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -3,7 +3,8 @@
 //! A watcher lists the objects and then watches from the list's revision. An instance that is not
 //! assigned to watch is updated by other instances instead. A watch is restarted when another
 //! instance had a newer revision, or when the store answers after a failed call: the watch's own
-//! connection may be dead.
+//! connection may be dead. In a new era of the store the watchers list again: what they know has no
+//! history there, although its revisions may have been given out again.
 
 use crate::{
     object_mirror::position_of,
@@ -57,11 +58,11 @@
     }
     loop {
         let known = node.mirror.lock().synced_revisions()[position_of(kind)];
-        if known > 0 && !should_watch(&node) || is_fed_by_seeds(&node) {
+        if known > StoreRevision::ZERO && !should_watch(&node) || is_fed_by_seeds(&node) {
             Timer::after(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
-        let next = match known == 0 || must_list {
+        let next = match known == StoreRevision::ZERO || must_list {
             true => list(&node, kind, known).await,
             false => watch(&node, kind, known).await,
         };
@@ -95,18 +96,18 @@
 pub(crate) fn forget_if_restored(
     node: &GatewayNode,
     kind: ObjectKind,
-    known: u64,
-    listed_revision: u64,
+    known: StoreRevision,
+    listed_revision: StoreRevision,
 ) {
     if listed_revision >= known {
         return;
     }
-    log::warn!(kind = kind.label(), known, listed_revision; "store has gone back to an earlier revision");
+    log::warn!(kind = kind.label(), known:%, listed_revision:%; "store has gone back to an earlier revision");
     node.mirror.lock().forget(kind);
     node.knowledge.lock().forget_revisions();
 }
 
-async fn list(node: &Arc<GatewayNode>, kind: ObjectKind, known: u64) -> NextWatch {
+async fn list(node: &Arc<GatewayNode>, kind: ObjectKind, known: StoreRevision) -> NextWatch {
     match node.store.list(kind).await {
         Ok(page) => {
             forget_if_restored(node, kind, known, page.revision);
@@ -117,13 +118,15 @@
     }
 }
 
-async fn watch(node: &Arc<GatewayNode>, kind: ObjectKind, after: u64) -> NextWatch {
+async fn watch(node: &Arc<GatewayNode>, kind: ObjectKind, after: StoreRevision) -> NextWatch {
     let started_at = node.now();
     let watch = async { Some(node.store.watch(kind, after, WATCH_TIMEOUT).await) };
     let interrupted = async {
         let maybe_stale = future::or(
             node.watch_restart_due.listen(),
-            node.store.health.wait_recovery(),
+            future::or(node.store.health.wait_recovery(), async {
+                node.store.era_begun.listen().await;
+            }),
         );
         future::or(maybe_stale, wait_until_watch_not_needed(node)).await;
         None
@@ -139,7 +142,7 @@
             NextWatch::Continue
         }
         Some(Err(StoreCallError::Compacted)) => {
-            log::info!(kind = kind.label(), after; "history is gone, listing again");
+            log::info!(kind = kind.label(), after:%; "history is gone, listing again");
             NextWatch::Relist
         }
         Some(Err(error)) => {
@@ -147,7 +150,7 @@
             if node.log.allow("watch", now) {
                 let waited_ms = now.since(started_at).as_millis() as u64;
                 let cause = error.to_string();
-                log::warn!(kind = kind.label(), after, waited_ms, cause = cause.as_str(); "watch failed");
+                log::warn!(kind = kind.label(), after:%, waited_ms, cause = cause.as_str(); "watch failed");
             }
             NextWatch::BackOff
         }
