--- a/crates/soak/src/store_objects_tests.rs
+++ b/crates/soak/src/store_objects_tests.rs
@@ -6,7 +6,7 @@
 /// Writes a value to the one record of these tests and returns its revision.
 fn write(objects: &mut StoreObjects, value: u64) -> u64 {
     let written = objects.put(ObjectKind::Records, "record", json!(value), Value::Null);
-    written.revision
+    written.revision.number
 }
 
 /// Objects with one record, a copy of them, and two writes since.
@@ -40,7 +40,11 @@
 #[test]
 fn restored_store_gives_revisions_out_again() {
     let (mut objects, copy) = copied();
-    let lost = objects.get(ObjectKind::Records, "record").unwrap().revision;
+    let lost = objects
+        .get(ObjectKind::Records, "record")
+        .unwrap()
+        .revision
+        .number;
     objects.restore(&copy);
     write(&mut objects, 4);
     assert_eq!(write(&mut objects, 5), lost);
@@ -63,7 +67,7 @@
 fn changes_after_a_lost_revision_are_unknown_until_it_is_given_out_again() {
     let (mut objects, copy) = copied();
     let kind = ObjectKind::Records;
-    let lost = objects.get(kind, "record").unwrap().revision;
+    let lost = objects.get(kind, "record").unwrap().revision.number;
     objects.restore(&copy);
     assert!(objects.changes(kind, lost).is_none());
     for value in 4..7 {
@@ -91,7 +95,11 @@
 #[test]
 fn write_that_changes_nothing_has_no_revision_of_its_own() {
     let (mut objects, _) = copied();
-    let known = objects.get(ObjectKind::Records, "record").unwrap().revision;
+    let known = objects
+        .get(ObjectKind::Records, "record")
+        .unwrap()
+        .revision
+        .number;
     assert_eq!(write(&mut objects, 3), known);
     let created = objects.create(ObjectKind::Records, "record", json!(3));
     assert_eq!(created.err(), Some(WriteError::Conflict));
