Execute writes late that the soak's store left unanswered

A call without an answer may be executed seconds later if its condition still holds, also after a restore, when its revision may be that of other content. Removals with a revision are conditional, as at the platform's store.

--- a/crates/soak/src/restore_drill.rs
+++ b/crates/soak/src/restore_drill.rs
@@ -3,7 +3,7 @@
 //! What the instances wrote since the copy is lost. The operator writes the lost configurations
 //! again at once and in order. Servers write their entries again within two seconds, and those that
 //! have left since remove theirs again. Servers that have ended write nothing: their entries of the
-//! copy lapse.
+//! copy lapse. Writes of the instances that had no answer may be executed after the restore.
 
 use crate::{key_recovery, prelude::*};
 
@@ -89,6 +89,12 @@
         events
     }
 
+    /// Whether writes that arrive during a silence are executed after it, as far as their
+    /// conditions then hold.
+    fn executes_late(&self) -> bool {
+        self.seed.is_multiple_of(2)
+    }
+
     /// Copies the store and restores it; returns when all have written again.
     pub(crate) async fn run(&self, world: &Arc<SoakWorld>) {
         let copy = world.copy_store();
@@ -113,6 +119,7 @@
     async fn restore(&self, world: &SoakWorld, copy: &(StoreObjects, u64)) {
         let target = DisturbanceTarget::Store;
         world.ledger.record_disturbance(target, self.silence);
+        world.store.execute_late(self.executes_late());
         world.store.set_fault(StoreFault::Silent);
         Timer::after(self.silence).await;
         world
@@ -129,6 +136,7 @@
             }
         }
         world.store.set_fault(StoreFault::None);
+        world.store.execute_late(false);
         world.ledger.record_disturbance(target, Duration::ZERO);
     }
 }
--- a/crates/soak/src/simulated_store.rs
+++ b/crates/soak/src/simulated_store.rs
@@ -11,6 +11,9 @@
     /// Whether watches that were open at a restore wait until the store has passed their revision
     /// again.
     holds_watches: AtomicBool,
+    /// Whether writes that arrive while the store is silent are executed some time after it.
+    executes_late: AtomicBool,
+    pool: Arc<WorkerPool>,
     changed: Event,
     write_count: AtomicU64,
 }
@@ -18,6 +21,8 @@
 impl SimulatedStore {
     /// Under `StoreFault::LosingAnswers`, one in this many writes gets no answer.
     const LOST_ANSWER_EVERY: u64 = 3;
+    /// Time after a silence at which writes that arrived during it are executed, in milliseconds.
+    const LATE_WRITE_MS: std::ops::Range<u64> = 0..1_500;
 
     /// Starts an empty store on `host`.
     pub(crate) async fn start(pool: &Arc<WorkerPool>, host: Ipv4Addr) -> eyre::Result<Arc<Self>> {
@@ -28,6 +33,8 @@
             objects: Mutex::default(),
             fault: Mutex::default(),
             holds_watches: AtomicBool::new(false),
+            executes_late: AtomicBool::new(false),
+            pool: pool.clone(),
             changed: Event::new(),
             write_count: AtomicU64::new(0),
         });
@@ -58,15 +65,28 @@
         self.holds_watches.store(holds, Ordering::SeqCst);
     }
 
+    /// Sets whether writes that arrive while the store is silent are executed after it.
+    pub(crate) fn execute_late(&self, is_late: bool) {
+        self.executes_late.store(is_late, Ordering::SeqCst);
+    }
+
     fn fault(&self) -> StoreFault {
         *self.fault.lock().unwrap()
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let body = body.collect().await;
         match self.fault() {
-            StoreFault::Silent => std::future::pending::<()>().await,
+            StoreFault::Silent => {
+                if let (Ok(body), true) = (body, self.executes_late.load(Ordering::SeqCst)) {
+                    let operation = StoreOperation::read(&head.method, &head.uri, &body.to_bytes());
+                    // The caller gives up before, and its connection ends.
+                    let late = operation.map(|write| self.clone().write_late(write));
+                    late.into_iter().for_each(|write| self.pool.spawn(write));
+                }
+                return std::future::pending().await;
+            }
             StoreFault::Refusing => return self.reject(StatusCode::SERVICE_UNAVAILABLE),
             StoreFault::Slow(delay) => {
                 Timer::after(delay).await;
@@ -93,19 +113,22 @@
                 }
             }),
             StoreOperation::Watch(kind, after, wait) => self.watch(kind, after, wait).await,
-            StoreOperation::Create(kind, name, spec) => {
-                self.write(|objects| objects.create(kind, &name, spec))
-                    .await
-            }
-            StoreOperation::Replace(kind, name, revision, spec) => {
-                self.write(|objects| objects.replace(kind, &name, revision, spec))
-                    .await
-            }
-            StoreOperation::Remove(kind, name, _) => {
-                self.write(|objects| objects.remove(kind, &name).ok_or(WriteError::NotFound))
-                    .await
+            write => self.write(|objects| execute(objects, write)).await,
+        }
+    }
+
+    /// Executes a write without an answer, some time after the store has come back.
+    async fn write_late(self: Arc<Self>, write: StoreOperation) {
+        loop {
+            let changed = self.changed.listen();
+            if self.fault() != StoreFault::Silent {
+                break;
             }
+            changed.await;
         }
+        let delay = rand::random_range(Self::LATE_WRITE_MS);
+        Timer::after(Duration::from_millis(delay)).await;
+        let _ = self.update(|objects| execute(objects, write));
     }
 
     /// Builds an answer from the objects, with the era that they are of.
@@ -175,6 +198,23 @@
     }
 }
 
+/// Executes a write; other operations find nothing.
+fn execute(
+    objects: &mut StoreObjects,
+    write: StoreOperation,
+) -> Result<PlatformObject, WriteError> {
+    match write {
+        StoreOperation::Create(kind, name, spec) => objects.create(kind, &name, spec),
+        StoreOperation::Replace(kind, name, revision, spec) => {
+            objects.replace(kind, &name, revision, spec)
+        }
+        StoreOperation::Remove(kind, name, revision) => objects.remove_at(kind, &name, revision),
+        StoreOperation::List(..) | StoreOperation::Watch(..) | StoreOperation::Read(..) => {
+            Err(WriteError::NotFound)
+        }
+    }
+}
+
 fn build_reply(status: StatusCode, body: Option<&serde_json::Value>) -> Response<Full<Bytes>> {
     let text = body.map(ToString::to_string).unwrap_or_default();
     let mut response = Response::new(Full::new(Bytes::from(text)));
--- a/crates/soak/src/simulated_store_tests.rs
+++ b/crates/soak/src/simulated_store_tests.rs
@@ -134,3 +134,24 @@
     let (answer, ()) = future::block_on(future::zip(watch, changes));
     assert_eq!(answer, (StatusCode::OK, EraNotice::Stated(2)));
 }
+
+#[test]
+fn write_during_a_silence_is_executed_after_it_if_its_condition_holds() {
+    let restored = RestoredStore::start();
+    for (is_late, expected) in [(false, Some(json!(2))), (true, None)] {
+        restored.store.execute_late(is_late);
+        restored.store.set_fault(StoreFault::Silent);
+        let removal = restored.send("DELETE", "/objects/config/main?revision=2");
+        let unanswered = async {
+            Timer::after(HOLD_TIME).await;
+            (StatusCode::REQUEST_TIMEOUT, EraNotice::Missing)
+        };
+        let answer = future::block_on(future::or(removal, unanswered));
+        assert_eq!(answer.0, StatusCode::REQUEST_TIMEOUT);
+        restored.store.set_fault(StoreFault::None);
+        std::thread::sleep(Duration::from_secs(2));
+        let objects = restored.store.objects.lock().unwrap();
+        let value = objects.get(KIND, "main").map(|known| known.spec.clone());
+        assert_eq!(value, expected, "executed late: {is_late}");
+    }
+}
--- a/crates/soak/src/store_objects.rs
+++ b/crates/soak/src/store_objects.rs
@@ -86,16 +86,37 @@
         revision: Option<u64>,
         spec: serde_json::Value,
     ) -> Result<PlatformObject, WriteError> {
-        let current = self.get(kind, name).ok_or(WriteError::NotFound)?.clone();
-        if revision.is_some_and(|revision| revision != current.revision.number) {
-            return Err(WriteError::Conflict);
-        }
+        let current = self.get_at(kind, name, revision)?.clone();
         if current.spec == spec {
             return Ok(current);
         }
         Ok(self.put(kind, name, spec, current.status))
     }
 
+    /// Removes an existing object, if its revision is `revision` or none is given.
+    pub(crate) fn remove_at(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        revision: Option<u64>,
+    ) -> Result<PlatformObject, WriteError> {
+        self.get_at(kind, name, revision)?;
+        self.remove(kind, name).ok_or(WriteError::NotFound)
+    }
+
+    fn get_at(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        revision: Option<u64>,
+    ) -> Result<&PlatformObject, WriteError> {
+        let current = self.get(kind, name).ok_or(WriteError::NotFound)?;
+        match revision.is_none_or(|revision| revision == current.revision.number) {
+            true => Ok(current),
+            false => Err(WriteError::Conflict),
+        }
+    }
+
     /// Creates an object, unless one of that name exists.
     pub(crate) fn create(
         &mut self,
--- a/crates/soak/src/store_objects_tests.rs
+++ b/crates/soak/src/store_objects_tests.rs
@@ -104,3 +104,22 @@
     let created = objects.create(ObjectKind::Records, "record", json!(3));
     assert_eq!(created.err(), Some(WriteError::Conflict));
 }
+
+#[test]
+fn conditional_removal_of_another_revision_is_rejected() {
+    let (mut objects, _) = copied();
+    let known = objects
+        .get(ObjectKind::Records, "record")
+        .unwrap()
+        .revision
+        .number;
+    let other = objects.remove_at(ObjectKind::Records, "record", Some(known - 1));
+    assert_eq!(other.err(), Some(WriteError::Conflict));
+    assert!(
+        objects
+            .remove_at(ObjectKind::Records, "record", Some(known))
+            .is_ok()
+    );
+    let again = objects.remove_at(ObjectKind::Records, "record", None);
+    assert_eq!(again.err(), Some(WriteError::NotFound));
+}
