Hold what is known of servers while the store settles after a restore

After a restore from an older copy, all entries are later by their era, so a list of the new era replaced what was known: servers that drain or had left were ready again, an earlier incarnation replaced a later one, and live servers that the copy lacks were dropped. For a settle period an entry that contradicts what is known is held back until the server writes a later one itself, by the count in its status, or the period is over; servers that the copy lacks stay in use for the time in which live ones write again.

--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -6,7 +6,10 @@
 pub(crate) fn apply(node: &Arc<GatewayNode>, update: StoreUpdate, changed_at: MonoTime) {
     let now = node.now();
     let grace = node.expiry_grace();
+    let revision = latest_revision(&update);
     let mut roster = node.roster.lock();
+    let knew_any = roster.entries().next().is_some();
+    let is_restored = roster.observe_revision(revision, now) && knew_any;
     match update {
         StoreUpdate::List(page) => {
             let entries = page.objects.iter().filter_map(|object| {
@@ -31,6 +34,12 @@
             }
         }
     }
+    if is_restored {
+        let era = revision.era;
+        let held = roster.held_count();
+        let missing = roster.expiring_count();
+        log::info!(era, held, missing; "servers compared after a restore of the store");
+    }
     drop(roster);
     node.refresh_servers_changed_at(changed_at);
 }
@@ -55,6 +64,16 @@
     }
 }
 
+fn latest_revision(update: &StoreUpdate) -> StoreRevision {
+    match update {
+        StoreUpdate::List(page) => page.revision,
+        StoreUpdate::Changes(changes) => {
+            let revisions = changes.events.iter().map(|event| event.object.revision);
+            revisions.fold(changes.revision, StoreRevision::max)
+        }
+    }
+}
+
 fn read_entry(object: &PlatformObject) -> Option<ServerEntry> {
     match ServerBody::read(object) {
         Ok(entry) => Some(entry),
--- a/crates/gateway/src/incarnation_checks_tests.rs
+++ b/crates/gateway/src/incarnation_checks_tests.rs
@@ -19,6 +19,7 @@
         slots: 3,
         state: ServerState::Ready,
         warmup_left: Duration::ZERO,
+        sequence: None,
     };
     let (spec, status) = ServerBody::write(&entry);
     PlatformObject {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -97,6 +97,8 @@
 mod request_dispatch;
 mod request_handler;
 mod request_log;
+#[cfg(test)]
+mod restored_servers_tests;
 mod server_finder;
 mod server_lookup;
 #[cfg(test)]
--- a/crates/gateway/src/server_lookup_tests.rs
+++ b/crates/gateway/src/server_lookup_tests.rs
@@ -26,6 +26,7 @@
             slots: SLOTS,
             state: ServerState::Ready,
             warmup_left: Duration::ZERO,
+            sequence: None,
         };
         let change = RosterChange::Updated(Box::new(entry), 1.into());
         node.roster.lock().apply(change, node.now(), Duration::ZERO);
--- a/crates/gateway/src/server_notices_tests.rs
+++ b/crates/gateway/src/server_notices_tests.rs
@@ -21,6 +21,7 @@
         slots: 4,
         state: ServerState::Ready,
         warmup_left: Duration::ZERO,
+        sequence: None,
     }
 }
 
--- a/crates/gateway/src/server_reservation_tests.rs
+++ b/crates/gateway/src/server_reservation_tests.rs
@@ -16,6 +16,7 @@
         slots: 4,
         state: ServerState::Ready,
         warmup_left: Duration::ZERO,
+        sequence: None,
     };
     let now = node.now();
     ServerReservation {
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -165,6 +165,7 @@
             slots: 4,
             state,
             warmup_left: Duration::ZERO,
+            sequence: None,
         };
         let (spec, status) = ServerBody::write(&entry);
         PlatformObject {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod key_record;
 mod key_span;
 mod knowledge_age;
+mod known_server;
 mod leader_moves;
 mod leader_succession;
 mod leader_support;
@@ -37,6 +38,8 @@
 mod request_identity;
 mod retry_budget;
 mod revision_coverage;
+mod roster_change;
+mod roster_row;
 mod route_rule;
 mod route_table;
 mod sample_window;
@@ -48,6 +51,7 @@
 mod server_selector;
 mod server_subset;
 mod service_config;
+mod settle_period;
 mod store_revision;
 mod stored_record;
 mod supporter_selection;
@@ -87,13 +91,14 @@
     record_delta::{RangeMove, RecordDelta},
     request_identity::{RequestContent, RequestIdentity, TargetHash},
     retry_budget::RetryBudget,
+    roster_change::RosterChange,
     route_rule::{RouteRule, WeightedService},
     route_table::{RequestLimits, RouteTable},
     sample_window::SampleWindow,
     server_entry::{ServerEntry, ServerState},
     server_limit::{LimitChange, LimitNotice, LimitReport, ServerLimit},
     server_reach::{ReachChange, ReachFailure, ReachStep, ServerReach},
-    server_roster::{RosterChange, ServerRoster},
+    server_roster::ServerRoster,
     server_selector::{SelectionOutcome, ServerCandidate, ServerSelector},
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
     service_config::ServiceConfig,
--- a/crates/routing/src/server_entry.rs
+++ b/crates/routing/src/server_entry.rs
@@ -19,6 +19,8 @@
     pub state: ServerState,
     /// Time for which the server is still slow after its start.
     pub warmup_left: Duration,
+    /// Number of times that this incarnation wrote its entry, as far as it says so.
+    pub sequence: Option<u64>,
 }
 
 /// State of a server, as it reports it.
--- a/crates/routing/tests/server_roster.rs
+++ b/crates/routing/tests/server_roster.rs
@@ -16,6 +16,7 @@
         slots: 3,
         state,
         warmup_left: Duration::ZERO,
+        sequence: None,
     }
 }
 
--- a/crates/soak/src/simulated_backend.rs
+++ b/crates/soak/src/simulated_backend.rs
@@ -161,6 +161,7 @@
             slots: BackendProcess::SLOTS as u32,
             state,
             warmup_left: Duration::ZERO,
+            sequence: None,
         });
         self.store
             .update(|objects| objects.put(ObjectKind::Servers, &self.id, spec, status));
