Replace content that operators wrote anew under the version in force

After a restore of the store, operators may write another configuration under a version that instances already have. It was left out, since only a higher version was installed. An object of a later era with the same version and other content now replaces it; a lower version never does.

--- a/crates/gateway/src/configuration_worker.rs
+++ b/crates/gateway/src/configuration_worker.rs
@@ -34,7 +34,7 @@
     };
     let revision = table.revision();
     let routes = table.route_count();
-    if node.install_routes(table) {
+    if node.install_routes(table, object.revision) {
         log::info!(
             revision,
             routes,
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -8,7 +8,7 @@
     relay_client::HelperTable,
 };
 use async_net::UdpSocket;
-use std::sync::OnceLock;
+use std::{cmp::Ordering, sync::OnceLock};
 
 /// Shared state of a gateway instance.
 pub(crate) struct GatewayNode {
@@ -22,7 +22,8 @@
     pub(crate) selector: ServerSelector,
     /// Selector with the limits that apply to the owner of a key, to which there is no alternative.
     pub(crate) owner_selector: ServerSelector,
-    routes: StateMutex<Option<Arc<RouteTable>>>,
+    /// Configuration in force, and the revision at which the store had it.
+    routes: StateMutex<Option<(Arc<RouteTable>, StoreRevision)>>,
     pub(crate) roster: StateMutex<ServerRoster>,
     pub(crate) servers: StateMutex<IndexMap<ServerIncarnation, Arc<ServerRuntime>>>,
     /// Servers that accept new requests, by service.
@@ -163,18 +164,28 @@
 
     /// Current configuration, if one has been received.
     pub(crate) fn route_table(&self) -> Option<Arc<RouteTable>> {
-        self.routes.lock().clone()
+        self.routes
+            .lock()
+            .as_ref()
+            .map(|(table, _)| Arc::clone(table))
     }
 
-    /// Installs a configuration, unless the current one is at least as new; returns whether it was
-    /// installed.
-    pub(crate) fn install_routes(&self, table: RouteTable) -> bool {
+    /// Installs a configuration that the store has at `revision`, unless the operators' version of
+    /// the current one is at least as new; returns whether it was installed. In a later era of the
+    /// store, operators may write other content under the version that is in force.
+    pub(crate) fn install_routes(&self, table: RouteTable, revision: StoreRevision) -> bool {
         let mut routes = self.routes.lock();
-        if routes
-            .as_ref()
-            .is_some_and(|known| known.revision() >= table.revision())
-        {
-            return false;
+        if let Some((known, known_at)) = routes.as_mut() {
+            let is_later_era = revision.era > known_at.era;
+            match table.revision().cmp(&known.revision()) {
+                Ordering::Less => return false,
+                Ordering::Equal if !is_later_era => return false,
+                Ordering::Equal if **known == table => {
+                    *known_at = revision;
+                    return false;
+                }
+                Ordering::Equal | Ordering::Greater => {}
+            }
         }
         let keyed: Vec<String> = table
             .services()
@@ -182,7 +193,7 @@
             .filter(|config| config.keyed)
             .map(|config| config.name.clone())
             .collect();
-        *routes = Some(Arc::new(table));
+        *routes = Some((Arc::new(table), revision));
         drop(routes);
         for service in keyed {
             self.with_key_view(&service, |_| ());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 #[cfg(test)]
 mod change_path_tests;
 mod configuration_worker;
+#[cfg(test)]
+mod configuration_worker_tests;
 mod discovery_worker;
 mod era_wire;
 mod era_worker;
