Keep the later incarnation of an instance when restored records lack or precede it

The records of a new era come from a copy: an earlier process replaced the present one of a peer, with its heartbeat state, and a peer whose record the copy lacks was removed although it is heard.

Failed before: restored_records_do_not_replace_or_remove_a_later_incarnation_that_is_heard, without either of the two checks. The two tests of instances that are not heard passed before.

--- a/crates/gateway/src/change_path_tests/simulated_instance.rs
+++ b/crates/gateway/src/change_path_tests/simulated_instance.rs
@@ -244,7 +244,7 @@
         } else if let (Some(name), true) =
             (object.name.strip_prefix(InstanceRecord::PREFIX), is_removed)
         {
-            self.peers.remove(name);
+            self.peers.remove(name, object.revision, now);
         } else if let Ok(record) = RecordBody::read::<InstanceRecord>(object) {
             self.peers.insert(record, object.revision, now);
         }
--- a/crates/gateway/src/peer_state.rs
+++ b/crates/gateway/src/peer_state.rs
@@ -24,6 +24,17 @@
         self.heard_at.is_some_and(|at| now.since(at) < within)
     }
 
+    /// Whether a record at `revision` is of an earlier incarnation, from the copy of which the store
+    /// was restored since this one was learnt.
+    pub(crate) fn is_superseded_copy(
+        &self,
+        record: &InstanceRecord,
+        revision: StoreRevision,
+    ) -> bool {
+        let is_later_era = revision.era > self.revision.era;
+        is_later_era && record.incarnation < self.record.incarnation
+    }
+
     /// Leadership that the instance last reported for a service.
     pub(crate) fn leadership_of(&self, service: &str) -> Option<&LeadershipStatus> {
         self.heartbeat
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -59,8 +59,13 @@
         if known.is_some_and(|peer| peer.revision >= revision) {
             return;
         }
-        let is_same = known.is_some_and(|peer| peer.record == record);
-        if is_same {
+        if known.is_some_and(|peer| peer.is_superseded_copy(&record, revision)) {
+            return;
+        }
+        if let Some(peer) = self.peers.get_mut(&record.name)
+            && peer.record == record
+        {
+            peer.revision = revision;
             return;
         }
         log::info!(
@@ -85,8 +90,16 @@
         self.update_positions();
     }
 
-    /// Removes an instance whose record was removed from the store.
-    pub(crate) fn remove(&mut self, name: &str) {
+    /// Removes an instance whose record was removed from the store at a revision. One that is heard
+    /// stays if the store of a later era merely lacks its record: it writes it again.
+    pub(crate) fn remove(&mut self, name: &str, revision: StoreRevision, now: MonoTime) {
+        let is_kept = self.peers.get(name).is_some_and(|peer| {
+            let is_of_earlier_era = peer.revision.era < revision.era;
+            is_of_earlier_era && peer.heard_within(now, Self::LOST_TIMEOUT)
+        });
+        if is_kept {
+            return;
+        }
         self.peers.shift_remove(name);
         self.update_positions();
     }
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -36,7 +36,8 @@
         }
         (Some(service), _) => apply_key_record(node, service, object),
         (None, Some(name)) if event.is_removed => {
-            node.peers.lock().remove(name);
+            let mut peers = node.peers.lock();
+            peers.remove(name, object.revision, node.now());
             Ok(())
         }
         (None, Some(_)) => apply_instance_record(node, object),
