--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,8 @@
 #[cfg(test)]
 mod change_path_tests;
 mod configuration_worker;
+#[cfg(test)]
+mod configuration_worker_tests;
 mod discovery_worker;
 mod era_wire;
 mod era_worker;
@@ -97,6 +99,8 @@
 mod request_dispatch;
 mod request_handler;
 mod request_log;
+#[cfg(test)]
+mod restored_servers_tests;
 mod server_finder;
 mod server_lookup;
 #[cfg(test)]
