Announce an instance again when a restore of the store has lost its record

An instance wrote its record once, at its start. If the records of a new era, as its own mirror shows them, lack it or have an earlier incarnation, it writes it again after a random delay of up to a second. The announcement has a module of its own.

Failed before, with an announcement that runs once: announced_instance_writes_its_record_when_a_restore_has_lost_it. The test of single steps is of new code.

--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -1,9 +1,9 @@
 //! The process of a gateway instance: settings, logging, signals and exit codes.
 
 use crate::{
-    caller_listeners, discovery_worker, feed_client, feed_server, knowledge_worker, leader_worker,
-    object_mirror::OBJECT_KINDS, object_watcher, operator_page, peer_worker, prelude::*,
-    quarantine_worker, record_worker, relay_server,
+    announcement_worker, caller_listeners, discovery_worker, feed_client, feed_server,
+    knowledge_worker, leader_worker, object_mirror::OBJECT_KINDS, object_watcher, operator_page,
+    peer_worker, prelude::*, quarantine_worker, relay_server,
 };
 use async_net::{TcpListener, UdpSocket};
 use logforth::{append, layout::LogfmtLayout};
@@ -62,7 +62,7 @@
     spawn(&node, "knowledge", knowledge_worker::run);
     spawn(&node, "eras", era_worker::follow);
     spawn(&node, "discovery", discovery_worker::expire_servers);
-    spawn(&node, "announcement", record_worker::announce);
+    spawn(&node, "announcement", announcement_worker::announce);
     spawn(&node, "leaders", leader_worker::run);
     spawn(&node, "quarantine", quarantine_worker::keep_record);
     let receiving_socket = socket.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,9 @@
 //! with the other instances. Decisions are made in the `routing` crate; the `platform` crate
 //! translates the platform's formats.
 
+mod announcement_worker;
+#[cfg(test)]
+mod announcement_worker_tests;
 mod attempt_history;
 mod attempt_result;
 mod attempt_sender;
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -1,10 +1,7 @@
-//! Keeps key records and instance records up to date with the store, and announces this instance.
+//! Keeps key records and instance records up to date with the store.
 
 use crate::{prelude::*, quarantine_worker};
 
-/// Delay before a failed write of the instance record is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Applies an update of the records.
 pub(crate) fn apply(node: &GatewayNode, update: StoreUpdate) {
     let events = match update {
@@ -110,52 +107,3 @@
     peers.insert(record, object.revision, node.now());
     Ok(())
 }
-
-/// Writes this instance's record to the store, and retries until it succeeds.
-pub(crate) async fn announce(node: Arc<GatewayNode>) {
-    let record = InstanceRecord {
-        name: node.settings.name.clone(),
-        incarnation: node.own_incarnation.incarnation,
-        address: node.settings.peer_address,
-        feed_address: node.settings.feed_address,
-        relay_address: node.settings.relay_address,
-        data_centre: node.settings.data_centre.clone(),
-        processor_share: node.settings.processor_share,
-    };
-    let name = format!("{}{}", InstanceRecord::PREFIX, record.name);
-    let Ok(spec) = RecordBody::write(&record) else {
-        return;
-    };
-    loop {
-        match announce_once(&node, &name, &spec).await {
-            Ok(true) => return,
-            Ok(false) => {}
-            Err(error) => {
-                if node.log.allow("announce", node.now()) {
-                    log::warn!(cause = error.to_string().as_str(); "instance not announced yet");
-                }
-            }
-        }
-        Timer::after(RETRY_DELAY).await;
-    }
-}
-
-async fn announce_once(
-    node: &GatewayNode,
-    name: &str,
-    spec: &serde_json::Value,
-) -> Result<bool, StoreCallError> {
-    let kind = ObjectKind::Records;
-    let created = node.store.create(kind, name, spec).await?;
-    if let WriteAnswer::Written(_) = created {
-        return Ok(true);
-    }
-    let Some(object) = node.store.read(kind, name).await? else {
-        return Ok(false);
-    };
-    let replaced = node
-        .store
-        .replace(kind, name, object.revision, spec)
-        .await?;
-    Ok(matches!(replaced, WriteAnswer::Written(_)))
-}
