--- a/crates/gateway/src/configuration_worker_tests.rs
+++ b/crates/gateway/src/configuration_worker_tests.rs
@@ -10,13 +10,22 @@
 type ConfigurationStep = (u64, &'static str, StoreRevision);
 
 fn apply(node: &Arc<GatewayNode>, (version, service, revision): ConfigurationStep) {
-    let spec = serde_json::json!({
-        "version": version,
-        "services": [{ "name": service, "health_path": "/health" }],
-        "limits": { "max_header_bytes": 16384, "max_body_bytes": 67108864,
-                    "header_timeout_s": 3, "idle_timeout_s": 15 },
-        "hosts": [],
-    });
+    let config = ServiceConfig {
+        name: service.into(),
+        health_path: "/health".into(),
+        max_connections: 1,
+        keyed: false,
+        warmup: Duration::ZERO,
+    };
+    let limits = RequestLimits {
+        max_head_bytes: 16 << 10,
+        max_body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let services = IndexMap::from([(service.into(), config)]);
+    let table = RouteTable::new(version, IndexMap::new(), services, limits);
+    let spec = ConfigurationBody::write(&table).unwrap();
     let object = PlatformObject {
         name: ObjectKind::CONFIGURATION_NAME.into(),
         revision,
--- a/crates/soak/src/simulated_store_tests.rs
+++ b/crates/soak/src/simulated_store_tests.rs
@@ -32,24 +32,26 @@
         self.store.update(|objects| objects.restore(&self.copy));
     }
 
-    /// Sends a request without a body; returns the answer when it arrives.
-    async fn send(&self, method: &str, target: &str) -> StatedEra {
+    /// Sends a request; returns the answer when it arrives.
+    async fn send(&self, request: Request<Bytes>) -> StatedEra {
         let dialer = TcpDialer::direct();
         let opened = HttpConnection::open(&self.pool, &dialer, self.store.address, ANSWER_TIME);
-        let request = Request::builder().method(method).uri(target);
-        let request = request.body(Full::default()).unwrap();
         let mut connection = opened.await.unwrap();
-        let response = connection.exchange(request, 1 << 20).await.unwrap();
+        let response = connection
+            .exchange(request.map(Full::new), 1 << 20)
+            .await
+            .unwrap();
         (response.status(), EraHeader::read(response.headers()))
     }
 
     /// Answer to a request that is answered at once.
-    fn answer(&self, method: &str, target: &str) -> StatedEra {
+    fn answer(&self, request: Request<Bytes>) -> StatedEra {
+        let target = request.uri().to_string();
         let expired = async {
             Timer::after(ANSWER_TIME).await;
-            panic!("{method} {target} was not answered");
+            panic!("{target} was not answered");
         };
-        future::block_on(future::or(self.send(method, target), expired))
+        future::block_on(future::or(self.send(request), expired))
     }
 }
 
@@ -64,31 +66,32 @@
 }
 
 const KIND: ObjectKind = ObjectKind::Configuration;
-const WATCH_FROM_2: &str = "/objects/config?watch=2&wait_ms=9000";
+
+/// Watch from a revision.
+fn watch_from(revision: u64) -> Request<Bytes> {
+    StoreRequest::watch(KIND, revision, Duration::from_secs(9))
+}
 
 #[test]
 fn all_answers_state_the_era() {
     let restored = RestoredStore::start();
     for era in [1, 2] {
         let stated = EraNotice::Stated(era);
+        let unknown = Request::builder().uri("/nothing").body(Bytes::new());
         let answers = [
-            ("GET", "/objects/config", StatusCode::OK),
-            ("GET", "/objects/config/main", StatusCode::OK),
-            ("GET", "/objects/config/none", StatusCode::NOT_FOUND),
-            ("GET", "/nothing", StatusCode::NOT_FOUND),
-            ("DELETE", "/objects/config/none", StatusCode::NOT_FOUND),
-            (
-                "GET",
-                "/objects/config?watch=99&wait_ms=9000",
-                StatusCode::GONE,
-            ),
+            (StoreRequest::list(KIND, None), StatusCode::OK),
+            (StoreRequest::read(KIND, "main"), StatusCode::OK),
+            (StoreRequest::read(KIND, "none"), StatusCode::NOT_FOUND),
+            (unknown.unwrap(), StatusCode::NOT_FOUND),
+            (StoreRequest::remove(KIND, "none", 1), StatusCode::NOT_FOUND),
+            (watch_from(99), StatusCode::GONE),
         ];
-        for (method, target, status) in answers {
-            let answer = restored.answer(method, target);
-            assert_eq!(answer, (status, stated), "{method} {target}");
+        for (request, status) in answers {
+            let target = request.uri().to_string();
+            assert_eq!(restored.answer(request), (status, stated), "{target}");
         }
         restored.store.set_fault(StoreFault::Refusing);
-        let refused = restored.answer("GET", "/objects/config");
+        let refused = restored.answer(StoreRequest::list(KIND, None));
         assert_eq!(refused, (StatusCode::SERVICE_UNAVAILABLE, stated));
         restored.store.set_fault(StoreFault::None);
         restored.restore();
@@ -100,13 +103,13 @@
     let restored = RestoredStore::start();
     restored.restore();
     let gone = (StatusCode::GONE, EraNotice::Stated(2));
-    assert_eq!(restored.answer("GET", WATCH_FROM_2), gone);
+    assert_eq!(restored.answer(watch_from(2)), gone);
 }
 
 #[test]
 fn watch_that_is_open_at_a_restore_is_checked_again() {
     let restored = RestoredStore::start();
-    let answer = future::block_on(future::zip(restored.send("GET", WATCH_FROM_2), async {
+    let answer = future::block_on(future::zip(restored.send(watch_from(2)), async {
         Timer::after(HOLD_TIME).await;
         restored.restore();
     }));
@@ -119,7 +122,7 @@
     restored.store.hold_watches(true);
     let is_answered = AtomicBool::new(false);
     let watch = async {
-        let answer = restored.send("GET", WATCH_FROM_2).await;
+        let answer = restored.send(watch_from(2)).await;
         is_answered.store(true, Ordering::SeqCst);
         answer
     };
@@ -141,7 +144,7 @@
     for (is_late, expected) in [(false, Some(json!(2))), (true, None)] {
         restored.store.execute_late(is_late);
         restored.store.set_fault(StoreFault::Silent);
-        let removal = restored.send("DELETE", "/objects/config/main?revision=2");
+        let removal = restored.send(StoreRequest::remove(KIND, "main", 2));
         let unanswered = async {
             Timer::after(HOLD_TIME).await;
             (StatusCode::REQUEST_TIMEOUT, EraNotice::Missing)
