--- a/crates/gateway/src/change_path_tests/change_checker.rs
+++ b/crates/gateway/src/change_path_tests/change_checker.rs
@@ -151,7 +151,7 @@
             .mirror
             .object(confirmed.kind, &confirmed.name);
         let is_in_force = match known {
-            Some(object) => object.revision >= confirmed.revision.into(),
+            Some(object) => object.revision >= confirmed.revision,
             // A later removal may be known early.
             None => confirmed.is_removed || self.checker.is_replaced(change),
         };
--- a/crates/gateway/src/change_path_tests/knowledge_steps.rs
+++ b/crates/gateway/src/change_path_tests/knowledge_steps.rs
@@ -162,7 +162,7 @@
         let Some(kind) = simulated.check.kinds.first() else {
             simulated
                 .knowledge
-                .record_complete(simulated.check.revision.into());
+                .record_complete(simulated.check.revision);
             if simulated.check.has_changed {
                 self.restart_watches(instance);
             }
@@ -229,7 +229,7 @@
         let revision = simulated.check.revision;
         let synced = simulated.mirror.synced_revisions();
         while let Some(kind) = simulated.check.kinds.first()
-            && store_check::is_known(&simulated.knowledge, synced, *kind, revision.into())
+            && store_check::is_known(&simulated.knowledge, synced, *kind, revision)
         {
             simulated.check.kinds.remove(0);
         }
--- a/crates/gateway/src/change_path_tests/simulated_instance.rs
+++ b/crates/gateway/src/change_path_tests/simulated_instance.rs
@@ -146,8 +146,8 @@
         for (kind, page) in store.pages() {
             self.apply(kind, &StoreUpdate::List(page), true, now);
         }
-        self.knowledge.record_complete(store.revision.into());
-        self.knowledge.observe(now, store.revision.into());
+        self.knowledge.record_complete(store.revision);
+        self.knowledge.observe(now, store.revision);
     }
 
     pub(super) fn own_incarnation(&self) -> InstanceIncarnation {
