Have leaders restore key records that the store has lost

Every record that is written tells the era in force. A restored copy confirms no leader. No moves are planned until the store has the record again.

Before, the first read after a restore replaced the known record by the older one, and confirmed its leader.

--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -1,6 +1,6 @@
 //! Leads the keys of the services: takes over leadership, renews grants and moves ranges.
 
-use crate::{move_planner, order_sender, prelude::*, record_writer};
+use crate::{move_planner, order_sender, prelude::*, record_restorer, record_writer};
 
 /// Longest time between two cycles.
 const MAX_INTERVAL: Duration = Duration::from_millis(100);
@@ -17,10 +17,25 @@
     pub(crate) planned_servers: Vec<ServerIncarnation>,
     /// Time since which those servers are the same.
     pub(crate) servers_unchanged_since: MonoTime,
+    /// Time since which the store lacks the known record.
+    restore_due_since: Option<MonoTime>,
     /// Term in which this instance last had the authority to send orders, until it loses it.
     authorized_term: Option<u64>,
 }
 
+impl LeaderLoopState {
+    pub(crate) fn new(now: MonoTime) -> Self {
+        Self {
+            planned_at: now,
+            store_asked_at: MonoTime::default(),
+            planned_servers: Vec::new(),
+            servers_unchanged_since: now,
+            restore_due_since: None,
+            authorized_term: None,
+        }
+    }
+}
+
 /// Starts a worker for each keyed service as soon as it is known.
 pub(crate) async fn run(node: Arc<GatewayNode>) {
     let mut known: Vec<String> = Vec::new();
@@ -43,14 +58,7 @@
 }
 
 async fn lead_service(node: Arc<GatewayNode>, service: String) {
-    let now = node.now();
-    let mut state = LeaderLoopState {
-        planned_at: now,
-        store_asked_at: MonoTime::default(),
-        planned_servers: Vec::new(),
-        servers_unchanged_since: now,
-        authorized_term: None,
-    };
+    let mut state = LeaderLoopState::new(node.now());
     loop {
         let due = node.order_finished.listen();
         let changed = node.keys_changed.listen();
@@ -64,13 +72,21 @@
 }
 
 async fn run_cycle(node: &Arc<GatewayNode>, service: &str, state: &mut LeaderLoopState) {
-    let leads = node.with_key_view(service, |view| view.leader.is_leader());
+    let now = node.now();
+    let era = node.store.era().number;
+    let (leads, needs_restore) = node.with_key_view(service, |view| {
+        view.leader.learn_era(era);
+        (view.leader.is_leader(), view.leader.needs_restore())
+    });
+    let restore_due_since = state.restore_due_since.unwrap_or(now);
+    state.restore_due_since = needs_restore.then_some(restore_due_since);
     match leads {
         false => consider_takeover(node, service, state).await,
         true => {
             log_authority(node, service, state);
             detect_ended_incarnations(node, service);
             send_due_orders(node, service);
+            record_restorer::restore(node, service, state).await;
             move_planner::plan(node, service, state).await;
         }
     }
@@ -138,6 +154,15 @@
         },
         false => view,
     };
+    // A leader that is alive writes its record again first.
+    let is_restoring = |since: MonoTime| now.since(since) < record_restorer::LEADER_TIME;
+    let view = match state.restore_due_since.is_some_and(is_restoring) {
+        true => LeaderView {
+            confirmation_age: Duration::ZERO,
+            ..view
+        },
+        false => view,
+    };
     if view.next_step() == TakeoverStep::Follow {
         return;
     }
@@ -152,12 +177,16 @@
         "taking over the keys"
     );
     match known {
+        Some(_) if state.restore_due_since.is_some() => {
+            record_restorer::take_over(node, service).await;
+        }
         Some((record, revision)) => {
             let next = record.with_leader(node.own_incarnation.clone());
             record_writer::write(node, service, &next, Some(revision), "take-over").await;
         }
         None => {
-            let record = KeyRecord::new(service, node.own_incarnation.clone());
+            let record =
+                node.with_key_view(service, |view| view.leader.takeover_record(service, None));
             record_writer::write(node, service, &record, None, "create").await;
         }
     }
@@ -182,6 +211,7 @@
         }
         incarnations.sort();
         incarnations.dedup();
+        incarnations.retain(|incarnation| !incarnation.is_unknown());
         incarnations
     });
     for holder in holders {
@@ -206,6 +236,10 @@
         (view.leader.active_former_leaders(now), term)
     });
     for leader in former {
+        if leader.is_unknown() {
+            record_restorer::end_unknown_leader(node, service);
+            continue;
+        }
         let is_own = leader.instance == node.own_incarnation.instance;
         if is_own || node.peers.lock().is_stopped(service, &leader, term) {
             node.with_key_view(service, |view| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -86,6 +86,9 @@
 mod quota_wire;
 mod quota_worker;
 mod reach_worker;
+mod record_restorer;
+#[cfg(test)]
+mod record_restorer_tests;
 mod record_update_wire;
 mod record_worker;
 mod record_writer;
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -30,6 +30,10 @@
     if node.reach.lock().is_any_lost() {
         return;
     }
+    // A plan is based on what the store has.
+    if node.with_key_view(service, |view| view.leader.needs_restore()) {
+        return;
+    }
     state.planned_at = now;
     let servers = eligible_servers(node, service, now);
     let incarnations: Vec<ServerIncarnation> = servers
--- a/crates/gateway/src/peer_leaders.rs
+++ b/crates/gateway/src/peer_leaders.rs
@@ -82,6 +82,15 @@
         is_heard.then_some(heartbeat.sent_at)
     }
 
+    /// Names of the instances that were heard within `window`.
+    pub(crate) fn names_heard_within(&self, window: Duration, now: MonoTime) -> Vec<String> {
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| peer.heard_within(now, window));
+        heard.map(|peer| peer.record.name.clone()).collect()
+    }
+
     /// Instances that could support this one as a leader, among those in `supporting`; the strongest
     /// ones first.
     pub(crate) fn supporter_candidates<'a>(
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -88,6 +88,7 @@
             quota_worker::apply_report(&server, known.report, now);
         }
     }
+    let era = heartbeat.era.map_or(0, |era| era.number);
     let sender = InstanceIncarnation {
         instance: heartbeat.instance.clone(),
         incarnation: heartbeat.incarnation,
@@ -95,8 +96,9 @@
     for status in &heartbeat.leaderships {
         node.with_known_key_view(&status.service, |view| {
             let heard_at = status.leader_heard_at;
-            view.leader
-                .record_peer_term(&sender, status.term, heard_at, now);
+            let leader = &mut view.leader;
+            leader.record_peer_term(&sender, status.term, heard_at, now);
+            leader.record_peer_word(&sender, era, status.term, heard_at, now);
         });
     }
     let (report, revisions) = (heartbeat.knowledge, heartbeat.revisions);
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -81,6 +81,7 @@
         .count();
     let adopted = node.with_key_view(service, |view| {
         let before = view.leader.record().map_or(0, |(record, _)| record.term);
+        view.leader.learn_era(node.store.era().number);
         let is_new = view.leader.adopt(record, revision, now);
         if is_new && before != term {
             view.led_since = now;
--- a/crates/gateway/src/record_writer.rs
+++ b/crates/gateway/src/record_writer.rs
@@ -10,8 +10,9 @@
     let Ok(Some(object)) = node.store.read(ObjectKind::Records, &name).await else {
         return;
     };
-    let leads = record_worker::read_key_record(&object)
-        .is_ok_and(|record| record.leader == node.own_incarnation);
+    let leads = record_worker::read_key_record(&object).is_ok_and(|record| {
+        record.leader == node.own_incarnation && !record.is_restored_copy(object.revision, None)
+    });
     let event = ObjectEvent {
         object,
         is_removed: false,
@@ -23,8 +24,8 @@
 }
 
 /// Writes the key record: replaces the one at `revision`, or creates it if `revision` is `None`.
-/// Reads the store's record again unless the store wrote or refused the new one. Returns the
-/// revision that was written.
+/// It tells the era of the store in which it is written. Reads the store's record again unless the
+/// store wrote or refused the new one. Returns the revision that was written.
 pub(crate) async fn write(
     node: &Arc<GatewayNode>,
     service: &str,
@@ -34,6 +35,10 @@
 ) -> Option<StoreRevision> {
     let asked_at = node.now();
     let name = format!("{}{service}", KeyView::PREFIX);
+    let record = &KeyRecord {
+        era: Some(node.store.era().number),
+        ..record.clone()
+    };
     let spec = match RecordBody::write(&StoredRecord::from(record)) {
         Ok(spec) => spec,
         Err(error) => {
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -89,12 +89,14 @@
     }
 }
 
-/// Whether the record of a service exists, can be read and names this instance. A record beyond the
-/// store's revision is one that the store has lost.
+/// Whether the record of a service exists, can be read, names this instance and was written in the
+/// present era. A record beyond the store's revision is one that the store has lost.
 fn names_this_instance(node: &GatewayNode, service: &str, revision: StoreRevision) -> bool {
     let name = format!("{}{service}", KeyView::PREFIX);
     let object = node.mirror.lock().object(ObjectKind::Records, &name);
     let object = object.filter(|object| object.revision <= revision);
-    let record = object.and_then(|object| record_worker::read_key_record(&object).ok());
-    record.is_some_and(|record| record.leader == node.own_incarnation)
+    let Some(object) = object else { return false };
+    record_worker::read_key_record(&object).is_ok_and(|record| {
+        record.leader == node.own_incarnation && !record.is_restored_copy(object.revision, None)
+    })
 }
