--- a/crates/routing/src/era_census.rs
+++ b/crates/routing/src/era_census.rs
@@ -74,24 +74,22 @@
         heard_at: Option<MonoTime>,
         now: MonoTime,
     ) {
-        let known = self.words.get(&peer.instance).copied();
-        if known.is_some_and(|word| word.incarnation > peer.incarnation) {
-            return;
+        match self.words.get_mut(&peer.instance) {
+            Some(word) if word.incarnation > peer.incarnation => {}
+            Some(word) if word.incarnation == peer.incarnation => {
+                word.term = word.term.max(term);
+                word.heard_at = word.heard_at.max(heard_at);
+            }
+            _ => {
+                let word = PeerWord {
+                    incarnation: peer.incarnation,
+                    term,
+                    heard_at,
+                    first_at: now,
+                };
+                self.words.insert(peer.instance.clone(), word);
+            }
         }
-        let word = match known.filter(|word| word.incarnation == peer.incarnation) {
-            Some(word) => PeerWord {
-                term: word.term.max(term),
-                heard_at: word.heard_at.max(heard_at),
-                ..word
-            },
-            None => PeerWord {
-                incarnation: peer.incarnation,
-                term,
-                heard_at,
-                first_at: now,
-            },
-        };
-        self.words.insert(peer.instance.clone(), word);
     }
 
     /// Whether one of the other instances may lead, or may have led, by a later term.
--- a/crates/routing/src/record_restore.rs
+++ b/crates/routing/src/record_restore.rs
@@ -9,7 +9,7 @@
 //! **Until the record is written again** its leader goes on as if the store were away: it renews what
 //! it has granted, while its last confirmation in the earlier era and its supporters let it. That is
 //! as safe as without the restore, since the instances that know a later term take over no restored
-//! copy, and so do not support it. It moves no keys, since it cannot write.
+//! copy, and so do not support it. It begins no moves, since it cannot write.
 //!
 //! **Written again by its leader.** The store may have lost the takeover of a later leader, which may
 //! go on and move keys by a record that this one does not know. Supporters alone do not rule that
