Write quarantines and trials again that a restore of the store has lost

The record of a new era comes from an older copy. It was taken as the newer state: quarantines that it lacks ended, numbers of trials went back, and quarantines that had ended came back. A record that was missing altogether was never written again. Ended quarantines are remembered and removed from the record again. The merge with the record, and the writing of it, have modules of their own.

--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -3,7 +3,7 @@
 use crate::{
     announcement_worker, caller_listeners, discovery_worker, feed_client, feed_server,
     knowledge_worker, leader_worker, object_mirror::OBJECT_KINDS, object_watcher, operator_page,
-    peer_worker, prelude::*, quarantine_worker, relay_server,
+    peer_worker, prelude::*, quarantine_writer, relay_server,
 };
 use async_net::{TcpListener, UdpSocket};
 use logforth::{append, layout::LogfmtLayout};
@@ -64,7 +64,7 @@
     spawn(&node, "discovery", discovery_worker::expire_servers);
     spawn(&node, "announcement", announcement_worker::announce);
     spawn(&node, "leaders", leader_worker::run);
-    spawn(&node, "quarantine", quarantine_worker::keep_record);
+    spawn(&node, "quarantine", quarantine_writer::keep_record);
     let receiving_socket = socket.clone();
     spawn(&node, "heartbeats-in", move |node| {
         peer_worker::listen(node, receiving_socket.clone())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -88,6 +88,9 @@
 mod peer_watchers;
 mod peer_worker;
 mod quarantine_worker;
+mod quarantine_writer;
+#[cfg(test)]
+mod quarantine_writer_tests;
 mod quota_wire;
 mod quota_worker;
 mod reach_worker;
--- a/crates/gateway/src/quarantine_worker.rs
+++ b/crates/gateway/src/quarantine_worker.rs
@@ -1,14 +1,11 @@
-//! Holds back requests that crash servers, and keeps the store's record of them.
+//! Holds back requests that crash servers.
 
-use crate::prelude::*;
-use std::time::{SystemTime, UNIX_EPOCH};
+use crate::{prelude::*, quarantine_writer};
 
 /// Time that a server is given to accept a connection, to tell a crash from a lost connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Pause before a failed write of the record is repeated.
-const WRITE_PAUSE: Duration = Duration::from_millis(300);
-/// Number of writes that may fail because another instance wrote first.
-const MAX_CONFLICTS: usize = 4;
+/// Time after which a trial that the store did not confirm is worth asking for again.
+const TRIAL_PAUSE: Duration = Duration::from_millis(300);
 
 /// What an instance does with a request before it looks for a server.
 pub(crate) enum Admission {
@@ -47,9 +44,9 @@
         RequestStanding::TrialDue(trial) => Some(trial),
     };
     if let Some(trial) = trial {
-        if !start_trial(node, identity, trial).await {
-            log_held(node, call, WRITE_PAUSE);
-            return Admission::Held(WRITE_PAUSE);
+        if !quarantine_writer::start_trial(node, identity, trial).await {
+            log_held(node, call, TRIAL_PAUSE);
+            return Admission::Held(TRIAL_PAUSE);
         }
         log::info!(
             id = call.headers.id_text(),
@@ -81,7 +78,7 @@
             log_held(node, call, pause);
             Some(pause)
         }
-        RequestStanding::TrialDue(_) => Some(WRITE_PAUSE),
+        RequestStanding::TrialDue(_) => Some(TRIAL_PAUSE),
         _ => None,
     }
 }
@@ -177,112 +174,6 @@
     node.heartbeat_due.notify(usize::MAX);
 }
 
-/// Applies the store's record.
-pub(crate) fn apply_record(node: &GatewayNode, object: &PlatformObject) -> Result<(), BodyError> {
-    let record = read_record(object)?;
-    let mut table = node.suspects.lock();
-    table.apply_record(&record, object.revision, node.now());
-    Ok(())
-}
-
-fn read_record(object: &PlatformObject) -> Result<QuarantineRecord, BodyError> {
-    let stored: StoredQuarantine = RecordBody::read(object)?;
-    QuarantineRecord::try_from(stored).map_err(|error| BodyError(error.to_string()))
-}
-
-/// Writes quarantines that start or end to the store's record, until the worker pool stops.
-pub(crate) async fn keep_record(node: Arc<GatewayNode>) {
-    loop {
-        let changed = node.quarantine_changed.listen();
-        while has_news(&node) {
-            let is_leader = node.is_leading();
-            let written = change_record(&node, |record| {
-                let table = node.suspects.lock();
-                table.update_record(record, is_leader, unix_time_s())
-            });
-            if written.await {
-                break;
-            }
-            Timer::after(WRITE_PAUSE).await;
-        }
-        changed.await;
-    }
-}
-
-/// Whether this instance has changes for the record that it last read.
-fn has_news(node: &GatewayNode) -> bool {
-    let mut record = QuarantineRecord::default();
-    let known = node
-        .mirror
-        .lock()
-        .object(ObjectKind::Records, QuarantineRecord::NAME)
-        .and_then(|object| read_record(&object).ok());
-    record.requests = known.unwrap_or_default().requests;
-    let is_leader = node.is_leading();
-    let table = node.suspects.lock();
-    table.update_record(&mut record, is_leader, unix_time_s())
-}
-
-/// Counts a trial in the store's record; returns whether this instance may run it.
-async fn start_trial(node: &GatewayNode, identity: RequestIdentity, trial: u32) -> bool {
-    let mut is_started = false;
-    let written = change_record(node, |record| {
-        is_started = record.start_trial(identity, trial);
-        is_started
-    });
-    written.await && is_started
-}
-
-/// Changes the store's record if `change` says that there is something to change. Returns whether
-/// the store has the result.
-async fn change_record(
-    node: &GatewayNode,
-    mut change: impl FnMut(&mut QuarantineRecord) -> bool,
-) -> bool {
-    let (kind, name) = (ObjectKind::Records, QuarantineRecord::NAME);
-    let mut known = node.mirror.lock().object(kind, name);
-    for _ in 0..=MAX_CONFLICTS {
-        let mut record = match known.as_ref().map(read_record) {
-            Some(Ok(record)) => record,
-            // A record that cannot be read is replaced.
-            Some(Err(_)) | None => QuarantineRecord::default(),
-        };
-        if !change(&mut record) {
-            return true;
-        }
-        let Ok(spec) = RecordBody::write(&StoredQuarantine::from(&record)) else {
-            return false;
-        };
-        let written = match &known {
-            Some(object) => {
-                let revision = object.revision;
-                node.store.replace(kind, name, revision, &spec).await
-            }
-            None => node.store.create(kind, name, &spec).await,
-        };
-        match written {
-            Ok(WriteAnswer::Written(object)) => {
-                node.mirror.lock().insert(kind, object.clone());
-                let mut table = node.suspects.lock();
-                table.apply_record(&record, object.revision, node.now());
-                return true;
-            }
-            Ok(WriteAnswer::Conflict | WriteAnswer::Missing) => {}
-            _ => return false,
-        }
-        match node.store.read(kind, name).await {
-            Ok(object) => known = object,
-            Err(_) => return false,
-        }
-    }
-    false
-}
-
-fn unix_time_s() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |time| time.as_secs())
-}
-
 fn log_held(node: &GatewayNode, call: &CallerCall, pause: Duration) {
     if node.log.allow("held", node.now()) {
         let identity = call.identity();
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -1,9 +1,15 @@
 //! Keeps key records and instance records up to date with the store.
 
-use crate::{prelude::*, quarantine_worker};
+use crate::{prelude::*, quarantine_writer};
 
 /// Applies an update of the records.
 pub(crate) fn apply(node: &GatewayNode, update: StoreUpdate) {
+    if let StoreUpdate::List(page) = &update {
+        let mut objects = page.objects.iter();
+        if !objects.any(|object| object.name == QuarantineRecord::NAME) {
+            quarantine_writer::apply_missing_record(node, page.revision);
+        }
+    }
     let events = match update {
         StoreUpdate::List(page) => page
             .objects
@@ -28,9 +34,13 @@
         object.name.strip_prefix(InstanceRecord::PREFIX),
     ) {
         (Some(_), _) if event.is_removed => Ok(()),
-        (None, None) if object.name == QuarantineRecord::NAME => {
-            quarantine_worker::apply_record(node, object)
-        }
+        (None, None) if object.name == QuarantineRecord::NAME => match event.is_removed {
+            true => {
+                quarantine_writer::apply_missing_record(node, object.revision);
+                Ok(())
+            }
+            false => quarantine_writer::apply_record(node, object),
+        },
         (Some(service), _) => apply_key_record(node, service, object),
         (None, Some(name)) if event.is_removed => {
             let mut peers = node.peers.lock();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 mod move_step;
 mod order_health;
 mod planned_server;
+mod quarantine_merge;
 mod quarantine_record;
 mod quarantine_table;
 mod quota_client;
@@ -118,7 +119,7 @@
     pub(crate) use {
         crate::*,
         geraniummast_model::MonoTime,
-        indexmap::IndexMap,
+        indexmap::{IndexMap, IndexSet},
         serde::{Deserialize, Serialize},
         std::{
             collections::VecDeque,
--- a/crates/routing/src/quarantine_table.rs
+++ b/crates/routing/src/quarantine_table.rs
@@ -5,21 +5,24 @@
 //! a crash that several of them report counts once. After three crashes the request is
 //! quarantined: it is refused, except for trials, which get rarer. A server's answer to the
 //! request, at any instance, ends all suspicion. Quarantines and the number of their trials are
-//! also kept in the store, see [`QuarantineRecord`].
+//! also kept in the store, see [`QuarantineRecord`] and `quarantine_merge.rs`.
 
 use crate::{
     prelude::*,
-    suspect_entry::{CrashMark, QuarantineStage, SuspectEntry},
+    suspect_entry::{CrashMark, StageStorage, SuspectEntry},
 };
 
 /// Suspect and quarantined requests, as one instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct QuarantineTable {
-    entries: IndexMap<RequestIdentity, SuspectEntry>,
+    pub(crate) entries: IndexMap<RequestIdentity, SuspectEntry>,
     /// Quarantines that have ended but are still in the store's record, and whether this instance
     /// found that out.
-    lifted: IndexMap<RequestIdentity, bool>,
-    record_revision: StoreRevision,
+    pub(crate) lifted: IndexMap<RequestIdentity, bool>,
+    /// The latest quarantines that have ended and are no longer in the store's record.
+    pub(crate) ended: IndexSet<RequestIdentity>,
+    pub(crate) record_revision: StoreRevision,
+    pub(crate) is_restoring: bool,
 }
 
 /// What a report or a server's answer has changed.
@@ -123,7 +126,10 @@
                 self.lift(report.identity, false)
             }
             CrashVerdict::Crashed => match entry.quarantine_if_due(now) {
-                true => SuspectChange::Quarantined(entry.crashes()),
+                true => {
+                    self.ended.shift_remove(&report.identity);
+                    SuspectChange::Quarantined(entry.crashes())
+                }
                 false => SuspectChange::Marked(entry.crashes()),
             },
         }
@@ -147,7 +153,7 @@
             return SuspectChange::None;
         };
         let stage = entry.quarantine.take();
-        if stage.is_some_and(|stage| stage.is_stored) {
+        if stage.is_some_and(|stage| stage.storage != StageStorage::Pending) {
             *self.lifted.entry(identity).or_default() |= is_own;
         }
         SuspectChange::Cleared(stage.is_some())
@@ -174,81 +180,6 @@
         reports.into_iter().map(|(_, _, report)| report).collect()
     }
 
-    /// Takes over the store's record of `revision`, unless a newer one is known.
-    pub fn apply_record(
-        &mut self,
-        record: &QuarantineRecord,
-        revision: StoreRevision,
-        now: MonoTime,
-    ) {
-        if revision <= self.record_revision {
-            return;
-        }
-        self.record_revision = revision;
-        self.lifted
-            .retain(|identity, _| record.requests.contains_key(identity));
-        for (identity, stored) in &record.requests {
-            if self.lifted.contains_key(identity) {
-                continue;
-            }
-            let entry = self
-                .entries
-                .entry(*identity)
-                .or_insert_with(|| SuspectEntry::new(stored.target, stored.is_keyed));
-            let known = entry
-                .quarantine
-                .filter(|stage| stage.trials >= stored.trials);
-            entry.quarantine = Some(QuarantineStage {
-                trials: stored.trials,
-                since: known.map_or(now, |stage| stage.since),
-                is_stored: true,
-            });
-        }
-        for (identity, entry) in &mut self.entries {
-            let is_removed = entry.quarantine.is_some_and(|stage| stage.is_stored)
-                && !record.requests.contains_key(identity);
-            if is_removed {
-                entry.quarantine = None;
-                entry.set_verdict(CrashVerdict::Answered, now, |_, _| true);
-            }
-        }
-    }
-
-    /// Applies to `record` what this instance knows and the store does not; returns whether the
-    /// record changed. Instances apply what they found out themselves, and a leader all.
-    pub fn update_record(
-        &self,
-        record: &mut QuarantineRecord,
-        is_leader: bool,
-        now_s: u64,
-    ) -> bool {
-        let mut has_changed = false;
-        for (identity, is_own) in &self.lifted {
-            if *is_own || is_leader {
-                has_changed |= record.requests.shift_remove(identity).is_some();
-            }
-        }
-        for (identity, entry) in &self.entries {
-            let is_own = entry.marks.values().any(|mark| mark.is_own);
-            let is_new = entry.quarantine.is_some_and(|stage| !stage.is_stored)
-                && !record.requests.contains_key(identity);
-            if is_new && (is_own || is_leader) {
-                let request = QuarantinedRequest {
-                    target: entry.target,
-                    is_keyed: entry.is_keyed,
-                    trials: 0,
-                    added_s: now_s,
-                };
-                record.requests.insert(*identity, request);
-                has_changed = true;
-            }
-        }
-        if has_changed {
-            record.drop_expired(now_s);
-        }
-        has_changed
-    }
-
     /// Drops what is too old to count, and the least important requests of a full table.
     fn make_room(&mut self, now: MonoTime) {
         for entry in self.entries.values_mut() {
--- a/crates/routing/src/suspect_entry.rs
+++ b/crates/routing/src/suspect_entry.rs
@@ -46,8 +46,18 @@
     pub(crate) trials: u32,
     /// When this instance learnt of the quarantine or of its latest trial.
     pub(crate) since: MonoTime,
-    /// Whether the store's record contains it.
-    pub(crate) is_stored: bool,
+    pub(crate) storage: StageStorage,
+}
+
+/// Whether the store's record contains a quarantine and all of its trials.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StageStorage {
+    /// It has not been written yet.
+    Pending,
+    /// The record contains it.
+    Stored,
+    /// The store has lost it, or a trial of it, by a restore from an older copy.
+    Lost,
 }
 
 impl SuspectEntry {
@@ -122,7 +132,8 @@
         if let Some(stage) = &self.quarantine {
             let pause = self.trial_delay(stage.trials);
             let due_at = stage.since.after(pause);
-            return match now >= due_at && stage.is_stored {
+            let is_stored = stage.storage == StageStorage::Stored;
+            return match now >= due_at && is_stored {
                 true => RequestStanding::TrialDue(stage.trials),
                 false => RequestStanding::Held(due_at.since(now).max(Self::BUSY_PAUSE)),
             };
@@ -151,7 +162,9 @@
         now: MonoTime,
     ) -> impl Iterator<Item = (&IncarnationHash, &CrashMark)> {
         // Only the store tells instances that start of a quarantine.
-        let is_unstored = self.quarantine.is_some_and(|stage| !stage.is_stored);
+        let is_unstored = self
+            .quarantine
+            .is_some_and(|stage| stage.storage != StageStorage::Stored);
         let max = match self.crashes() {
             0 => 1,
             _ => Self::MAX_TOLD,
@@ -174,7 +187,7 @@
             self.quarantine = Some(QuarantineStage {
                 trials: 0,
                 since: now,
-                is_stored: false,
+                storage: StageStorage::Pending,
             });
         }
         is_due
@@ -190,7 +203,9 @@
 
     /// Whether nothing is left that needs this entry.
     pub(crate) fn is_empty(&self) -> bool {
-        let is_stored = self.quarantine.is_some_and(|stage| stage.is_stored);
-        self.marks.is_empty() && !is_stored && self.running == 0
+        let was_stored = self
+            .quarantine
+            .is_some_and(|stage| stage.storage != StageStorage::Pending);
+        self.marks.is_empty() && !was_stored && self.running == 0
     }
 }
