Simulate a store that comes back from an older copy

The simulation of the way of a change gets restores: numbers go back and are given out again, answers state the era, lost changes are written again. The checker judges by the content of the configuration and the servers instead of by revisions, which a restore gives out twice; that the revision of the configuration never goes back at an instance is still checked.

--- a/crates/gateway/src/change_path_tests/change_world.rs
+++ b/crates/gateway/src/change_path_tests/change_world.rs
@@ -5,7 +5,7 @@
     heartbeat_path::ReceivedHeartbeat,
     path_settings::PathSettings,
     simulated_instance::{SimulatedInstance, WorkerSlot, WorkerState},
-    simulated_store::{SimulatedStore, StoreAnswer, StoreQuestion},
+    simulated_store::{SimulatedStore, StoreAnswer, StoreQuestion, StoredChange},
     world_fault::WorldFault,
 };
 use crate::{feed_wire::FeedRequest, prelude::*};
@@ -42,7 +42,8 @@
     Call(StoreCall),
     /// The store answers a watch without changes.
     EndWatch(StoreCall),
-    Answer(StoreCall, Rc<StoreAnswer>),
+    /// An answer, and the era that it states.
+    Answer(StoreCall, u64, Rc<StoreAnswer>),
     /// A call gets no answer.
     GiveUp(StoreCall),
     /// An instance receives a request for updates.
@@ -53,6 +54,8 @@
     Heartbeat(usize, Rc<Option<ReceivedHeartbeat>>),
     /// The store is changed.
     Change,
+    /// The operator or a server writes again what the store has lost.
+    Rewrite(Rc<StoredChange>),
     Fault(WorldFault),
     /// A process starts again with nothing.
     Restart(usize),
@@ -80,6 +83,10 @@
     pub(super) crowded_until: MonoTime,
     pub(super) busy_until: MonoTime,
     pub(super) largest_heartbeat: usize,
+    /// Number of the last write of the operator or a server, which its content names.
+    pub(super) last_write: u64,
+    /// Number of the last write of each object.
+    pub(super) writes: IndexMap<String, u64>,
 }
 
 impl ChangeWorld {
@@ -108,11 +115,16 @@
             crowded_until: MonoTime::default(),
             busy_until: MonoTime::default(),
             largest_heartbeat: 0,
+            last_write: 0,
+            writes: IndexMap::new(),
         };
         world.fill_store();
         for index in 0..world.settings.instances {
-            let mut instance =
-                SimulatedInstance::start(Self::record(index, 1), MonoTime::default());
+            let mut instance = SimulatedInstance::start(
+                Self::record(index, 1),
+                world.settings.guards,
+                MonoTime::default(),
+            );
             instance.settle(&world.store, world.now);
             if instance.is_leading() {
                 instance.confirmed_at = Some(world.now);
@@ -207,7 +219,7 @@
         match event {
             WorldEvent::Wake(turn) | WorldEvent::CheckWatch(turn) => Some(turn.instance),
             WorldEvent::Reply(turn, ..) => Some(turn.instance),
-            WorldEvent::Answer(call, _) | WorldEvent::GiveUp(call) => Some(call.from.instance),
+            WorldEvent::Answer(call, ..) | WorldEvent::GiveUp(call) => Some(call.from.instance),
             WorldEvent::Request(_, _, instance, _) | WorldEvent::Heartbeat(instance, _) => {
                 Some(*instance)
             }
@@ -228,7 +240,7 @@
             WorldEvent::Wake(_) | WorldEvent::CheckWatch(_) => {}
             WorldEvent::Call(call) => self.receive_call(call),
             WorldEvent::EndWatch(call) => self.end_watch(&call),
-            WorldEvent::Answer(call, answer) => self.receive_answer(&call, &answer),
+            WorldEvent::Answer(call, era, answer) => self.receive_answer(&call, era, &answer),
             WorldEvent::GiveUp(call) => self.give_up(&call),
             WorldEvent::Request(turn, asked_at, to, request) => {
                 self.serve_request(turn, asked_at, to, &request);
@@ -238,6 +250,7 @@
             }
             WorldEvent::Heartbeat(to, heartbeat) => self.receive_heartbeat(to, &heartbeat),
             WorldEvent::Change => self.change_store(),
+            WorldEvent::Rewrite(write) => self.rewrite(&write),
             WorldEvent::Fault(fault) => self.cause(fault),
             WorldEvent::Restart(instance) => self.restart(instance),
             WorldEvent::CheckChange(change) => self.check_change(change),
--- a/crates/gateway/src/change_path_tests/deployment_setup.rs
+++ b/crates/gateway/src/change_path_tests/deployment_setup.rs
@@ -29,7 +29,8 @@
             let record = Self::record(index, 1);
             let name = format!("{}{}", InstanceRecord::PREFIX, record.name);
             let spec = RecordBody::write(&record).unwrap();
-            self.store.change(ObjectKind::Records, &name, Some(&spec));
+            self.store
+                .change(ObjectKind::Records, &name, Some(&spec), 0, self.now);
         }
         let leader = LeaderRecord {
             instance: Self::record(0, 1).name,
@@ -38,16 +39,18 @@
         };
         let spec = RecordBody::write(&leader).unwrap();
         let name = Self::key_record_name();
-        self.store.change(ObjectKind::Records, &name, Some(&spec));
+        self.store
+            .change(ObjectKind::Records, &name, Some(&spec), 0, self.now);
         for number in 0..20 {
-            let spec = serde_json::json!({ "draining": false });
+            let spec = serde_json::json!({ "draining": false, "write": 0 });
             let name = format!("server-{number}");
-            self.store.change(ObjectKind::Servers, &name, Some(&spec));
+            self.store
+                .change(ObjectKind::Servers, &name, Some(&spec), 0, self.now);
         }
-        let spec = serde_json::json!({ "version": 1 });
+        let spec = serde_json::json!({ "write": 0 });
         let name = ObjectKind::CONFIGURATION_NAME;
         self.store
-            .change(ObjectKind::Configuration, name, Some(&spec));
+            .change(ObjectKind::Configuration, name, Some(&spec), 0, self.now);
     }
 
     pub(super) fn key_record_name() -> String {
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -2,6 +2,7 @@
 
 use super::{
     change_world::{ChangeWorld, WorkerTurn, WorldEvent},
+    era_steps,
     simulated_instance::{WorkerSlot, WorkerState},
 };
 use crate::{
@@ -65,10 +66,14 @@
     fn request(&mut self, index: usize, slot: WorkerSlot, to: usize) {
         let turn = self.next_turn(index, slot, WorkerState::Asking);
         let mirror = &self.instances[index].mirror;
-        let request = Rc::new(FeedRequest {
+        let mut request = FeedRequest {
             synced_revisions: mirror.synced_revisions(),
             latest_revisions: mirror.latest_revisions(),
-        });
+        };
+        if !self.settings.guards.feed_eras {
+            era_steps::forget_request_eras(&mut request);
+        }
+        let request = Rc::new(request);
         let no_reply = WorldEvent::Reply(turn, self.now, to, None);
         let timeout = match slot {
             WorkerSlot::Check => knowledge_worker::PEER_TIMEOUT,
@@ -92,10 +97,13 @@
         request: &FeedRequest,
     ) {
         let instance = &self.instances[to];
+        let era = instance.era.era();
+        let request = request.assume_era(era.number);
         let deltas = instance
             .mirror
             .deltas(request.synced_revisions, request.latest_revisions);
         let mut reply = FeedReplyWire::from(deltas);
+        reply.era = Some(era.into());
         reply.knowledge = Some(instance.knowledge.report(self.now).into());
         let frame = Rc::new(prost::Message::encode_to_vec(&reply));
         if !self.is_cut(turn.instance, to) {
@@ -148,9 +156,14 @@
     fn apply_reply(&mut self, index: usize, frame: &[u8], asked_at: MonoTime) -> Option<bool> {
         let wire = <FeedReplyWire as prost::Message>::decode(frame).ok()?;
         let report = wire.knowledge.map(KnowledgeReport::from);
+        self.learn_era(index, wire.era.map(StoreEra::from));
         let deltas = <Vec<MirrorDelta>>::try_from(wire).ok()?;
         let (mut changed, mut is_incomplete) = (false, false);
-        for delta in deltas {
+        for mut delta in deltas {
+            if !self.settings.guards.feed_eras {
+                era_steps::forget_delta_eras(&mut delta);
+            }
+            delta.assume_era(self.instances[index].era.era().number);
             let kind = delta.kind;
             match self.instances[index].mirror.take_over(delta) {
                 DeltaOutcome::Update(update) => {
--- a/crates/gateway/src/change_path_tests/heartbeat_load.rs
+++ b/crates/gateway/src/change_path_tests/heartbeat_load.rs
@@ -36,8 +36,8 @@
         });
         heartbeat.record_updates.push(RecordUpdate {
             service: SimulatedInstance::SERVICE.into(),
-            base_revision: (*base_revision).into(),
-            revision: (*revision).into(),
+            base_revision: *base_revision,
+            revision: *revision,
             delta: RecordDelta {
                 moves: moves.collect(),
                 ..RecordDelta::default()
--- a/crates/gateway/src/change_path_tests/heartbeat_path.rs
+++ b/crates/gateway/src/change_path_tests/heartbeat_path.rs
@@ -2,7 +2,7 @@
 
 use super::{
     change_world::{ChangeWorld, WorldEvent},
-    heartbeat_load,
+    era_steps, heartbeat_load,
     simulated_instance::{SimulatedInstance, WorkerSlot, WorkerState},
 };
 use crate::{
@@ -37,6 +37,7 @@
             store_lost: instance.health.is_unavailable(),
             store_unstable: instance.health.is_unstable(now),
             revisions: instance.mirror.latest_revisions(),
+            era: Some(instance.era.era()),
             sent_at: now.after(instance.clock_offset),
             knowledge: Some(instance.knowledge.report(now)),
             live_count: instance.peers.live_count(now),
@@ -156,16 +157,21 @@
     pub(super) fn receive_heartbeat(&mut self, to: usize, received: &Option<ReceivedHeartbeat>) {
         let (now, guards) = (self.now, self.settings.guards);
         let Some(received) = received else { return };
-        let heartbeat = &received.heartbeat;
+        let mut heartbeat = received.heartbeat.clone();
+        self.learn_era(to, heartbeat.era);
+        heartbeat.record_updates.clone_from(&received.updates);
+        if !guards.feed_eras {
+            era_steps::forget_eras(&mut heartbeat);
+        }
         let instance = &mut self.instances[to];
-        for update in &received.updates {
-            instance.apply_record_update(update, now);
+        heartbeat.assume_era(instance.era.era().number);
+        for update in std::mem::take(&mut heartbeat.record_updates) {
+            instance.apply_record_update(&update, now);
         }
         let report = heartbeat.knowledge.map(|report| KnowledgeReport {
             hops: if guards.hops { report.hops } else { 0 },
             ..report
         });
-        let mut heartbeat = heartbeat.clone();
         if !guards.peer_clock {
             heartbeat.sent_at = MonoTime::default();
         }
--- a/crates/gateway/src/change_path_tests/knowledge_steps.rs
+++ b/crates/gateway/src/change_path_tests/knowledge_steps.rs
@@ -21,7 +21,7 @@
 /// Question for the changes of a kind after those that are known.
 fn question(kind: ObjectKind, known: StoreRevision, wait: Duration) -> StoreQuestion {
     match known {
-        StoreRevision::ZERO => StoreQuestion::List(kind),
+        StoreRevision::ZERO => StoreQuestion::List { kind, known },
         after => StoreQuestion::Watch { kind, after, wait },
     }
 }
@@ -60,7 +60,7 @@
         }
         match known == StoreRevision::ZERO || simulated.must_list[position_of(kind)] {
             true => {
-                let list = StoreQuestion::List(kind);
+                let list = StoreQuestion::List { kind, known };
                 self.call(instance, slot, WorkerState::Calling, list);
             }
             false => {
@@ -160,9 +160,8 @@
     fn fetch_next(&mut self, instance: usize) {
         let simulated = &mut self.instances[instance];
         let Some(kind) = simulated.check.kinds.first() else {
-            simulated
-                .knowledge
-                .record_complete(simulated.check.revision.into());
+            let revision = simulated.covered(simulated.check.revision);
+            simulated.knowledge.record_complete(revision);
             if simulated.check.has_changed {
                 self.restart_watches(instance);
             }
@@ -194,7 +193,8 @@
         };
         let kind = self.instances[instance].check.kinds[0];
         if let StoreAnswer::Compacted = answer {
-            let list = StoreQuestion::List(kind);
+            let known = self.instances[instance].mirror.synced_revisions()[position_of(kind)];
+            let list = StoreQuestion::List { kind, known };
             self.call(instance, WorkerSlot::Check, WorkerState::Calling, list);
             return;
         }
@@ -215,12 +215,13 @@
         simulated.check.kinds.remove(0);
         if is_first {
             simulated.check.revision = revision;
+            let covered = simulated.covered(revision);
             if !has_coverage {
-                simulated.knowledge.record_complete(revision);
+                simulated.knowledge.record_complete(covered);
             }
             simulated
                 .knowledge
-                .observe(simulated.check.asked_at, revision);
+                .observe(simulated.check.asked_at, covered);
             self.confirm_lead(instance);
             self.instances[instance].check.kinds =
                 vec![ObjectKind::Servers, ObjectKind::Configuration];
@@ -229,7 +230,8 @@
         let revision = simulated.check.revision;
         let synced = simulated.mirror.synced_revisions();
         while let Some(kind) = simulated.check.kinds.first()
-            && store_check::is_known(&simulated.knowledge, synced, *kind, revision.into())
+            && (simulated.knowledge.covers(simulated.covered(revision))
+                || store_check::is_known(&simulated.knowledge, synced, *kind, revision))
         {
             simulated.check.kinds.remove(0);
         }
--- a/crates/gateway/src/change_path_tests/leader_steps.rs
+++ b/crates/gateway/src/change_path_tests/leader_steps.rs
@@ -69,8 +69,9 @@
                     simulated.published.push((base, object.revision, now));
                 }
                 simulated.adopt(record, object.revision, now);
-                simulated.knowledge.record_change(object.revision);
-                simulated.knowledge.observe(call.began_at, object.revision);
+                let covered = simulated.covered(object.revision);
+                simulated.knowledge.record_change(covered);
+                simulated.knowledge.observe(call.began_at, covered);
                 if simulated.is_leading() {
                     simulated.confirmed_at = Some(call.began_at);
                 }
--- a/crates/gateway/src/change_path_tests/mod.rs
+++ b/crates/gateway/src/change_path_tests/mod.rs
@@ -9,12 +9,16 @@
 mod change_checker;
 mod change_world;
 mod deployment_setup;
+mod era_steps;
 mod feed_path;
 mod heartbeat_load;
 mod heartbeat_path;
+mod instance_updates;
 mod knowledge_steps;
 mod leader_steps;
 mod path_settings;
+mod restore_fault;
+mod restore_tests;
 mod simulated_instance;
 mod simulated_store;
 mod store_path;
--- a/crates/gateway/src/change_path_tests/path_settings.rs
+++ b/crates/gateway/src/change_path_tests/path_settings.rs
@@ -1,7 +1,8 @@
 //! Size, duration and faults of one simulated run.
 
-use super::world_fault::WorldFault;
+use super::world_fault::{FaultTarget, WorldFault};
 use crate::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 /// Parameters of a run.
 #[derive(Clone, Debug)]
@@ -32,6 +33,16 @@
     pub(super) hops: bool,
     /// Whether the store's revision only counts if all changes up to it are known.
     pub(super) coverage: bool,
+    /// Whether the era is a part of each revision. Without it, only a list that goes back shows that
+    /// the store was restored.
+    pub(super) eras: bool,
+    /// Whether no watch goes on across eras.
+    pub(super) watch_eras: bool,
+    /// Whether instances tell each other the eras of revisions. Without that, those that are told are
+    /// taken to be of the receiver's era.
+    pub(super) feed_eras: bool,
+    /// Whether revisions of an earlier era say nothing about which changes are known.
+    pub(super) coverage_eras: bool,
 }
 
 impl PathGuards {
@@ -40,7 +51,16 @@
         peer_clock: true,
         hops: true,
         coverage: true,
+        eras: true,
+        watch_eras: true,
+        feed_eras: true,
+        coverage_eras: true,
     };
+
+    /// Whether all parts that take revisions for those of an era are in place.
+    pub(super) fn has_eras(self) -> bool {
+        self.eras && self.watch_eras && self.feed_eras && self.coverage_eras
+    }
 }
 
 impl PathSettings {
@@ -67,4 +87,43 @@
             ..Self::calm(seed, instances)
         }
     }
+
+    /// A run in which the store comes back from an older copy, once or twice, beside other faults.
+    pub(super) fn restored(seed: u64, instances: usize) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut time = |shortest: u64, longest: u64| {
+            Duration::from_millis(rng.random_range(shortest..longest))
+        };
+        let (first, second) = (time(6_000, 9_000), time(200, 5_000));
+        let restore = |age, outage| WorldFault::Restore(age, outage);
+        let mut script = vec![(first, restore(time(500, 6_000), time(0, 1_500)))];
+        let configured = (0..4).map(|_| first + time(0, 2_000));
+        script.extend(configured.map(|at| (at - Duration::from_secs(1), WorldFault::Configure)));
+        let moves = WorldFault::MoveKeys(time(1_000, 4_000));
+        let lost = WorldFault::Kill(FaultTarget::Leader, time(200, 1_500));
+        let beside = [
+            (first - Duration::from_secs(3), moves),
+            (first + second, restore(time(500, 6_000), time(0, 1_500))),
+            (first + time(0, 2_000) - Duration::from_secs(1), lost),
+            (
+                first + time(0, 500),
+                WorldFault::RefuseInstances(0.4, time(500, 4_000)),
+            ),
+        ];
+        script.extend(beside.into_iter().filter(|_| rng.random_bool(0.4)));
+        for (_, fault) in &mut script {
+            if let WorldFault::Restore(_, outage) = fault
+                && rng.random_bool(0.5)
+            {
+                *outage = Duration::ZERO;
+            }
+        }
+        Self {
+            duration: Duration::from_secs(22),
+            faults: 4,
+            changes: 16,
+            script,
+            ..Self::calm(seed, instances)
+        }
+    }
 }
--- a/crates/gateway/src/change_path_tests/simulated_instance.rs
+++ b/crates/gateway/src/change_path_tests/simulated_instance.rs
@@ -1,9 +1,10 @@
 //! One instance: the product's types with which it decides, and where each of its workers stands.
 
-use super::simulated_store::SimulatedStore;
-use crate::{
-    knowledge_worker, object_watcher, peer_heartbeat::RecordUpdate, prelude::*, update_router,
+use super::{
+    path_settings::PathGuards,
+    simulated_store::{SimulatedStore, StoreAnswer},
 };
+use crate::{knowledge_worker, object_watcher, prelude::*};
 
 /// Work that an instance does in a loop of its own, one call or pause at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,10 +63,16 @@
 /// State of one instance.
 pub(super) struct SimulatedInstance {
     pub(super) record: InstanceRecord,
+    pub(super) guards: PathGuards,
     pub(super) mirror: ObjectMirror,
     pub(super) peers: PeerTable,
     pub(super) knowledge: KnowledgeAge,
     pub(super) health: StoreHealth,
+    pub(super) era: EraTracker,
+    /// Last era of the store of which the instance has lists.
+    pub(super) listed_era: u64,
+    /// Number of the write of the configuration in force.
+    pub(super) configuration: Option<u64>,
     pub(super) started_at: MonoTime,
     pub(super) is_seed_reachable: bool,
     pub(super) leader: Option<(LeaderRecord, StoreRevision)>,
@@ -95,6 +102,8 @@
     pub(super) calls_lost_at: MonoTime,
     pub(super) suspended_until: MonoTime,
     pub(super) cut_until: MonoTime,
+    /// The store refuses the calls of this instance until then.
+    pub(super) refused_until: MonoTime,
     /// Difference between this instance's clock and the simulation's.
     pub(super) clock_offset: Duration,
 }
@@ -106,16 +115,20 @@
     const STARTUP_TIME: Duration = Duration::from_millis(2_500);
 
     /// A process that has just started.
-    pub(super) fn start(record: InstanceRecord, now: MonoTime) -> Self {
+    pub(super) fn start(record: InstanceRecord, guards: PathGuards, now: MonoTime) -> Self {
         let mut peers = PeerTable::default();
         peers.init(&record.name, &record.data_centre, now);
         Self {
             clock_offset: Duration::from_micros(record.incarnation * 7_919_000),
             record,
+            guards,
             mirror: ObjectMirror::default(),
             peers,
             knowledge: KnowledgeAge::default(),
             health: StoreHealth::default(),
+            era: EraTracker::default(),
+            listed_era: 1,
+            configuration: None,
             started_at: now,
             is_seed_reachable: false,
             leader: None,
@@ -138,16 +151,24 @@
             calls_lost_at: MonoTime::default(),
             suspended_until: MonoTime::default(),
             cut_until: MonoTime::default(),
+            refused_until: MonoTime::default(),
         }
     }
 
     /// Gives the instance all objects of the store, as after a long calm time.
     pub(super) fn settle(&mut self, store: &SimulatedStore, now: MonoTime) {
-        for (kind, page) in store.pages() {
-            self.apply(kind, &StoreUpdate::List(page), true, now);
+        if self.guards.eras {
+            self.era.observe(EraNotice::Stated(store.era), now, now);
         }
-        self.knowledge.record_complete(store.revision.into());
-        self.knowledge.observe(now, store.revision.into());
+        let era = self.era.era().number;
+        for (kind, answer) in store.pages() {
+            if let StoreAnswer::List(page) = answer.in_era(era) {
+                self.apply(kind, &StoreUpdate::List(page), true, now);
+            }
+        }
+        let revision = self.covered(StoreRevision::new(era, store.revision.number));
+        self.knowledge.record_complete(revision);
+        self.knowledge.observe(now, revision);
     }
 
     pub(super) fn own_incarnation(&self) -> InstanceIncarnation {
@@ -208,75 +229,4 @@
                 .leader_view(Self::SERVICE, &leader, since, &own, now),
         )
     }
-
-    /// Applies an update as `update_router` does. Returns whether there was anything new.
-    pub(super) fn apply(
-        &mut self,
-        kind: ObjectKind,
-        update: &StoreUpdate,
-        is_from_store: bool,
-        now: MonoTime,
-    ) -> bool {
-        let before = self.mirror.latest_revisions();
-        self.mirror.apply(kind, update);
-        if is_from_store {
-            update_router::record_revisions(&mut self.knowledge, update);
-        }
-        if kind == ObjectKind::Records {
-            match update {
-                StoreUpdate::List(page) => page
-                    .objects
-                    .iter()
-                    .for_each(|object| self.apply_record(object, false, now)),
-                StoreUpdate::Changes(changes) => changes
-                    .events
-                    .iter()
-                    .for_each(|event| self.apply_record(&event.object, event.is_removed, now)),
-            }
-        }
-        before != self.mirror.latest_revisions()
-    }
-
-    fn apply_record(&mut self, object: &PlatformObject, is_removed: bool, now: MonoTime) {
-        if object.name.starts_with(KeyView::PREFIX) {
-            let record: LeaderRecord = RecordBody::read(object).unwrap();
-            self.adopt(record, object.revision, now);
-        } else if let (Some(name), true) =
-            (object.name.strip_prefix(InstanceRecord::PREFIX), is_removed)
-        {
-            self.peers.remove(name);
-        } else if let Ok(record) = RecordBody::read::<InstanceRecord>(object) {
-            self.peers.insert(record, object.revision, now);
-        }
-    }
-
-    /// Adopts a key record that is newer than the known one.
-    pub(super) fn adopt(&mut self, record: LeaderRecord, revision: StoreRevision, now: MonoTime) {
-        let known = self.leader.as_ref();
-        if known.is_some_and(|(_, known)| *known >= revision) {
-            return;
-        }
-        if known.map(|(leader, _)| leader.term) != Some(record.term) {
-            self.led_since = now;
-            self.confirmed_at = None;
-        }
-        self.leader = Some((record, revision));
-    }
-
-    /// Applies a change of the key record that a heartbeat tells.
-    pub(super) fn apply_record_update(&mut self, update: &RecordUpdate, now: MonoTime) {
-        let Some((leader, base)) = self.leader.clone() else {
-            return;
-        };
-        if base == update.base_revision {
-            let object = PlatformObject {
-                name: format!("{}{}", KeyView::PREFIX, Self::SERVICE),
-                revision: update.revision,
-                spec: RecordBody::write(&leader).unwrap(),
-                status: serde_json::Value::Null,
-            };
-            self.mirror.insert(ObjectKind::Records, object);
-            self.adopt(leader, update.revision, now);
-        }
-    }
 }
--- a/crates/gateway/src/change_path_tests/store_path.rs
+++ b/crates/gateway/src/change_path_tests/store_path.rs
@@ -25,6 +25,16 @@
         question: StoreQuestion,
     ) {
         let from = self.next_turn(instance, slot, state);
+        if let Some(answer) = self.refusal(instance, &question) {
+            let call = StoreCall {
+                from,
+                question: Rc::new(question),
+                began_at: self.now,
+                is_void: false,
+            };
+            self.finish_call(&call, Some(&answer));
+            return;
+        }
         let is_void = self.instances[instance].take_idle(self.now);
         // Reads over a kept connection are given up early.
         let is_read = question.wait() < ObjectClient::REUSED_TIMEOUT;
@@ -39,7 +49,8 @@
             began_at: self.now,
             is_void,
         };
-        if self.store_refuses_until > self.now {
+        let is_refused = self.instances[instance].refused_until > self.now;
+        if is_refused || self.store_refuses_until > self.now {
             let transit = self.transit();
             self.checker.record_call(self.now);
             self.schedule_in(transit, WorldEvent::GiveUp(call));
@@ -67,8 +78,11 @@
 
     pub(super) fn receive_call(&mut self, call: StoreCall) {
         self.checker.record_call(self.now);
+        if let StoreQuestion::List { .. } = *call.question {
+            self.checker.record_list(self.now);
+        }
         let before = self.store.revision;
-        match self.store.answer(&call.question) {
+        match self.store.answer(&call.question, self.now) {
             Some(answer) => self.answer(&call, answer),
             None => {
                 let wait = call.question.wait();
@@ -84,14 +98,15 @@
     fn answer(&mut self, call: &StoreCall, answer: StoreAnswer) {
         if self.instances[call.from.instance].cut_until <= self.now {
             let transit = self.transit();
-            self.schedule_in(transit, WorldEvent::Answer(call.clone(), Rc::new(answer)));
+            let answer = WorldEvent::Answer(call.clone(), self.store.era, Rc::new(answer));
+            self.schedule_in(transit, answer);
         }
     }
 
     /// Answers the open watches that the last change ends.
     pub(super) fn answer_watches(&mut self) {
         for call in std::mem::take(&mut self.open_watches) {
-            match self.store.answer(&call.question) {
+            match self.store.answer_watch(&call.question) {
                 Some(answer) => self.answer(&call, answer),
                 None => self.open_watches.push(call),
             }
@@ -113,7 +128,7 @@
         }
     }
 
-    pub(super) fn receive_answer(&mut self, call: &StoreCall, answer: &StoreAnswer) {
+    pub(super) fn receive_answer(&mut self, call: &StoreCall, stated: u64, answer: &StoreAnswer) {
         if !self.is_current(call.from) {
             return;
         }
@@ -130,7 +145,8 @@
         if std::mem::take(&mut instance.failures) > 0 {
             self.restart_watches(call.from.instance);
         }
-        self.finish_call(call, Some(answer));
+        let answer = self.read_answer(call, stated, answer);
+        self.finish_call(call, answer.as_ref());
     }
 
     pub(super) fn give_up(&mut self, call: &StoreCall) {
@@ -145,12 +161,15 @@
         self.finish_call(call, None);
     }
 
-    fn finish_call(&mut self, call: &StoreCall, answer: Option<&StoreAnswer>) {
+    pub(super) fn finish_call(&mut self, call: &StoreCall, answer: Option<&StoreAnswer>) {
         let (instance, slot) = (call.from.instance, call.from.slot);
         if !self.is_current(call.from) {
             // The answer has itself restarted this watch.
             return;
         }
+        if let Some(answer) = answer {
+            self.instances[instance].forget_if_restored(&call.question, answer);
+        }
         match slot {
             WorkerSlot::WatchServers
             | WorkerSlot::WatchConfiguration
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -35,6 +35,10 @@
     Suspend(FaultTarget, Duration),
     Kill(FaultTarget, Duration),
     Compact,
+    /// The store comes back from its copy of this time ago, after refusing calls for the second time.
+    Restore(Duration, Duration),
+    /// The store refuses the calls of this share of the instances.
+    RefuseInstances(f64, Duration),
     /// A change of the configuration, at a time that is not drawn.
     Configure,
 }
@@ -127,12 +131,21 @@
                 let incarnation = self.instances[index].record.incarnation + 1;
                 let (record, at) = (Self::record(index, incarnation), now.after(span));
                 let cut_until = self.instances[index].cut_until;
-                self.instances[index] = SimulatedInstance::start(record, at);
+                self.instances[index] = SimulatedInstance::start(record, self.settings.guards, at);
                 self.instances[index].cut_until = cut_until;
                 self.disturb(index, at);
                 self.schedule(at, WorldEvent::Restart(index));
             }
             WorldFault::Compact => self.store.compact(),
+            WorldFault::Restore(age, outage) => self.restore_store(age, outage),
+            WorldFault::RefuseInstances(share, span) => {
+                for index in 0..self.instances.len() {
+                    if self.rng.random_bool(share) {
+                        self.instances[index].refused_until = now.after(span);
+                        self.disturb(index, now.after(span));
+                    }
+                }
+            }
             WorldFault::Configure => self.configure(),
         }
     }
@@ -182,25 +195,39 @@
     /// Makes one change of the configuration or of a server.
     pub(super) fn change_store(&mut self) {
         let name = format!("server-{}", self.rng.random_range(0..24));
-        let spec = |draining: bool| serde_json::json!({ "draining": draining });
+        let write = self.last_write + 1;
+        let spec = |draining: bool| serde_json::json!({ "draining": draining, "write": write });
         match self.rng.random_range(0..8) {
             0..4 => self.configure(),
-            4 | 5 => self.write(ObjectKind::Servers, &name, Some(&spec(true))),
-            6 => self.write(ObjectKind::Servers, &name, Some(&spec(false))),
+            4 | 5 => self.write_new(ObjectKind::Servers, &name, Some(&spec(true))),
+            6 => self.write_new(ObjectKind::Servers, &name, Some(&spec(false))),
             _ if self.store.object(ObjectKind::Servers, &name).is_none() => {}
-            _ => self.write(ObjectKind::Servers, &name, None),
+            _ => self.write_new(ObjectKind::Servers, &name, None),
         }
     }
 
     fn configure(&mut self) {
-        let spec = serde_json::json!({ "version": self.store.revision.number });
+        let spec = serde_json::json!({ "write": self.last_write + 1 });
         let name = ObjectKind::CONFIGURATION_NAME;
-        self.write(ObjectKind::Configuration, name, Some(&spec));
+        self.write_new(ObjectKind::Configuration, name, Some(&spec));
+    }
+
+    /// Makes a change that its content names by the next number.
+    fn write_new(&mut self, kind: ObjectKind, name: &str, spec: Option<&serde_json::Value>) {
+        self.last_write += 1;
+        self.writes.insert(name.into(), self.last_write);
+        self.write(kind, name, spec, self.last_write);
     }
 
-    fn write(&mut self, kind: ObjectKind, name: &str, spec: Option<&serde_json::Value>) {
-        let object = self.store.change(kind, name, spec);
+    pub(super) fn write(
+        &mut self,
+        kind: ObjectKind,
+        name: &str,
+        spec: Option<&serde_json::Value>,
+        write: u64,
+    ) {
+        self.store.change(kind, name, spec, write, self.now);
         self.answer_watches();
-        self.record_change(kind, &object, spec.is_none());
+        self.record_change(kind, name, write, spec.is_none());
     }
 }
