--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,8 @@
 mod feed_replies_tests;
 mod feed_server;
 mod feed_wire;
+#[cfg(test)]
+mod former_wire_tests;
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
