Let a list void the record of removals before it

A mirror that lists the objects has never seen those which came and went since its last state, so its record of removals is not complete up to the list. An instance that knew such an object and asked for removals kept it for good. A removal that is told late no longer lowers the revision from which the record counts as complete.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,8 @@
 mod local_response;
 mod metric_names;
 mod mirror_delta;
+#[cfg(test)]
+mod mirror_era_tests;
 mod move_planner;
 mod node_keys;
 mod node_servers;
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -53,7 +53,8 @@
         if self.removed.len() > Self::MAX_REMOVED
             && let Some((dropped, _)) = self.removed.pop_front()
         {
-            self.removals_known_after = dropped;
+            // A late answer may tell of an earlier removal.
+            self.removals_known_after = self.removals_known_after.max(dropped);
         }
     }
 
@@ -75,20 +76,10 @@
                 objects.insert(name.clone(), object.clone());
             }
         }
-        let is_first = self
-            .synced_revision
-            .is_none_or(|synced| synced.era < page.revision.era);
-        if is_first {
-            // What others know of an earlier era may have come later than what was known here.
-            self.removals_known_after = page.revision;
-            self.removed.clear();
-        }
-        let before = std::mem::replace(&mut self.objects, objects);
-        for name in before.into_keys() {
-            if !self.objects.contains_key(&name) {
-                self.record_removal(page.revision, name);
-            }
-        }
+        // Objects that came and went before the list were never known here.
+        self.removals_known_after = page.revision;
+        self.removed.clear();
+        self.objects = objects;
         self.synced_revision = Some(page.revision);
         self.latest_revision = self.latest_revision.max(page.revision);
     }
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -233,3 +233,35 @@
     assert_eq!(content(&receiver), content(&source));
     assert_eq!(receiver.synced_revisions(), source.synced_revisions());
 }
+
+// Guards against a server that has left and stays known: one instance never knew it, as it listed
+// the objects later, and another one that did asks it for removals.
+#[test]
+fn object_that_came_and_went_before_a_list_is_removed_by_its_delta() {
+    let (mut source, mut receiver) = (synced_mirror(10), synced_mirror(10));
+    receiver.apply(KIND, &changes(12, vec![(object(2, 12), false)]));
+    source.apply(
+        KIND,
+        &StoreUpdate::List(ObjectPage {
+            objects: vec![object(1, 10)],
+            has_more: false,
+            revision: 14.into(),
+        }),
+    );
+    take_over(&source, &mut receiver);
+    assert_eq!(content(&receiver), content(&source));
+}
+
+// Guards against the same after so many removals that the record of an early one, which was told
+// late, is dropped last.
+#[test]
+fn early_removal_that_was_told_late_is_no_sign_of_a_complete_record() {
+    let (mut source, mut receiver) = (synced_mirror(40), synced_mirror(10));
+    receiver.apply(KIND, &changes(35, vec![(object(2, 35), false)]));
+    source.apply(KIND, &changes(33, vec![(object(3, 33), true)]));
+    for revision in 41..41 + 1_024 {
+        source.apply(KIND, &changes(revision, vec![(object(4, revision), true)]));
+    }
+    take_over(&source, &mut receiver);
+    assert_eq!(content(&receiver), content(&source));
+}
