--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,8 @@
 mod feed_replies_tests;
 mod feed_server;
 mod feed_wire;
+#[cfg(test)]
+mod former_wire_tests;
 mod gateway_node;
 mod gateway_process;
 mod gateway_settings;
@@ -59,6 +61,8 @@
 mod local_response;
 mod metric_names;
 mod mirror_delta;
+#[cfg(test)]
+mod mirror_era_tests;
 mod move_planner;
 mod node_keys;
 mod node_servers;
