--- a/crates/soak/src/guarantee_checker.rs
+++ b/crates/soak/src/guarantee_checker.rs
@@ -152,10 +152,16 @@
                 _ => continue,
             };
             let instance = call.instance;
-            if !self
-                .ledger
-                .is_undisturbed(instance, call.sent_at, call.ended_at)
-            {
+            // Requests without a key need no store.
+            let is_judged = match call.kind.is_keyed() {
+                true => self
+                    .ledger
+                    .is_undisturbed(instance, call.sent_at, call.ended_at),
+                false => self
+                    .ledger
+                    .is_instance_undisturbed(instance, call.sent_at, call.ended_at),
+            };
+            if !is_judged {
                 continue;
             }
             let waited = call.ended_at.since(call.sent_at);
--- a/crates/soak/src/guarantee_checker_tests.rs
+++ b/crates/soak/src/guarantee_checker_tests.rs
@@ -203,6 +203,8 @@
     );
     let disturbed = [planned, DisturbanceTarget::Instance(0)];
     assert_eq!(cut_after(300, closed(), &disturbed), none, "disturbed");
+    let store = [planned, DisturbanceTarget::Store];
+    assert_eq!(cut_after(300, closed(), &store), ["LOST"], "needs no store");
 }
 
 #[test]
