--- a/crates/routing/tests/restored_record.rs
+++ b/crates/routing/tests/restored_record.rs
@@ -241,6 +241,18 @@
     }
 }
 
+// Guards against fences and terms that are given out again where a copy is older than the restore before,
+// and the instance that takes over has missed some eras.
+#[test]
+fn fences_and_terms_are_raised_for_each_era_since_the_record() {
+    let mut leader = leader_of("i2");
+    leader.adopt(settled_record(Some(1)), revision(1, 41), at(1_000));
+    leader.learn_era(5);
+    let record = leader.takeover_record("s", Some(&settled_record(Some(1))));
+    assert!(record.last_fence > 4 * KeyRecord::LOST_FENCES);
+    assert!(record.term > 4 * KeyRecord::LOST_TERMS);
+}
+
 // Guards against a restore that costs more than it must: nobody leads by a lost takeover once all
 // instances follow.
 #[test]
