--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,9 @@
 //! with the other instances. Decisions are made in the `routing` crate; the `platform` crate
 //! translates the platform's formats.
 
+mod announcement_worker;
+#[cfg(test)]
+mod announcement_worker_tests;
 mod attempt_history;
 mod attempt_result;
 mod attempt_sender;
@@ -18,6 +21,8 @@
 #[cfg(test)]
 mod change_path_tests;
 mod configuration_worker;
+#[cfg(test)]
+mod configuration_worker_tests;
 mod discovery_worker;
 mod era_wire;
 mod era_worker;
@@ -87,9 +92,15 @@
 mod peer_watchers;
 mod peer_worker;
 mod quarantine_worker;
+mod quarantine_writer;
+#[cfg(test)]
+mod quarantine_writer_tests;
 mod quota_wire;
 mod quota_worker;
 mod reach_worker;
+mod record_restorer;
+#[cfg(test)]
+mod record_restorer_tests;
 mod record_update_wire;
 mod record_worker;
 mod record_writer;
@@ -101,6 +112,8 @@
 mod request_dispatch;
 mod request_handler;
 mod request_log;
+#[cfg(test)]
+mod restored_servers_tests;
 mod server_finder;
 mod server_lookup;
 #[cfg(test)]
--- a/crates/gateway/src/record_worker.rs
+++ b/crates/gateway/src/record_worker.rs
@@ -1,12 +1,15 @@
-//! Keeps key records and instance records up to date with the store, and announces this instance.
+//! Keeps key records and instance records up to date with the store.
 
-use crate::{prelude::*, quarantine_worker};
-
-/// Delay before a failed write of the instance record is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+use crate::{prelude::*, quarantine_writer};
 
 /// Applies an update of the records.
 pub(crate) fn apply(node: &GatewayNode, update: StoreUpdate) {
+    if let StoreUpdate::List(page) = &update {
+        let mut objects = page.objects.iter();
+        if !objects.any(|object| object.name == QuarantineRecord::NAME) {
+            quarantine_writer::apply_missing_record(node, page.revision);
+        }
+    }
     let events = match update {
         StoreUpdate::List(page) => page
             .objects
@@ -31,12 +34,17 @@
         object.name.strip_prefix(InstanceRecord::PREFIX),
     ) {
         (Some(_), _) if event.is_removed => Ok(()),
-        (None, None) if object.name == QuarantineRecord::NAME => {
-            quarantine_worker::apply_record(node, object)
-        }
+        (None, None) if object.name == QuarantineRecord::NAME => match event.is_removed {
+            true => {
+                quarantine_writer::apply_missing_record(node, object.revision);
+                Ok(())
+            }
+            false => quarantine_writer::apply_record(node, object),
+        },
         (Some(service), _) => apply_key_record(node, service, object),
         (None, Some(name)) if event.is_removed => {
-            node.peers.lock().remove(name);
+            let mut peers = node.peers.lock();
+            peers.remove(name, object.revision, node.now());
             Ok(())
         }
         (None, Some(_)) => apply_instance_record(node, object),
@@ -81,6 +89,7 @@
         .count();
     let adopted = node.with_key_view(service, |view| {
         let before = view.leader.record().map_or(0, |(record, _)| record.term);
+        view.leader.learn_era(node.store.era().number);
         let is_new = view.leader.adopt(record, revision, now);
         if is_new && before != term {
             view.led_since = now;
@@ -109,52 +118,3 @@
     peers.insert(record, object.revision, node.now());
     Ok(())
 }
-
-/// Writes this instance's record to the store, and retries until it succeeds.
-pub(crate) async fn announce(node: Arc<GatewayNode>) {
-    let record = InstanceRecord {
-        name: node.settings.name.clone(),
-        incarnation: node.own_incarnation.incarnation,
-        address: node.settings.peer_address,
-        feed_address: node.settings.feed_address,
-        relay_address: node.settings.relay_address,
-        data_centre: node.settings.data_centre.clone(),
-        processor_share: node.settings.processor_share,
-    };
-    let name = format!("{}{}", InstanceRecord::PREFIX, record.name);
-    let Ok(spec) = RecordBody::write(&record) else {
-        return;
-    };
-    loop {
-        match announce_once(&node, &name, &spec).await {
-            Ok(true) => return,
-            Ok(false) => {}
-            Err(error) => {
-                if node.log.allow("announce", node.now()) {
-                    log::warn!(cause = error.to_string().as_str(); "instance not announced yet");
-                }
-            }
-        }
-        Timer::after(RETRY_DELAY).await;
-    }
-}
-
-async fn announce_once(
-    node: &GatewayNode,
-    name: &str,
-    spec: &serde_json::Value,
-) -> Result<bool, StoreCallError> {
-    let kind = ObjectKind::Records;
-    let created = node.store.create(kind, name, spec).await?;
-    if let WriteAnswer::Written(_) = created {
-        return Ok(true);
-    }
-    let Some(object) = node.store.read(kind, name).await? else {
-        return Ok(false);
-    };
-    let replaced = node
-        .store
-        .replace(kind, name, object.revision, spec)
-        .await?;
-    Ok(matches!(replaced, WriteAnswer::Written(_)))
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_verdict;
 mod completion_rate;
 mod crash_window;
+mod era_census;
 mod era_tracker;
 mod former_leaders;
 mod grant_ledger;
@@ -17,6 +18,7 @@
 mod key_record;
 mod key_span;
 mod knowledge_age;
+mod known_server;
 mod leader_moves;
 mod leader_succession;
 mod leader_support;
@@ -27,6 +29,7 @@
 mod move_step;
 mod order_health;
 mod planned_server;
+mod quarantine_merge;
 mod quarantine_record;
 mod quarantine_table;
 mod quota_client;
@@ -34,9 +37,12 @@
 mod quota_message;
 mod range_tidying;
 mod record_delta;
+mod record_restore;
 mod request_identity;
 mod retry_budget;
 mod revision_coverage;
+mod roster_change;
+mod roster_row;
 mod route_rule;
 mod route_table;
 mod sample_window;
@@ -48,6 +54,7 @@
 mod server_selector;
 mod server_subset;
 mod service_config;
+mod settle_period;
 mod store_revision;
 mod stored_record;
 mod supporter_selection;
@@ -85,15 +92,17 @@
     quota_holder::QuotaHolder,
     quota_message::{QuotaAsk, QuotaGrant},
     record_delta::{RangeMove, RecordDelta},
+    record_restore::RestoreStep,
     request_identity::{RequestContent, RequestIdentity, TargetHash},
     retry_budget::RetryBudget,
+    roster_change::RosterChange,
     route_rule::{RouteRule, WeightedService},
     route_table::{RequestLimits, RouteTable},
     sample_window::SampleWindow,
     server_entry::{ServerEntry, ServerState},
     server_limit::{LimitChange, LimitNotice, LimitReport, ServerLimit},
     server_reach::{ReachChange, ReachFailure, ReachStep, ServerReach},
-    server_roster::{RosterChange, ServerRoster},
+    server_roster::ServerRoster,
     server_selector::{SelectionOutcome, ServerCandidate, ServerSelector},
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
     service_config::ServiceConfig,
@@ -113,7 +122,7 @@
     pub(crate) use {
         crate::*,
         geraniummast_model::MonoTime,
-        indexmap::IndexMap,
+        indexmap::{IndexMap, IndexSet},
         serde::{Deserialize, Serialize},
         std::{
             collections::VecDeque,
--- a/crates/soak/src/changes_beside.rs
+++ b/crates/soak/src/changes_beside.rs
@@ -13,11 +13,22 @@
     Cuts,
     /// Servers want no requests for some time, or say in their answers that they leave.
     Notices,
+    /// The store falls silent for a moment and comes back from an older copy.
+    Restored,
+    /// The store falls silent as beside `Restored`, and loses nothing.
+    Silences,
 }
 
 impl NewerKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Limits, Self::Poison, Self::Cuts, Self::Notices];
+    pub const ALL: [Self; 6] = [
+        Self::Limits,
+        Self::Poison,
+        Self::Cuts,
+        Self::Notices,
+        Self::Restored,
+        Self::Silences,
+    ];
 
     /// Returns the kind with a name.
     pub(crate) fn with_label(label: &str) -> Result<Self, String> {
@@ -32,6 +43,8 @@
             Self::Poison => "poison",
             Self::Cuts => "cuts",
             Self::Notices => "notices",
+            Self::Restored => "restored",
+            Self::Silences => "silences",
         }
     }
 }
@@ -71,6 +84,8 @@
             NewerKind::Poison => poison_requests(&mut rng, plan),
             NewerKind::Cuts => cuts(&mut rng, plan),
             NewerKind::Notices => notices(&mut rng, plan),
+            NewerKind::Restored => Self::restores(&mut rng, plan, Self::RESTORE_PAUSE_MS),
+            NewerKind::Silences => silences(Self::restores(&mut rng, plan, Self::RESTORE_PAUSE_MS)),
         });
         events.sort_by_key(|(at, _)| *at);
         events
@@ -185,3 +200,12 @@
     }
     events
 }
+
+/// The silences of the store's restores.
+fn silences(restores: Vec<(Duration, FaultEvent)>) -> Vec<(Duration, FaultEvent)> {
+    let without_restore = |(at, event)| match event {
+        FaultEvent::Restore(drill) => drill.silences(at),
+        other => vec![(at, other)],
+    };
+    restores.into_iter().flat_map(without_restore).collect()
+}
