--- a/crates/gateway/src/change_path_tests/change_checker.rs
+++ b/crates/gateway/src/change_path_tests/change_checker.rs
@@ -236,7 +236,7 @@
         let name = ObjectKind::CONFIGURATION_NAME;
         let object = simulated.mirror.object(ObjectKind::Configuration, name);
         // Without eras, revisions go back with the store.
-        let revision = object.filter(|_| self.settings.guards.has_eras());
+        let revision = object.filter(|_| simulated.guards.has_eras());
         let revision = revision.map_or(StoreRevision::ZERO, |object| object.revision);
         let write = simulated.configuration.unwrap_or_default();
         let process = (instance, simulated.record.incarnation);
--- a/crates/gateway/src/change_path_tests/change_world.rs
+++ b/crates/gateway/src/change_path_tests/change_world.rs
@@ -122,7 +122,7 @@
         for index in 0..world.settings.instances {
             let mut instance = SimulatedInstance::start(
                 Self::record(index, 1),
-                world.settings.guards,
+                world.settings.guards_of(index),
                 MonoTime::default(),
             );
             instance.settle(&world.store, world.now);
--- a/crates/gateway/src/change_path_tests/era_steps.rs
+++ b/crates/gateway/src/change_path_tests/era_steps.rs
@@ -16,7 +16,7 @@
 impl ChangeWorld {
     /// Answer to a question that an instance does not send, as its revision is of another era.
     pub(super) fn refusal(&self, index: usize, question: &StoreQuestion) -> Option<StoreAnswer> {
-        let guards = self.settings.guards;
+        let guards = self.instances[index].guards;
         let is_watch = matches!(question, StoreQuestion::Watch { .. });
         match is_watch && !guards.watch_eras {
             true => None,
@@ -32,7 +32,7 @@
         answer: &StoreAnswer,
     ) -> Option<StoreAnswer> {
         let index = call.from.instance;
-        let notice = match self.settings.guards.eras {
+        let notice = match self.instances[index].guards.eras {
             true => EraNotice::Stated(stated),
             false => EraNotice::Missing,
         };
@@ -52,7 +52,7 @@
 
     /// Takes over the era that another instance tells.
     pub(super) fn learn_era(&mut self, index: usize, era: Option<StoreEra>) {
-        let Some(era) = era.filter(|_| self.settings.guards.eras) else {
+        let Some(era) = era.filter(|_| self.instances[index].guards.eras) else {
             return;
         };
         let now = self.now;
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -70,7 +70,7 @@
             synced_revisions: mirror.synced_revisions(),
             latest_revisions: mirror.latest_revisions(),
         };
-        if !self.settings.guards.feed_eras {
+        if !self.instances[index].guards.feed_eras {
             era_steps::forget_request_eras(&mut request);
         }
         let request = Rc::new(request);
@@ -98,6 +98,10 @@
     ) {
         let instance = &self.instances[to];
         let era = instance.era.era();
+        let mut request = *request;
+        if !instance.guards.feed_eras {
+            era_steps::forget_request_eras(&mut request);
+        }
         let request = request.assume_era(era.number);
         let deltas = instance
             .mirror
@@ -160,7 +164,7 @@
         let deltas = <Vec<MirrorDelta>>::try_from(wire).ok()?;
         let (mut changed, mut is_incomplete) = (false, false);
         for mut delta in deltas {
-            if !self.settings.guards.feed_eras {
+            if !self.instances[index].guards.feed_eras {
                 era_steps::forget_delta_eras(&mut delta);
             }
             delta.assume_era(self.instances[index].era.era().number);
--- a/crates/gateway/src/change_path_tests/heartbeat_path.rs
+++ b/crates/gateway/src/change_path_tests/heartbeat_path.rs
@@ -160,7 +160,7 @@
         let mut heartbeat = received.heartbeat.clone();
         self.learn_era(to, heartbeat.era);
         heartbeat.record_updates.clone_from(&received.updates);
-        if !guards.feed_eras {
+        if !self.instances[to].guards.feed_eras {
             era_steps::forget_eras(&mut heartbeat);
         }
         let instance = &mut self.instances[to];
--- a/crates/gateway/src/change_path_tests/path_settings.rs
+++ b/crates/gateway/src/change_path_tests/path_settings.rs
@@ -19,6 +19,8 @@
     /// Shortest time that a heartbeat takes.
     pub(super) heartbeat_transit: Duration,
     pub(super) guards: PathGuards,
+    /// Whether every other instance is of a build that knows of no eras.
+    pub(super) has_former_builds: bool,
 }
 
 /// Parts of the product that a run can leave out, so that the checker has to miss them.
@@ -75,6 +77,19 @@
             script: Vec::new(),
             heartbeat_transit: Duration::from_micros(200),
             guards: PathGuards::ALL,
+            has_former_builds: false,
+        }
+    }
+
+    /// Parts of the product that an instance has.
+    pub(super) fn guards_of(&self, index: usize) -> PathGuards {
+        match self.has_former_builds && index % 2 == 1 {
+            true => PathGuards {
+                eras: false,
+                feed_eras: false,
+                ..self.guards
+            },
+            false => self.guards,
         }
     }
 
--- a/crates/gateway/src/change_path_tests/restore_tests.rs
+++ b/crates/gateway/src/change_path_tests/restore_tests.rs
@@ -137,6 +137,17 @@
     assert!(!run(false).is_empty());
 }
 
+// Guards against an upgrade during which instances of the two builds take each other's revisions for
+// later or earlier than they are.
+#[test]
+fn changes_are_in_force_in_time_beside_instances_that_know_of_no_eras() {
+    let found = violations(8, |seed| PathSettings {
+        has_former_builds: true,
+        ..PathSettings::disturbed(seed, 8)
+    });
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
 // Guards against all instances listing the store when it begins a new era: the leader and two
 // watchers list each kind once, the leader's check may have listed them before, and the others are
 // told. After a time away, other watchers and checks may join them.
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -131,7 +131,8 @@
                 let incarnation = self.instances[index].record.incarnation + 1;
                 let (record, at) = (Self::record(index, incarnation), now.after(span));
                 let cut_until = self.instances[index].cut_until;
-                self.instances[index] = SimulatedInstance::start(record, self.settings.guards, at);
+                let guards = self.settings.guards_of(index);
+                self.instances[index] = SimulatedInstance::start(record, guards, at);
                 self.instances[index].cut_until = cut_until;
                 self.disturb(index, at);
                 self.schedule(at, WorldEvent::Restart(index));
