--- a/crates/soak/src/key_recovery.rs
+++ b/crates/soak/src/key_recovery.rs
@@ -57,7 +57,8 @@
     }
 }
 
-/// Measures how long after a restore of the store keys are without a holder, until the next restore.
+/// Measures how long keys are without a holder after a restore of the store, until the next restore;
+/// a planned move of a key is without one for some milliseconds.
 pub(crate) async fn watch_restore(world: Arc<SoakWorld>) {
     /// Time within which all keys are held again; longer than any grant.
     const PERIOD: Duration = Duration::from_secs(10);
@@ -66,14 +67,17 @@
     let (restored_at, restored_in) = (SteadyClock.now(), era());
     let keys: Vec<u16> = KeyRecovery::sampled_keys().collect();
     let mut times = vec![Duration::ZERO; keys.len()];
+    let mut last = restored_at;
     loop {
-        let elapsed = SteadyClock.now().since(restored_at);
-        if elapsed > PERIOD || era() != restored_in {
+        let now = SteadyClock.now();
+        if now.since(restored_at) > PERIOD || era() != restored_in {
             break;
         }
+        let step = now.since(last);
+        last = now;
         for (time, is_held) in times.iter_mut().zip(world.ledger.are_held(&keys)) {
             if !is_held {
-                *time = elapsed;
+                *time += step;
             }
         }
         Timer::after(STEP).await;
--- a/crates/soak/src/soak_arguments.rs
+++ b/crates/soak/src/soak_arguments.rs
@@ -34,8 +34,8 @@
   --servers N     servers in each of the two main services, 6 by default
   --seconds S     duration of the fault injection in seconds, 12 by default
   --crashes       crash servers only, to measure when their keys are granted again
-  --restores      restore the store from older copies only, to measure when all keys are
-                  served again
+  --restores      restore the store from older copies only, to measure for how long keys are
+                  without a holder
   --beside-restores
                   random faults beside restores of the store from older copies
   --changes-beside KIND
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -15,8 +15,7 @@
     pub(crate) violations: Mutex<Vec<String>>,
     /// Limits that servers named.
     pub(crate) limits: Mutex<Vec<LimitPeriod>>,
-    /// Times from a restore of the store until sampled keys were held again, zero for those that
-    /// were held all the while.
+    /// Times for which sampled keys were without a holder after a restore of the store.
     pub(crate) restore_times: Mutex<Vec<Duration>>,
     /// Crashes by poison requests, each with the number of the request.
     pub(crate) poison_crashes: Mutex<Vec<(usize, MonoTime)>>,
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -22,7 +22,7 @@
     pub violations: Vec<String>,
     /// Times until sampled keys of crashed servers were granted again.
     pub recovery_times: Vec<Duration>,
-    /// Times from restores of the store until sampled keys were held again.
+    /// Times for which sampled keys were without a holder after restores of the store.
     pub restore_times: Vec<Duration>,
     /// Injected faults with their times, for the analysis of a violation.
     pub schedule: Vec<String>,
@@ -78,7 +78,7 @@
         println!("keys of crashed servers granted again: {times}");
     }
     if let Some(times) = RecoveryTimes::of(restore_times) {
-        println!("keys held again after restores of the store: {times}");
+        println!("keys without a holder after restores of the store: {times}");
     }
     println!(
         "{} seeds run, {} with violated guarantees: {failed_seeds:?}",
