Show what makes servers that leave get requests too late at 295 instances

Cause, by a play with more log lines: an instance that hears of a change from another counts the server as leaving from then, and has 0.4 s for all steps. And an instance that always learns of the next change counts as lagging, watches the store for itself, and tells all others what it has learnt, which then lag in turn.

--- a/crates/gateway/src/heartbeat_targets_tests.rs
+++ b/crates/gateway/src/heartbeat_targets_tests.rs
@@ -22,6 +22,11 @@
 /// Number of receivers of a heartbeat of instance `a1`, one of 41, with these revisions, while it hears
 /// a leader that has assigned `watchers`.
 fn receivers(watchers: &[&str], revisions: [u64; 3]) -> usize {
+    receivers_of_lagging(watchers, revisions, Duration::ZERO)
+}
+
+/// The same for an instance that has lagged behind others for `lag`.
+fn receivers_of_lagging(watchers: &[&str], revisions: [u64; 3], lag: Duration) -> usize {
     let node = test_node::build();
     let now = node.now();
     let mut peers = PeerTable::default();
@@ -49,6 +54,18 @@
         },
         now,
     );
+    if !lag.is_zero() {
+        peers.apply_heartbeat(
+            PeerHeartbeat {
+                instance: "p1".into(),
+                incarnation: 1,
+                revisions: revisions.map(|revision| revision + 1),
+                ..PeerHeartbeat::default()
+            },
+            now,
+        );
+        peers.newer_source(revisions, None, now.before(lag));
+    }
     let leader = InstanceIncarnation {
         instance: "p0".into(),
         incarnation: 1,
@@ -76,3 +93,13 @@
     assert_eq!(receivers(&["a1", "p3"], [5, 5, 5]), 1);
     assert_eq!(receivers(&["p2", "p3"], [6, 5, 5]), 1, "fed by others");
 }
+
+// Guards against the square of 300 heartbeats for each change of servers: instances that lagged behind
+// watched the store for themselves, and told all others what they had learnt.
+#[test]
+#[ignore = "known red"]
+fn instance_that_lags_behind_tells_its_leader_only() {
+    let lag = Duration::from_secs(2);
+    assert_eq!(receivers_of_lagging(&["p2", "p3"], [6, 5, 5], lag), 1);
+    assert_eq!(receivers_of_lagging(&["a1", "p3"], [6, 5, 5], lag), 40);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -130,6 +130,8 @@
 mod unexpected_error_tests;
 mod update_router;
 #[cfg(test)]
+mod update_router_tests;
+#[cfg(test)]
 mod wire_decoding_tests;
 
 pub use {gateway_process::run, gateway_settings::GatewaySettings};
