Count eras from one, bound what is taken for one, and follow rises after a fall

Such a leader takes over after two now; an unknown former leader counts for as long as it can go on unheard; and a first record at a start has no unknown leader unless the instance has seen the restore.

--- a/crates/gateway/src/announcement_worker.rs
+++ b/crates/gateway/src/announcement_worker.rs
@@ -29,7 +29,7 @@
     };
     let mut announced_in = write(&node, &spec, None).await;
     loop {
-        let begun = node.store.era_begun.listen();
+        let begun = node.store.eras.begun.listen();
         match next_step(&node, announced_in) {
             AnnouncementStep::Rest => begun.await,
             AnnouncementStep::Check => {
--- a/crates/gateway/src/era_worker.rs
+++ b/crates/gateway/src/era_worker.rs
@@ -8,7 +8,7 @@
 /// Follows the eras until the worker pool stops.
 pub(crate) async fn follow(node: Arc<GatewayNode>) {
     loop {
-        node.store.era_begun.listen().await;
+        node.store.eras.begun.listen().await;
         log_known(&node);
         node.heartbeat_due.notify(usize::MAX);
         node.keys_changed.notify(usize::MAX);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 #[cfg(test)]
 mod configuration_worker_tests;
 mod discovery_worker;
+mod era_watch;
 mod era_wire;
 mod era_worker;
 mod feed_client;
--- a/crates/gateway/src/object_client.rs
+++ b/crates/gateway/src/object_client.rs
@@ -1,15 +1,13 @@
 //! Client of the platform's object store.
 
-use crate::prelude::*;
+use crate::{era_watch::EraWatch, prelude::*};
 
 /// Client of the store at one address, which tracks the store's availability.
 pub(crate) struct ObjectClient {
     http: HttpClient,
     clock: SteadyClock,
     pub(crate) health: StoreHealth,
-    era: StateMutex<EraTracker>,
-    /// Notified when a new era begins, as an answer of the store or another instance tells.
-    pub(crate) era_begun: Event,
+    pub(crate) eras: EraWatch,
 }
 
 /// Reason why a store call gave no result.
@@ -37,8 +35,7 @@
             http: HttpClient::new(pool, TcpDialer::direct(), address),
             clock: SteadyClock,
             health: StoreHealth::default(),
-            era: StateMutex::default(),
-            era_begun: Event::new(),
+            eras: EraWatch::default(),
         }
     }
 
@@ -205,7 +202,7 @@
         match result {
             Ok(response) => {
                 let notice = EraHeader::read(response.headers());
-                match self.observe_era(kind, notice, asked_at) {
+                match self.eras.observe(kind, notice, asked_at, now) {
                     EraVerdict::Current | EraVerdict::Begun { .. } => {
                         Ok((response, self.era().number))
                     }
@@ -223,55 +220,12 @@
 
     /// Era of the store that is in force.
     pub(crate) fn era(&self) -> StoreEra {
-        self.era.lock().era()
+        self.eras.era()
     }
 
     /// Takes over the era that another instance knows, if it is later.
     pub(crate) fn learn_era(&self, era: StoreEra) {
-        let Some(before) = self.era.lock().learn(era, self.clock.now()) else {
-            return;
-        };
-        self.record_begin("peer", before);
-    }
-
-    /// Takes note of the era that an answer states.
-    fn observe_era(&self, call: &'static str, notice: EraNotice, asked_at: MonoTime) -> EraVerdict {
-        let verdict = self.era.lock().observe(notice, asked_at, self.clock.now());
-        let StoreEra {
-            number: era,
-            stated,
-        } = self.era();
-        let kind = match (notice, verdict) {
-            (EraNotice::Malformed, _) => {
-                log::warn!(call, era; "store states an era that cannot be read");
-                "malformed"
-            }
-            (_, EraVerdict::Begun { before }) => {
-                self.record_begin(call, before);
-                return verdict;
-            }
-            (_, EraVerdict::Stale) => {
-                log::warn!(call, era, stated; "answer of the store is of another era");
-                "stale"
-            }
-            (_, EraVerdict::Current) => return verdict,
-        };
-        metrics::counter!(STORE_ERAS, "kind" => kind).increment(1);
-        verdict
-    }
-
-    /// Logs and counts the beginning of an era, unless it is the first one that is known.
-    fn record_begin(&self, call: &'static str, before: StoreEra) {
-        if before != StoreEra::default() {
-            let StoreEra {
-                number: era,
-                stated,
-            } = self.era();
-            let before = before.number;
-            log::warn!(call, before, era, stated; "store has begun a new era");
-            metrics::counter!(STORE_ERAS, "kind" => "begun").increment(1);
-        }
-        self.era_begun.notify(usize::MAX);
+        self.eras.learn(era, self.clock.now());
     }
 }
 
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -125,7 +125,7 @@
         let maybe_stale = future::or(
             node.watch_restart_due.listen(),
             future::or(node.store.health.wait_recovery(), async {
-                node.store.era_begun.listen().await;
+                node.store.eras.begun.listen().await;
             }),
         );
         future::or(maybe_stale, wait_until_watch_not_needed(node)).await;
--- a/crates/gateway/src/record_restorer.rs
+++ b/crates/gateway/src/record_restorer.rs
@@ -85,7 +85,9 @@
 /// Records the end of an unknown former leader once the other instances follow this one.
 pub(crate) fn end_unknown_leader(node: &GatewayNode, service: &str) {
     let now = node.now();
-    let others = node.peers.lock().names_heard_within(PEER_WINDOW, now);
+    // A leader may go on for that time after it was heard last.
+    let window = GatewayNode::TIMING.authority;
+    let others = node.peers.lock().names_heard_within(window, now);
     node.with_key_view(service, |view| view.leader.end_unknown_leader(&others, now));
 }
 
--- a/crates/gateway/src/update_router.rs
+++ b/crates/gateway/src/update_router.rs
@@ -24,6 +24,10 @@
     }
 }
 
+/// Age of a change of which is only known that it came after what was known before; longer than any
+/// drain time.
+const MAX_CHANGE_AGE: Duration = Duration::from_secs(20);
+
 /// Applies an update of one kind.
 pub(crate) fn apply(
     node: &Arc<GatewayNode>,
@@ -40,7 +44,9 @@
     let now = node.now();
     // A change that a check finds, or that others may have learnt late, may be as old as the knowledge.
     let changed_at = match source {
-        UpdateSource::Check | UpdateSource::Peer => now.before(node.knowledge.lock().age(now)),
+        UpdateSource::Check | UpdateSource::Peer => {
+            now.before(node.knowledge.lock().age(now).min(MAX_CHANGE_AGE))
+        }
         UpdateSource::Store => now,
     };
     if source != UpdateSource::Peer {
--- a/crates/routing/src/era_tracker.rs
+++ b/crates/routing/src/era_tracker.rs
@@ -57,6 +57,8 @@
     /// Time without an answer of the era in force after which a number that is not higher begins
     /// the next era.
     pub const FALL_CONFIRMATION: Duration = Duration::from_secs(2);
+    /// Highest number that is taken over from another instance.
+    const MAX_NUMBER: u64 = 1 << 33;
 
     /// Era in force.
     pub fn era(&self) -> StoreEra {
@@ -72,7 +74,9 @@
             self.candidate = None;
             return EraVerdict::Current;
         }
-        let is_next = stated > self.known.number;
+        // After a fall, an answer that the present era has overtaken may state a higher number.
+        let is_counted = self.known.number == self.known.stated;
+        let is_next = stated > self.known.stated && (is_counted || asked_at >= self.since);
         let is_confirmed = match self.candidate {
             Some((number, first_at)) if number == stated => {
                 asked_at.since(first_at) >= Self::FALL_CONFIRMATION
@@ -99,7 +103,7 @@
 
     /// Takes over the era that another instance knows, if it is later; returns the one before.
     pub fn learn(&mut self, era: StoreEra, now: MonoTime) -> Option<StoreEra> {
-        if era.number <= self.known.number {
+        if era.number <= self.known.number || era.number > Self::MAX_NUMBER {
             return None;
         }
         let before = self.known;
--- a/crates/routing/src/record_restore.rs
+++ b/crates/routing/src/record_restore.rs
@@ -151,10 +151,13 @@
 impl KeyLeader {
     /// Time after which an instance has the answer to a write, or never takes it for the answer.
     const ANSWER_TIME: Duration = Duration::from_secs(1);
+    /// Time without enough support after which a leader takes over like any other instance.
+    const SUPPORT_LOSS_TIME: Duration = Duration::from_secs(2);
 
     /// Takes note of the era of the store. From now on no record of an earlier one is taken over.
     pub fn learn_era(&mut self, era: u64) {
         if era > self.era {
+            self.has_seen_restore |= self.era > 0;
             self.era = era;
             self.lost_write = None;
             self.census.begin_era();
@@ -203,7 +206,11 @@
         if !self.needs_restore() {
             return RestoreStep::NotNeeded;
         }
-        if self.confirmation_age(now) >= self.timing.authority {
+        // Supporters that are lost for good are replaced by a takeover only.
+        let supported_since = now.before(Self::SUPPORT_LOSS_TIME);
+        let has_lost_support = self.confirmation_age(now) >= Self::SUPPORT_LOSS_TIME
+            && !self.support.suffices(&record.supporters, supported_since);
+        if has_lost_support || self.confirmation_age(now) >= self.timing.authority {
             return RestoreStep::TakeOver;
         }
         if !self.has_authority(now) {
@@ -246,9 +253,11 @@
         let own = &self.own_incarnation;
         let Some(base) = known.or(stored) else {
             let mut record = KeyRecord::new(service, own.clone());
-            if self.era > 1 {
-                record.last_fence = (self.era - 1) * KeyRecord::LOST_FENCES;
-                record.term = (self.era - 1) * KeyRecord::LOST_TERMS;
+            // The record of an earlier era may be lost as a whole.
+            let earlier_eras = self.era.saturating_sub(1);
+            record.last_fence = earlier_eras * KeyRecord::LOST_FENCES;
+            record.term += earlier_eras * KeyRecord::LOST_TERMS;
+            if self.has_seen_restore {
                 record.add_lost_leader(&InstanceIncarnation::unknown());
             }
             return record;
--- a/crates/routing/tests/era_tracker.rs
+++ b/crates/routing/tests/era_tracker.rs
@@ -93,3 +93,29 @@
     assert_eq!(verdict, EraVerdict::Stale);
     assert_eq!(observe(&mut tracker, 5, 2_010), EraVerdict::Current);
 }
+
+// Guards against a store whose every later restore is taken for a fall once its number has fallen.
+#[test]
+fn number_that_rises_again_after_a_fall_begins_an_era_at_once() {
+    let mut tracker = tracker_of(12);
+    observe(&mut tracker, 2, 1_000);
+    observe(&mut tracker, 2, 4_000);
+    assert_eq!(tracker.era().number, 13);
+    let late = tracker.observe(EraNotice::Stated(12), at(3_900), at(4_100));
+    assert_eq!(late, EraVerdict::Stale);
+    let verdict = observe(&mut tracker, 3, 5_000);
+    assert!(matches!(verdict, EraVerdict::Begun { .. }), "{verdict:?}");
+    assert_eq!(tracker.era().number, 14);
+}
+
+// Guards against a number of another instance beyond which eras cannot be counted.
+#[test]
+fn absurd_era_of_another_instance_is_left_out() {
+    let mut tracker = tracker_of(4);
+    let era = StoreEra {
+        number: u64::MAX,
+        stated: u64::MAX,
+    };
+    assert_eq!(tracker.learn(era, at(2_000)), None);
+    assert_eq!(tracker.era().number, 4);
+}
--- a/crates/routing/tests/restored_record.rs
+++ b/crates/routing/tests/restored_record.rs
@@ -219,9 +219,8 @@
     let mut record = leader.takeover_record("s", Some(&settled_record(Some(1))));
     record.era = Some(2);
     assert!(record.term > KeyRecord::LOST_TERMS);
-    let former: Vec<&InstanceIncarnation> =
-        record.former.iter().map(|former| &former.leader).collect();
-    assert_eq!(former, [&instance("i1"), &InstanceIncarnation::unknown()]);
+    let leaders = record.former.iter().map(|former| &former.leader);
+    assert!(leaders.eq([&instance("i1"), &InstanceIncarnation::unknown()]));
     // The leader may have had other supporters since.
     assert!(
         record
@@ -242,16 +241,12 @@
         }
         let steps = leader.due_move_steps(at(2_000 + expiry + 10));
         assert_eq!(steps.len(), 2, "{name}");
-        assert!(
-            steps
-                .iter()
-                .all(|step| matches!(step, MoveStep::Grant { .. }))
-        );
+        let is_grant = |step: &MoveStep| matches!(step, MoveStep::Grant { .. });
+        assert!(steps.iter().all(is_grant));
     }
 }
 
-// Guards against fences and terms that are given out again where a copy is older than the restore before,
-// and the instance that takes over has missed some eras.
+// Guards against fences that are given out again since a copy is older than the restore before.
 #[test]
 fn fences_and_terms_are_raised_for_each_era_since_the_record() {
     let mut leader = leader_of("i2");
@@ -267,6 +262,7 @@
 #[test]
 fn unknown_leader_has_ended_once_all_others_follow() {
     let mut leader = leader_of("i2");
+    leader.learn_era(1);
     leader.learn_era(2);
     let mut record = leader.takeover_record("s", None);
     assert!(record.last_fence >= KeyRecord::LOST_FENCES);
