--- a/crates/routing/src/key_leader.rs
+++ b/crates/routing/src/key_leader.rs
@@ -29,8 +29,6 @@
     pub(crate) support: LeaderSupport,
     /// Era of the store that this instance knows, and what others have said since.
     pub(crate) era: u64,
-    /// Whether this instance has known an earlier era of the store too.
-    pub(crate) has_seen_restore: bool,
     pub(crate) census: EraCensus,
     /// Restored copy that the store has in place of the known record, and when it was first read.
     pub(crate) lost_write: Option<(StoreRevision, MonoTime)>,
@@ -63,7 +61,6 @@
             former: FormerLeaders::default(),
             support: LeaderSupport::default(),
             era: 0,
-            has_seen_restore: false,
             census: EraCensus::default(),
             lost_write: None,
         }
--- a/crates/routing/src/record_restore.rs
+++ b/crates/routing/src/record_restore.rs
@@ -157,7 +157,6 @@
     /// Takes note of the era of the store. From now on no record of an earlier one is taken over.
     pub fn learn_era(&mut self, era: u64) {
         if era > self.era {
-            self.has_seen_restore |= self.era > 0;
             self.era = era;
             self.lost_write = None;
             self.census.begin_era();
@@ -257,7 +256,7 @@
             let earlier_eras = self.era.saturating_sub(1);
             record.last_fence = earlier_eras * KeyRecord::LOST_FENCES;
             record.term += earlier_eras * KeyRecord::LOST_TERMS;
-            if self.has_seen_restore {
+            if earlier_eras > 0 {
                 record.add_lost_leader(&InstanceIncarnation::unknown());
             }
             return record;
--- a/crates/routing/tests/restored_record.rs
+++ b/crates/routing/tests/restored_record.rs
@@ -262,7 +262,6 @@
 #[test]
 fn unknown_leader_has_ended_once_all_others_follow() {
     let mut leader = leader_of("i2");
-    leader.learn_era(1);
     leader.learn_era(2);
     let mut record = leader.takeover_record("s", None);
     assert!(record.last_fence >= KeyRecord::LOST_FENCES);
