--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -97,7 +97,7 @@
         node.with_known_key_view(&status.service, |view| {
             let (leader, heard_at) = (&mut view.leader, status.leader_heard_at);
             leader.record_peer_term(&sender, status.term, heard_at, now);
-            leader.record_peer_word(&sender, era, status.term, heard_at, now);
+            leader.record_peer_report(&sender, era, status.term, heard_at, now);
         });
     }
     let (report, revisions) = (heartbeat.knowledge, heartbeat.revisions);
--- a/crates/gateway/src/record_restorer.rs
+++ b/crates/gateway/src/record_restorer.rs
@@ -7,7 +7,7 @@
 };
 
 /// Time for which other instances leave a record to its leader, as long as they hear it. Longer than
-/// the time after which it goes on without the word of a silent instance.
+/// the time after which it goes on without the report of a silent instance.
 pub(crate) const LEADER_TIME: Duration = Duration::from_secs(8);
 /// Time for which a silent instance may be a leader whose takeover the store has lost.
 pub(crate) const PEER_WINDOW: Duration = Duration::from_secs(6);
--- a/crates/routing/src/era_census.rs
+++ b/crates/routing/src/era_census.rs
@@ -12,12 +12,12 @@
     /// Incarnations that were heard before the present era was known.
     earlier: IndexMap<String, u64>,
     /// What was said together with the present era.
-    words: IndexMap<String, PeerWord>,
+    reports: IndexMap<String, PeerReport>,
 }
 
 /// What one instance has said in the present era.
 #[derive(Clone, Copy, Debug)]
-struct PeerWord {
+struct PeerReport {
     incarnation: u64,
     /// Highest term of the key record that it has told.
     term: u64,
@@ -26,7 +26,7 @@
     first_at: MonoTime,
 }
 
-/// Requirements that the words of the other instances have to meet.
+/// Requirements that the reports of the other instances have to meet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CensusQuestion<'a> {
     /// Names of the instances that must have spoken.
@@ -35,28 +35,28 @@
     pub(crate) term: u64,
     /// Time at which or after which they must have taken this instance for the leader, if any.
     pub(crate) heard_since: Option<MonoTime>,
-    /// Time from the first word of a new incarnation until the grants of its predecessor have
+    /// Time from the first report of a new incarnation until the grants of its predecessor have
     /// expired.
     pub(crate) max_validity: Duration,
 }
 
-/// What the words say about leaders that the store has lost.
+/// What the reports say about leaders that the store has lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CensusVerdict {
     /// Instances are missing that may lead by a later term.
     Incomplete,
     /// An instance knows a later term.
     LaterTerm,
-    /// None leads by a later term. `has_strangers`: the predecessor of some incarnation may have done
+    /// None leads by a later term. `has_restarted`: the predecessor of some incarnation may have done
     /// so, and moved keys, but its grants have expired.
-    Complete { has_strangers: bool },
+    Complete { has_restarted: bool },
 }
 
 impl EraCensus {
     /// Begins again for a new era.
     pub(crate) fn begin_era(&mut self) {
-        for (name, word) in self.words.drain(..) {
-            self.earlier.insert(name, word.incarnation);
+        for (name, report) in self.reports.drain(..) {
+            self.earlier.insert(name, report.incarnation);
         }
     }
 
@@ -67,52 +67,56 @@
     }
 
     /// Records the term that an instance told together with the present era.
-    pub(crate) fn record_word(
+    pub(crate) fn record_report(
         &mut self,
         peer: &InstanceIncarnation,
         term: u64,
         heard_at: Option<MonoTime>,
         now: MonoTime,
     ) {
-        match self.words.get_mut(&peer.instance) {
-            Some(word) if word.incarnation > peer.incarnation => {}
-            Some(word) if word.incarnation == peer.incarnation => {
-                word.term = word.term.max(term);
-                word.heard_at = word.heard_at.max(heard_at);
+        match self.reports.get_mut(&peer.instance) {
+            Some(report) if report.incarnation > peer.incarnation => {}
+            Some(report) if report.incarnation == peer.incarnation => {
+                report.term = report.term.max(term);
+                report.heard_at = report.heard_at.max(heard_at);
             }
             _ => {
-                let word = PeerWord {
+                let report = PeerReport {
                     incarnation: peer.incarnation,
                     term,
                     heard_at,
                     first_at: now,
                 };
-                self.words.insert(peer.instance.clone(), word);
+                self.reports.insert(peer.instance.clone(), report);
             }
         }
     }
 
     /// Whether one of the other instances may lead, or may have led, by a later term.
     pub(crate) fn verdict(&self, question: CensusQuestion, now: MonoTime) -> CensusVerdict {
-        if self.words.values().any(|word| word.term > question.term) {
+        if self
+            .reports
+            .values()
+            .any(|report| report.term > question.term)
+        {
             return CensusVerdict::LaterTerm;
         }
-        let mut has_strangers = false;
+        let mut has_restarted = false;
         for name in question.others {
-            let Some(word) = self.words.get(name) else {
+            let Some(report) = self.reports.get(name) else {
                 return CensusVerdict::Incomplete;
             };
-            if question.heard_since.is_some() && word.heard_at < question.heard_since {
+            if question.heard_since.is_some() && report.heard_at < question.heard_since {
                 return CensusVerdict::Incomplete;
             }
-            if self.earlier.get(name) != Some(&word.incarnation) {
-                has_strangers = true;
-                if now.since(word.first_at) < question.max_validity {
+            if self.earlier.get(name) != Some(&report.incarnation) {
+                has_restarted = true;
+                if now.since(report.first_at) < question.max_validity {
                     return CensusVerdict::Incomplete;
                 }
             }
         }
-        CensusVerdict::Complete { has_strangers }
+        CensusVerdict::Complete { has_restarted }
     }
 
     /// Whether all of these instances know the term, or a later one.
@@ -122,8 +126,8 @@
         term: u64,
     ) -> bool {
         names.all(|name| {
-            let word = self.words.get(name);
-            word.is_some_and(|word| word.term >= term)
+            let report = self.reports.get(name);
+            report.is_some_and(|report| report.term >= term)
         })
     }
 }
--- a/crates/routing/src/key_leader.rs
+++ b/crates/routing/src/key_leader.rs
@@ -31,7 +31,7 @@
     pub(crate) era: u64,
     pub(crate) census: EraCensus,
     /// Restored copy that the store has in place of the known record, and when it was first read.
-    pub(crate) lost_write: Option<(StoreRevision, MonoTime)>,
+    pub(crate) stored_copy: Option<(StoreRevision, MonoTime)>,
 }
 
 /// First key and fence, which identify a range for as long as it exists.
@@ -62,7 +62,7 @@
             support: LeaderSupport::default(),
             era: 0,
             census: EraCensus::default(),
-            lost_write: None,
+            stored_copy: None,
         }
     }
 
@@ -91,7 +91,7 @@
             self.record_restored_copy(revision, now);
             return false;
         }
-        self.lost_write = None;
+        self.stored_copy = None;
         let previous = self.known.replace(KnownRecord { record, revision });
         let was_leader = previous
             .as_ref()
--- a/crates/routing/src/record_restore.rs
+++ b/crates/routing/src/record_restore.rs
@@ -17,7 +17,7 @@
 //! live instance has told, after it knew the new era, a term that is not later (`EraCensus`): from
 //! then on an instance takes over no record of an earlier era, so none is or becomes a leader whose
 //! takeover was lost. An instance that has restarted meanwhile may have been one; its grants have
-//! expired some seconds after its first word, and the leader raises the fences of its own ranges above
+//! expired some seconds after its first report, and the leader raises the fences of its own ranges above
 //! any that it may have given out. Owners keep settled ranges; moves begin again.
 //!
 //! **Taken over** otherwise: the leader is lost or without authority, or instances are silent. Moves
@@ -158,14 +158,14 @@
     pub fn learn_era(&mut self, era: u64) {
         if era > self.era {
             self.era = era;
-            self.lost_write = None;
+            self.stored_copy = None;
             self.census.begin_era();
         }
     }
 
     /// Records the term that another instance told, and the era of the store that it knew. `heard_at`
     /// is as for [`Self::record_peer_term`].
-    pub fn record_peer_word(
+    pub fn record_peer_report(
         &mut self,
         peer: &InstanceIncarnation,
         era: u64,
@@ -174,7 +174,7 @@
         now: MonoTime,
     ) {
         match era >= self.era {
-            true => self.census.record_word(peer, term, heard_at, now),
+            true => self.census.record_report(peer, term, heard_at, now),
             false => self.census.record_earlier(peer),
         }
     }
@@ -185,14 +185,14 @@
             return false;
         };
         let is_copy = record.is_restored_copy(*revision, None);
-        is_copy || revision.era < self.era || self.lost_write.is_some()
+        is_copy || revision.era < self.era || self.stored_copy.is_some()
     }
 
     /// Takes note of a restored copy that the store has in place of the known record.
     pub(crate) fn record_restored_copy(&mut self, revision: StoreRevision, now: MonoTime) {
-        let is_new = self.lost_write.is_none_or(|(known, _)| known < revision);
+        let is_new = self.stored_copy.is_none_or(|(known, _)| known < revision);
         if revision.era == self.era && is_new {
-            self.lost_write = Some((revision, now));
+            self.stored_copy = Some((revision, now));
         }
     }
 
@@ -216,17 +216,17 @@
             return RestoreStep::Wait;
         }
         // Within one era an instance may not know of its takeover before it has the answer.
-        let lost_write = self.lost_write.filter(|_| revision.era == self.era);
+        let stored_copy = self.stored_copy.filter(|_| revision.era == self.era);
         let question = CensusQuestion {
             others,
             term: record.term,
-            heard_since: lost_write.map(|(_, at)| at.after(Self::ANSWER_TIME)),
+            heard_since: stored_copy.map(|(_, at)| at.after(Self::ANSWER_TIME)),
             max_validity: self.ledger.max_validity(),
         };
         match self.census.verdict(question, now) {
             CensusVerdict::Incomplete | CensusVerdict::LaterTerm => RestoreStep::Wait,
-            CensusVerdict::Complete { has_strangers } => RestoreStep::Rewrite {
-                raises_fences: has_strangers,
+            CensusVerdict::Complete { has_restarted } => RestoreStep::Rewrite {
+                raises_fences: has_restarted,
             },
         }
     }
--- a/crates/routing/tests/key_history/peer_heartbeats.rs
+++ b/crates/routing/tests/key_history/peer_heartbeats.rs
@@ -114,7 +114,7 @@
         instance
             .leader
             .record_peer_term(&heartbeat.sender, heartbeat.term, leader_heard_at, now);
-        instance.leader.record_peer_word(
+        instance.leader.record_peer_report(
             &heartbeat.sender,
             heartbeat.era,
             heartbeat.term,
--- a/crates/routing/tests/restored_record.rs
+++ b/crates/routing/tests/restored_record.rs
@@ -102,7 +102,7 @@
         leader.confirmation_age(at(2_300)),
         Duration::from_millis(300)
     );
-    // A word of before may be that of an instance that has taken over since.
+    // A report of before may be that of an instance that has taken over since.
     for (heard_at, step) in [
         (3_000, RestoreStep::Wait),
         (
@@ -114,7 +114,7 @@
     ] {
         for name in ["i2", "i3"] {
             let peer = instance(name);
-            leader.record_peer_word(&peer, 2, 1, Some(at(heard_at)), at(heard_at));
+            leader.record_peer_report(&peer, 2, 1, Some(at(heard_at)), at(heard_at));
         }
         assert_eq!(leader.restore_step(&others(), at(6_500)), step);
     }
@@ -147,13 +147,13 @@
 fn leader_that_all_others_follow_writes_its_record_again_and_renews_throughout() {
     let mut leader = confirmed_leader();
     for name in ["i2", "i3"] {
-        leader.record_peer_word(&instance(name), 1, 1, None, at(1_100));
+        leader.record_peer_report(&instance(name), 1, 1, None, at(1_100));
     }
     assert!(!leader.adopt(settled_record(Some(1)), revision(2, 7), at(1_500)));
     assert_eq!(leader.restore_step(&others(), at(1_500)), RestoreStep::Wait);
     assert_eq!(leader.due_renewals(at(1_500)).len(), 2);
     for name in ["i2", "i3"] {
-        leader.record_peer_word(&instance(name), 2, 1, None, at(1_600));
+        leader.record_peer_report(&instance(name), 2, 1, None, at(1_600));
     }
     let step = leader.restore_step(&others(), at(1_600));
     let raises_fences = false;
@@ -173,8 +173,8 @@
 fn leader_leaves_the_record_to_a_later_one_that_others_know() {
     let mut leader = confirmed_leader();
     leader.learn_era(2);
-    leader.record_peer_word(&instance("i2"), 2, 1, None, at(1_600));
-    leader.record_peer_word(&instance("i3"), 2, 2, None, at(1_600));
+    leader.record_peer_report(&instance("i2"), 2, 1, None, at(1_600));
+    leader.record_peer_report(&instance("i3"), 2, 2, None, at(1_600));
     assert_eq!(leader.restore_step(&others(), at(5_000)), RestoreStep::Wait);
     assert_eq!(
         leader.restore_step(&others(), at(13_100)),
@@ -187,15 +187,15 @@
 fn fences_are_raised_above_those_of_instances_that_have_restarted() {
     let mut leader = confirmed_leader();
     for name in ["i2", "i3"] {
-        leader.record_peer_word(&instance(name), 1, 1, None, at(1_100));
+        leader.record_peer_report(&instance(name), 1, 1, None, at(1_100));
     }
     leader.learn_era(2);
-    leader.record_peer_word(&instance("i2"), 2, 1, None, at(1_200));
+    leader.record_peer_report(&instance("i2"), 2, 1, None, at(1_200));
     let restarted = InstanceIncarnation {
         incarnation: 2,
         ..instance("i3")
     };
-    leader.record_peer_word(&restarted, 2, 0, None, at(1_200));
+    leader.record_peer_report(&restarted, 2, 0, None, at(1_200));
     assert_eq!(leader.restore_step(&others(), at(1_900)), RestoreStep::Wait);
     let raises_fences = true;
     assert_eq!(
@@ -271,12 +271,12 @@
     leader.adopt(record, revision(2, 8), at(2_000));
     leader.confirm_leadership(at(2_000));
     let others = others();
-    leader.record_peer_word(&instance("i1"), 2, term, None, at(2_100));
-    leader.record_peer_word(&instance("i3"), 1, term, None, at(2_100));
+    leader.record_peer_report(&instance("i1"), 2, term, None, at(2_100));
+    leader.record_peer_report(&instance("i3"), 1, term, None, at(2_100));
     let others: Vec<String> = [vec!["i1".into()], others[1..].to_vec()].concat();
     leader.end_unknown_leader(&others, at(2_200));
     assert_eq!(leader.active_former_leaders(at(2_200)).len(), 1);
-    leader.record_peer_word(&instance("i3"), 2, term, None, at(2_300));
+    leader.record_peer_report(&instance("i3"), 2, term, None, at(2_300));
     leader.end_unknown_leader(&others, at(2_300));
     assert_eq!(leader.active_former_leaders(at(2_300)), []);
     assert_eq!(leader.due_move_steps(at(4_580)), []);
