--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -86,6 +86,8 @@
 mod peer_helpers;
 mod peer_leaders;
 mod peer_positions;
+#[cfg(test)]
+mod peer_restore_tests;
 mod peer_state;
 mod peer_table;
 #[cfg(test)]
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -8,7 +8,7 @@
 
 const KNOWN: [StoreRevision; 3] = [StoreRevision { era: 0, number: 10 }; 3];
 
-fn table() -> PeerTable {
+pub(crate) fn table() -> PeerTable {
     let mut table = PeerTable::default();
     table.init("me", "a", MonoTime(0));
     for (number, name) in ["p1", "p2"].iter().enumerate() {
@@ -26,7 +26,7 @@
     table
 }
 
-fn heartbeat(name: &str, configuration: u64, is_leader: bool) -> PeerHeartbeat {
+pub(crate) fn heartbeat(name: &str, configuration: u64, is_leader: bool) -> PeerHeartbeat {
     PeerHeartbeat {
         instance: name.into(),
         incarnation: 1,
@@ -43,7 +43,7 @@
     }
 }
 
-fn at(millis: u64) -> MonoTime {
+pub(crate) fn at(millis: u64) -> MonoTime {
     MonoTime(millis * 1_000)
 }
 
@@ -300,49 +300,3 @@
     assert_eq!(table.live_count(at(6_010)), 1);
     assert!(table.should_watch(false, at(6_010)));
 }
-
-// Guards against a live instance that gives way to its own earlier process, or is left out, because of
-// the copy from which the store was restored.
-#[test]
-fn restored_records_do_not_replace_or_remove_a_later_incarnation_that_is_heard() {
-    let mut table = table();
-    let mut record = table.peers["p1"].record.clone();
-    record.incarnation = 5;
-    table.insert(record.clone(), StoreRevision::new(1, 90), at(900));
-    let heard = PeerHeartbeat {
-        incarnation: 5,
-        ..heartbeat("p1", 10, false)
-    };
-    table.apply_heartbeat(heard, at(1_000));
-    let copied = InstanceRecord {
-        incarnation: 1,
-        ..record.clone()
-    };
-    table.insert(copied, StoreRevision::new(2, 80), at(1_100));
-    assert_eq!(table.peers["p1"].record, record);
-    assert_eq!(table.peers["p1"].heartbeat.incarnation, 5);
-    table.remove("p1", StoreRevision::new(3, 70), at(1_200));
-    assert!(table.peers.contains_key("p1"));
-    // It has written its record again, which is then removed in the same era.
-    table.insert(record.clone(), StoreRevision::new(3, 71), at(1_300));
-    table.remove("p1", StoreRevision::new(3, 72), at(1_400));
-    assert!(!table.peers.contains_key("p1"));
-}
-
-// Guards against lost instances that stay known because the store was restored.
-#[test]
-fn instance_that_is_not_heard_is_removed_by_a_list_of_a_new_era_that_lacks_it() {
-    let mut table = table();
-    table.remove("p1", StoreRevision::new(2, 1), at(2_000));
-    assert!(!table.peers.contains_key("p1"));
-}
-
-// Guards against the record of a removed instance, back from a copy, that counts as a live one.
-#[test]
-fn instance_whose_record_is_back_and_that_is_not_heard_counts_as_lost() {
-    let mut table = table();
-    let record = table.peers["p1"].record.clone();
-    table.remove("p1", 10.into(), at(0));
-    table.insert(record, StoreRevision::new(2, 5), at(5_000));
-    assert_eq!(table.live_count(at(7_100)), 1);
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -61,6 +61,7 @@
 mod suspect_entry;
 mod suspect_report;
 mod typical_occupancy;
+mod unknown_incarnation;
 mod waiting_queue;
 mod watcher_selection;
 mod weighted_round_robin;
--- a/crates/routing/src/record_restore.rs
+++ b/crates/routing/src/record_restore.rs
@@ -55,36 +55,6 @@
     TakeOver,
 }
 
-impl ServerIncarnation {
-    /// Holder of a range that no record names any more.
-    pub fn unknown() -> Self {
-        Self {
-            id: String::new(),
-            born: 0,
-        }
-    }
-
-    /// Whether this stands for a holder that no record names any more.
-    pub fn is_unknown(&self) -> bool {
-        self.id.is_empty()
-    }
-}
-
-impl InstanceIncarnation {
-    /// Leader that no record names any more.
-    pub fn unknown() -> Self {
-        Self {
-            instance: String::new(),
-            incarnation: 0,
-        }
-    }
-
-    /// Whether this stands for a leader that no record names any more.
-    pub fn is_unknown(&self) -> bool {
-        self.instance.is_empty()
-    }
-}
-
 impl KeyRecord {
     /// Number of fences by which a record is raised for each era since it was written; a leader gives
     /// out a few hundred per second at most.
