--- a/crates/gateway/src/announcement_worker.rs
+++ b/crates/gateway/src/announcement_worker.rs
@@ -115,11 +115,11 @@
     if let WriteAnswer::Written(object) = first {
         return Ok(Some(object.revision.era));
     }
-    let created = match node.store.read(kind, &name).await? {
-        Some(object) => node.store.replace(kind, &name, object.revision, spec),
-        None => return Ok(None),
+    let Some(found) = node.store.read(kind, &name).await? else {
+        return Ok(None);
     };
-    match created.await? {
+    let replaced = node.store.replace(kind, &name, found.revision, spec);
+    match replaced.await? {
         WriteAnswer::Written(object) => Ok(Some(object.revision.era)),
         _ => Ok(None),
     }
--- a/crates/gateway/src/announcement_worker_tests.rs
+++ b/crates/gateway/src/announcement_worker_tests.rs
@@ -3,8 +3,8 @@
 use crate::{
     announcement_worker::{self, AnnouncementStep},
     prelude::*,
-    test_node, test_store,
-    update_router::{self, UpdateSource},
+    test_node, test_objects, test_store,
+    update_router::UpdateSource,
 };
 
 /// Incarnation of the test's instance.
@@ -29,18 +29,8 @@
 }
 
 fn list(node: &Arc<GatewayNode>, objects: Vec<PlatformObject>, revision: StoreRevision) {
-    let page = ObjectPage {
-        objects,
-        has_more: false,
-        revision,
-    };
-    let update = StoreUpdate::List(page);
-    update_router::apply(node, ObjectKind::Records, update, UpdateSource::Peer);
-}
-
-fn begin_era(node: &GatewayNode, number: u64) {
-    let stated = number;
-    node.store.learn_era(StoreEra { number, stated });
+    let kind = ObjectKind::Records;
+    test_objects::apply_list(node, kind, objects, revision, UpdateSource::Peer);
 }
 
 // Guards against an instance whose record stays lost, and against one that writes without need.
@@ -48,21 +38,21 @@
 fn record_is_written_again_if_the_records_of_the_new_era_lack_it() {
     let node = Arc::new(test_node::build());
     let step = |announced_in| announcement_worker::next_step(&node, announced_in);
-    begin_era(&node, 1);
+    test_objects::begin_era(&node, 1);
     list(&node, Vec::new(), StoreRevision::new(1, 9));
     let rest = AnnouncementStep::Rest;
     assert_eq!(step(1), rest, "its own list may be older than its record");
-    begin_era(&node, 2);
+    test_objects::begin_era(&node, 2);
     assert_eq!(step(1), AnnouncementStep::Check);
     list(&node, Vec::new(), StoreRevision::new(2, 7));
     assert_eq!(step(1), AnnouncementStep::Write(None));
     assert_eq!(step(2), rest, "it has been written in this era");
-    begin_era(&node, 3);
+    test_objects::begin_era(&node, 3);
     let copied = StoreRevision::new(3, 4);
     let earlier = own_object(OWN_INCARNATION - 1, copied);
     list(&node, vec![earlier], StoreRevision::new(3, 6));
     assert_eq!(step(2), AnnouncementStep::Write(Some(copied)));
-    begin_era(&node, 4);
+    test_objects::begin_era(&node, 4);
     let present = own_object(OWN_INCARNATION, StoreRevision::new(4, 4));
     list(&node, vec![present], StoreRevision::new(4, 5));
     assert_eq!(step(3), rest);
@@ -84,7 +74,7 @@
             }
             // The announcement takes note of the answer.
             Timer::after(Duration::from_millis(200)).await;
-            begin_era(&watched, 2);
+            test_objects::begin_era(&watched, 2);
             let kept = own_object(OWN_INCARNATION, StoreRevision::new(2, 5));
             let objects = if is_lost { Vec::new() } else { vec![kept] };
             list(&watched, objects, StoreRevision::new(2, 7));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -84,6 +84,8 @@
 mod peer_clock_tests;
 mod peer_heartbeat;
 mod peer_helpers;
+#[cfg(test)]
+mod peer_lag_tests;
 mod peer_leaders;
 mod peer_positions;
 #[cfg(test)]
@@ -149,6 +151,8 @@
 #[cfg(test)]
 mod test_node;
 #[cfg(test)]
+mod test_objects;
+#[cfg(test)]
 mod test_store;
 #[cfg(test)]
 mod unexpected_error_tests;
--- a/crates/gateway/src/quarantine_writer_tests.rs
+++ b/crates/gateway/src/quarantine_writer_tests.rs
@@ -1,9 +1,7 @@
 //! What becomes of quarantines when the store comes back from an older copy.
 
 use crate::{
-    prelude::*,
-    quarantine_writer, test_node, test_store,
-    update_router::{self, UpdateSource},
+    prelude::*, quarantine_writer, test_node, test_objects, test_store, update_router::UpdateSource,
 };
 
 const POISON: RequestIdentity = RequestIdentity(7);
@@ -26,18 +24,8 @@
 }
 
 fn list(node: &Arc<GatewayNode>, objects: Vec<PlatformObject>, revision: StoreRevision) {
-    let page = ObjectPage {
-        objects,
-        has_more: false,
-        revision,
-    };
-    let update = StoreUpdate::List(page);
-    update_router::apply(node, ObjectKind::Records, update, UpdateSource::Store);
-}
-
-fn begin_era(node: &GatewayNode, number: u64) {
-    let stated = number;
-    node.store.learn_era(StoreEra { number, stated });
+    let kind = ObjectKind::Records;
+    test_objects::apply_list(node, kind, objects, revision, UpdateSource::Store);
 }
 
 // Guards against quarantines and trials that are lost by a restore, at an instance that does not lead
@@ -51,9 +39,9 @@
         let again = record_object(2, at(2, 81));
         let address = test_store::start(vec![(status, again.to_value())]);
         let node = Arc::new(test_node::build_with_store(address));
-        begin_era(&node, 1);
+        test_objects::begin_era(&node, 1);
         list(&node, vec![record_object(2, at(1, 90))], at(1, 90));
-        begin_era(&node, 2);
+        test_objects::begin_era(&node, 2);
         list(&node, restored, at(2, 80));
         let standing = node.suspects.lock().standing(POISON, node.now());
         assert!(matches!(standing, RequestStanding::Held(_)), "{standing:?}");
--- a/crates/gateway/src/restored_servers_tests.rs
+++ b/crates/gateway/src/restored_servers_tests.rs
@@ -2,44 +2,24 @@
 
 use crate::{
     prelude::*,
-    server_notices, test_node,
+    server_notices, test_node, test_objects,
     update_router::{self, UpdateSource},
 };
 
 fn entry(state: ServerState, sequence: u64) -> ServerEntry {
     ServerEntry {
-        incarnation: ServerIncarnation {
-            id: "s1".into(),
-            born: 1,
-        },
-        service: "s".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        data_centre: "dc1".into(),
-        slots: 4,
-        state,
-        warmup_left: Duration::ZERO,
         sequence: Some(sequence),
+        ..test_objects::server_entry(state)
     }
 }
 
 fn object(state: ServerState, sequence: u64, revision: StoreRevision) -> PlatformObject {
-    let (spec, status) = ServerBody::write(&entry(state, sequence));
-    PlatformObject {
-        name: "s1".into(),
-        revision,
-        spec,
-        status,
-    }
+    test_objects::server_object(&entry(state, sequence), revision)
 }
 
 fn list(node: &Arc<GatewayNode>, objects: Vec<PlatformObject>, revision: StoreRevision) {
-    let page = ObjectPage {
-        objects,
-        has_more: false,
-        revision,
-    };
-    let update = StoreUpdate::List(page);
-    update_router::apply(node, ObjectKind::Servers, update, UpdateSource::Store);
+    let kind = ObjectKind::Servers;
+    test_objects::apply_list(node, kind, objects, revision, UpdateSource::Store);
 }
 
 fn changes(node: &Arc<GatewayNode>, event: ObjectEvent, revision: StoreRevision) {
--- a/crates/gateway/src/server_notices_tests.rs
+++ b/crates/gateway/src/server_notices_tests.rs
@@ -5,24 +5,12 @@
     peer_heartbeat::{KnownRest, PeerHeartbeat},
     peer_worker,
     prelude::*,
-    server_notices, test_node,
+    server_notices, test_node, test_objects,
 };
 
 /// Entry of the only server of the service `s`.
 fn entry() -> ServerEntry {
-    ServerEntry {
-        incarnation: ServerIncarnation {
-            id: "s1".into(),
-            born: 1,
-        },
-        service: "s".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        data_centre: "dc1".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        warmup_left: Duration::ZERO,
-        sequence: None,
-    }
+    test_objects::server_entry(ServerState::Ready)
 }
 
 /// An instance that knows the server, and the server.
--- a/crates/gateway/src/server_reservation_tests.rs
+++ b/crates/gateway/src/server_reservation_tests.rs
@@ -1,23 +1,11 @@
 //! Servers that begin to leave between their selection and the sending of the request.
 
-use crate::{prelude::*, server_reservation::ServerReservation, test_node};
+use crate::{prelude::*, server_reservation::ServerReservation, test_node, test_objects};
 
 const DRAIN_TIME: Duration = Duration::from_millis(1_600);
 
 fn reservation(node: &GatewayNode, key_revision: Option<StoreRevision>) -> ServerReservation {
-    let entry = ServerEntry {
-        incarnation: ServerIncarnation {
-            id: "s1".into(),
-            born: 1,
-        },
-        service: "s".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        data_centre: "dc1".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        warmup_left: Duration::ZERO,
-        sequence: None,
-    };
+    let entry = test_objects::server_entry(ServerState::Ready);
     let now = node.now();
     ServerReservation {
         server: Arc::new(ServerRuntime::new(&node.workers, entry, 0.1, now)),
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -3,7 +3,7 @@
 use crate::{
     object_mirror::position_of,
     prelude::*,
-    record_writer, store_check, test_node, test_store,
+    record_writer, store_check, test_node, test_objects, test_store,
     update_router::{self, UpdateSource},
 };
 
@@ -154,26 +154,8 @@
 fn server_found_to_drain_counts_as_leaving_since_the_knowledge_was_last_complete() {
     const DRAIN_TIME: Duration = Duration::from_millis(1_600);
     let server = |state, revision| {
-        let entry = ServerEntry {
-            incarnation: ServerIncarnation {
-                id: "s1".into(),
-                born: 1,
-            },
-            service: SERVICE.into(),
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            data_centre: "dc1".into(),
-            slots: 4,
-            state,
-            warmup_left: Duration::ZERO,
-            sequence: None,
-        };
-        let (spec, status) = ServerBody::write(&entry);
-        PlatformObject {
-            name: "s1".into(),
-            revision,
-            spec,
-            status,
-        }
+        let entry = test_objects::server_entry(state);
+        test_objects::server_object(&entry, revision)
     };
     let event = |object| ObjectEvent {
         object,
--- /dev/null
+++ b/crates/gateway/src/test_objects.rs
@@ -0,0 +1,56 @@
+//! Objects and updates of the store for tests.
+
+use crate::{
+    prelude::*,
+    update_router::{self, UpdateSource},
+};
+
+/// Entry of the server `s1` of the service `s`, which does not count its writes.
+pub(crate) fn server_entry(state: ServerState) -> ServerEntry {
+    ServerEntry {
+        incarnation: ServerIncarnation {
+            id: "s1".into(),
+            born: 1,
+        },
+        service: "s".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: "dc1".into(),
+        slots: 4,
+        state,
+        warmup_left: Duration::ZERO,
+        sequence: None,
+    }
+}
+
+/// Object of a server's entry.
+pub(crate) fn server_object(entry: &ServerEntry, revision: StoreRevision) -> PlatformObject {
+    let (spec, status) = ServerBody::write(entry);
+    PlatformObject {
+        name: entry.incarnation.id.clone(),
+        revision,
+        spec,
+        status,
+    }
+}
+
+/// Applies a list of all objects of a kind.
+pub(crate) fn apply_list(
+    node: &Arc<GatewayNode>,
+    kind: ObjectKind,
+    objects: Vec<PlatformObject>,
+    revision: StoreRevision,
+    source: UpdateSource,
+) {
+    let page = ObjectPage {
+        objects,
+        has_more: false,
+        revision,
+    };
+    update_router::apply(node, kind, StoreUpdate::List(page), source);
+}
+
+/// Has an instance hear of a new era of the store.
+pub(crate) fn begin_era(node: &GatewayNode, number: u64) {
+    let stated = number;
+    node.store.learn_era(StoreEra { number, stated });
+}
--- a/crates/gateway/src/update_router_tests.rs
+++ b/crates/gateway/src/update_router_tests.rs
@@ -2,34 +2,14 @@
 
 use crate::{
     prelude::*,
-    test_node,
+    test_node, test_objects,
     update_router::{self, UpdateSource},
 };
 
-const SERVICE: &str = "s";
-
 fn server_entry(state: ServerState, revision: u64) -> ObjectEvent {
-    let entry = ServerEntry {
-        incarnation: ServerIncarnation {
-            id: "s1".into(),
-            born: 1,
-        },
-        service: SERVICE.into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        data_centre: "dc1".into(),
-        slots: 4,
-        state,
-        warmup_left: Duration::ZERO,
-        sequence: None,
-    };
-    let (spec, status) = ServerBody::write(&entry);
+    let entry = test_objects::server_entry(state);
     ObjectEvent {
-        object: PlatformObject {
-            name: "s1".into(),
-            revision: revision.into(),
-            spec,
-            status,
-        },
+        object: test_objects::server_object(&entry, revision.into()),
         is_removed: false,
     }
 }
--- a/crates/routing/tests/restored_servers/main.rs
+++ b/crates/routing/tests/restored_servers/main.rs
@@ -113,7 +113,7 @@
 
 // Guards against a server that has left and is used again until its restored entry lapses.
 #[test]
-fn removed_server_is_not_used_before_its_own_later_word() {
+fn removed_server_is_not_used_before_its_own_later_entry() {
     let mut roster = ServerRoster::default();
     put(
         &mut roster,
