--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -109,11 +109,17 @@
         self.revision = 100
         self.changed = asyncio.Condition()
         self.port = None
+        # Set while the store answers nobody and does nothing.
+        self.is_silent = False
 
     async def start(self):
         self.port = free_ports(1)[0]
         await asyncio.start_server(self.serve, HOST, self.port, backlog=512)
 
+    async def wait_until_back(self):
+        while self.is_silent:
+            await asyncio.sleep(0.02)
+
     async def put(self, kind, name, spec=None, status=None):
         """Writes an object of the operator or of a server."""
         found = self.objects.setdefault(kind, {}).get(name)
@@ -146,7 +152,13 @@
     async def serve(self, reader, writer):
         try:
             while (asked := await read_message(reader)) is not None:
-                writer.write(await self.answer(*asked))
+                was_silent = self.is_silent
+                if not was_silent:
+                    answer = await self.answer(*asked)
+                if was_silent or self.is_silent:
+                    await self.wait_until_back()
+                    break
+                writer.write(answer)
                 await writer.drain()
         except ConnectionError:
             pass
@@ -218,22 +230,35 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.port = None
+        # Called with each grant that the server takes.
+        self.on_grant = lambda server, first, last, fence: None
         # How many of the answers get a second copy where the next answer on the connection is due.
+        self.listener, self.writers, self.beat_task = None, set(), None
         self.extra_share = 0.0
         # How many of the requests it rejects, though it has room and its health check is good.
         self.shed_share = 0.0
         self.answers = 0
         self.extras = 0
 
-    async def start(self):
-        self.port = free_ports(1)[0]
-        await asyncio.start_server(self.serve, HOST, self.port, backlog=512)
-        self.world.tasks.append(asyncio.create_task(self.beat()))
+    async def start(self, port=None):
+        self.port = port or free_ports(1)[0]
+        self.listener = await asyncio.start_server(self.serve, HOST, self.port, backlog=512)
+        self.beat_task = asyncio.create_task(self.beat())
+        self.world.tasks.append(self.beat_task)
+
+    def crash(self):
+        """Ends the server's process, as the other sides see it: the system closes its sockets."""
+        self.beat_task.cancel()
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.holds = []
 
     async def beat(self):
         info = {"service": self.service, "version": "v1", "zone": self.zone, "capacity": self.slots}
         spec = {"address": f"{HOST}:{self.port}", "born": self.born, "info": info}
         while True:
+            await self.world.store.wait_until_back()
             self.sequence += 1
             status = {"state": "ready", "sequence": self.sequence, "warmup_left_s": 0, "born": self.born}
             await self.world.store.put("servers", self.id, spec, status)
@@ -241,6 +266,7 @@
 
     async def serve(self, reader, writer):
         late = None
+        self.writers.add(writer)
         try:
             while True:
                 asked = await asyncio.wait_for(read_message(reader), self.IDLE_S)
@@ -266,6 +292,7 @@
         except (ConnectionError, asyncio.TimeoutError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, first, headers, body, reader):
@@ -290,6 +317,7 @@
         until = time.monotonic() + order["hold_s"]
         self.cut(first, last)
         self.holds.append((first, last, fence, until))
+        self.on_grant(self, first, last, fence)
         self.world.record.write(f"server {self.id} is granted {first}-{last} fence {fence}")
         return message(200, plain)
 
