--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -109,6 +109,8 @@
         self.revision = 100
         self.changed = asyncio.Condition()
         self.port = None
+        # Whether the event of a removal holds the object as it was last, with the revision of its last change before.
+        self.keeps_last_revision = False
         # Set while the store answers nobody and does nothing.
         self.is_silent = False
 
@@ -140,7 +142,8 @@
         found = self.objects.get(kind, {}).pop(name, None)
         if found:
             self.revision += 1
-            gone = {**found, "metadata": {**found["metadata"], "revision": self.revision}}
+            revision = found["metadata"]["revision"] if self.keeps_last_revision else self.revision
+            gone = {**found, "metadata": {**found["metadata"], "revision": revision}}
             await self.note(kind, gone, True)
         return found
 
@@ -228,10 +231,11 @@
         self.busy_keys = {}
         self.handovers = 0
         self.born = int(time.time() * 1000)
-        self.sequence = 0
         self.port = None
         # Called with each grant that the server takes.
         self.on_grant = lambda server, first, last, fence: None
+        # Called with each request that the server begins.
+        self.on_run = lambda server, request: None
         # How many of the answers get a second copy where the next answer on the connection is due.
         self.listener, self.writers, self.beat_task = None, set(), None
         self.extra_share = 0.0
@@ -246,6 +250,11 @@
         self.beat_task = asyncio.create_task(self.beat())
         self.world.tasks.append(self.beat_task)
 
+    async def leave(self):
+        """Removes the server's entry without a word before, as some servers that leave do."""
+        self.beat_task.cancel()
+        await self.world.store.remove("servers", self.id)
+
     def crash(self):
         """Ends the server's process, as the other sides see it: the system closes its sockets."""
         self.beat_task.cancel()
@@ -257,12 +266,10 @@
     async def beat(self):
         info = {"service": self.service, "version": "v1", "zone": self.zone, "capacity": self.slots}
         spec = {"address": f"{HOST}:{self.port}", "born": self.born, "info": info}
-        while True:
-            await self.world.store.wait_until_back()
-            self.sequence += 1
-            status = {"state": "ready", "sequence": self.sequence, "warmup_left_s": 0, "born": self.born}
-            await self.world.store.put("servers", self.id, spec, status)
-            await asyncio.sleep(0.87)
+        # Later reports differ in their sequence only, which is no change of the entry.
+        await self.world.store.wait_until_back()
+        status = {"state": "ready", "sequence": 1, "warmup_left_s": 0, "born": self.born}
+        await self.world.store.put("servers", self.id, spec, status)
 
     async def serve(self, reader, writer):
         late = None
@@ -377,6 +384,7 @@
             self.running += 1
             self.busy_keys[key] = self.busy_keys.get(key, 0) + 1
         self.world.ran(request, self.id, key)
+        self.on_run(self, request)
         try:
             await asyncio.sleep(random.uniform(*self.work_s))
         finally:
