Add tests with many concurrent large bodies and silent connections

Nothing bounds the memory of the bodies that a gateway instance holds, and silent connections can use up the connections and descriptors. The tests start real gateway processes on small machines and check that the process lives, that its peak memory and its descriptors stay within the machine, and that an ordinary request is answered while the load is still connected.

--- /dev/null
+++ b/crates/daemon/tests/large_bodies/small_site.rs
@@ -0,0 +1,166 @@
+//! Store, one server and the configuration of a small site.
+
+use crate::{
+    http_server::{Reply, is_socket_of, reply_with, serve},
+    small_store::SmallStore,
+};
+use bytes::Bytes;
+use geraniummast_net::WorkerPool;
+use geraniummast_platform::{AnswerHeaders, ObjectKind, RequestHeaders};
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+/// Host of all routes.
+pub(crate) const HOST: &str = "site.example";
+/// Prefix of the route of idempotent requests.
+pub(crate) const LOOKUP_PREFIX: &str = "/lookup/";
+/// Prefix of the route of non-idempotent requests.
+pub(crate) const UPLOAD_PREFIX: &str = "/upload/";
+/// Idempotent request that the server answers after [`SLOW_TIME`].
+pub(crate) const SLOW_LOOKUP: &str = "/lookup/slow";
+/// Non-idempotent request that the server answers after [`SLOW_TIME`].
+pub(crate) const SLOW_UPLOAD: &str = "/upload/slow";
+/// Request that the server answers with [`LARGE_RESPONSE_BYTES`].
+pub(crate) const LARGE_LOOKUP: &str = "/lookup/large";
+/// Size of a large response, more than the socket buffers of one connection hold (4 MiB).
+pub(crate) const LARGE_RESPONSE_BYTES: usize = 8 << 20;
+
+/// Time for which the server holds a slow request, so that many are open at once.
+const SLOW_TIME: Duration = Duration::from_secs(2);
+const HEALTH_PATH: &str = "/health";
+const SERVER_ID: &str = "s-1";
+
+/// Simulated platform of one test.
+pub(crate) struct SmallSite {
+    pub(crate) store_address: SocketAddr,
+    pool: Arc<WorkerPool>,
+    /// Process whose new connections to the server are closed; 0 for none.
+    refused_process: Arc<AtomicU32>,
+}
+
+impl SmallSite {
+    /// Starts the store and the server; bodies may have `max_body_bytes`.
+    pub(crate) fn start(host: Ipv4Addr, max_body_bytes: usize) -> Self {
+        let pool = WorkerPool::start("small-site", 2).unwrap();
+        let refused_process = Arc::new(AtomicU32::new(0));
+        let refused = refused_process.clone();
+        let is_refused = move |client| match refused.load(Ordering::SeqCst) {
+            0 => false,
+            process => is_socket_of(process, client),
+        };
+        let server_address = serve(&pool, host, is_refused, run_request);
+        let store = Arc::new(SmallStore::default());
+        store.put(
+            ObjectKind::Configuration,
+            ObjectKind::CONFIGURATION_NAME,
+            configuration(max_body_bytes),
+            Value::Null,
+        );
+        let (spec, status) = server_entry(server_address);
+        store.put(ObjectKind::Servers, SERVER_ID, spec, status);
+        let store_address = serve(
+            &pool,
+            host,
+            |_| false,
+            move |request| store.clone().handle(request),
+        );
+        Self {
+            store_address,
+            pool,
+            refused_process,
+        }
+    }
+
+    /// Closes all new connections of a process to the server from now on.
+    pub(crate) fn refuse_process(&self, process: u32) {
+        self.refused_process.store(process, Ordering::SeqCst);
+    }
+}
+
+impl Drop for SmallSite {
+    fn drop(&mut self) {
+        self.pool.stop();
+    }
+}
+
+/// Reads a request to its end without keeping its body, and answers it.
+async fn run_request(request: Request<Incoming>) -> Reply {
+    let (head, mut body) = request.into_parts();
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return reply_with(StatusCode::BAD_REQUEST, "");
+        }
+    }
+    let path = head.uri.path();
+    if path == SLOW_LOOKUP || path == SLOW_UPLOAD {
+        async_io::Timer::after(SLOW_TIME).await;
+    }
+    let body = match path == LARGE_LOOKUP {
+        true => Bytes::from_static(&[0; LARGE_RESPONSE_BYTES]),
+        false => Bytes::from_static(b"done"),
+    };
+    let mut reply = reply_with(StatusCode::OK, body);
+    let headers = RequestHeaders::from(&head.headers);
+    let answer = AnswerHeaders {
+        request_id: headers.request_id.as_ref(),
+        signature: Some(SERVER_ID),
+        ..AnswerHeaders::default()
+    };
+    answer.set(reply.headers_mut());
+    reply
+}
+
+fn configuration(max_body_bytes: usize) -> Value {
+    let route = |prefix: &str, kind: &str| {
+        json!({
+            "name": prefix.trim_matches('/'),
+            "path_prefix": prefix,
+            "type": kind,
+            "timeout_s": 40.0,
+            "target_latency_s": 5.0,
+            "service": "plain",
+            "max_attempts": 2,
+        })
+    };
+    let paths = [route(LOOKUP_PREFIX, "safe"), route(UPLOAD_PREFIX, "unsafe")];
+    json!({
+        "version": 1,
+        "hosts": [{ "host": HOST, "paths": paths }],
+        "services": [{
+            "name": "plain",
+            "health_path": HEALTH_PATH,
+            "max_connections": 128,
+        }],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": max_body_bytes,
+            "header_timeout_s": 10.0,
+            "idle_timeout_s": 15.0,
+        },
+    })
+}
+
+/// Value and status of the server's entry.
+fn server_entry(address: SocketAddr) -> (Value, Value) {
+    let now = std::time::SystemTime::now();
+    let born = now
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64;
+    let spec = json!({
+        "address": address.to_string(),
+        "born": born,
+        "info": { "service": "plain", "zone": "dc1", "capacity": 128 },
+    });
+    (spec, json!({ "state": "ready", "warmup_left_s": 0.0 }))
+}
