--- a/crates/daemon/tests/large_bodies/http_server.rs
+++ b/crates/daemon/tests/large_bodies/http_server.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use geraniummast_net::WorkerPool;
+use geraniummast_soak::ConnectionEnds;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -22,11 +23,12 @@
     reply
 }
 
-/// Serves a free port of `host`; closes the connections of clients that `is_refused` names.
+/// Serves a free port of `host`; closes the connections for which `is_refused`
+/// returns true.
 pub(crate) fn serve<H, F>(
     pool: &Arc<WorkerPool>,
     host: Ipv4Addr,
-    is_refused: impl Fn(SocketAddr) -> bool + Send + 'static,
+    is_refused: impl Fn(ConnectionEnds) -> bool + Send + 'static,
     handle: H,
 ) -> SocketAddr
 where
@@ -39,7 +41,7 @@
     let workers = pool.clone();
     pool.spawn(async move {
         while let Ok((stream, client)) = listener.accept().await {
-            if is_refused(client) {
+            if is_refused((client, address)) {
                 continue;
             }
             let handle = handle.clone();
@@ -56,26 +58,3 @@
     });
     address
 }
-
-/// Whether the loopback connection that has the end `client` belongs to a process.
-pub(crate) fn is_socket_of(process: u32, client: SocketAddr) -> bool {
-    let SocketAddr::V4(client) = client else {
-        return false;
-    };
-    let address = u32::from_ne_bytes(client.ip().octets());
-    let local = format!("{address:08X}:{:04X}", client.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let row = table
-        .lines()
-        .map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let mut own = row.filter(|columns| columns.get(1) == Some(&local.as_str()));
-    let Some(number) = own.find_map(|columns| columns.get(9).map(ToString::to_string)) else {
-        return false;
-    };
-    let target = format!("socket:[{number}]");
-    let files = std::fs::read_dir(format!("/proc/{process}/fd"))
-        .into_iter()
-        .flatten();
-    let mut targets = files.filter_map(|file| std::fs::read_link(file.ok()?.path()).ok());
-    targets.any(|path| path.to_str() == Some(&target))
-}
--- a/crates/daemon/tests/large_bodies/main.rs
+++ b/crates/daemon/tests/large_bodies/main.rs
@@ -131,7 +131,7 @@
     let _running = lock();
     let (site, mut relay) = start(6, SMALL_MACHINE, &[]);
     let mut instance = LoadedInstance::launch(&site, loopback_host(7), SMALL_MACHINE, &[]);
-    // The instance has no connection to the server yet: what it serves has been relayed.
+    // The instance has no connection to a server yet: what it serves has been relayed.
     site.refuse_process(instance.process_id());
     instance.assert_serving();
     let body = SentBody::complete(MAX_BODY_BYTES);
@@ -210,18 +210,34 @@
     drop(held);
 }
 
-// Guards against copies of a body, and against a budget that refuses the largest permitted one.
-#[test]
-#[ignore = "known red"]
-fn largest_permitted_body_is_served_on_the_smallest_machine() {
+/// Asserts that the smallest machine in use serves one body of the largest permitted size.
+fn assert_serves_largest(number: u8, framing: BodyFraming) {
     let _running = lock();
     let site = SmallSite::start(loopback_host(SITE_NUMBER), MAX_BODY_BYTES_IN_USE);
-    let host = loopback_host(13);
+    let host = loopback_host(number);
     let mut instance = LoadedInstance::launch(&site, host, SMALLEST_MACHINE_IN_USE, &[]);
     instance.assert_serving();
     let mut stream = connect(instance.caller_address).unwrap();
-    let sent = SentBody::complete(MAX_BODY_BYTES_IN_USE).send(&mut stream, "/upload/largest");
+    let body = SentBody {
+        framing,
+        ..SentBody::complete(MAX_BODY_BYTES_IN_USE)
+    };
+    let sent = body.send(&mut stream, "/upload/largest");
     let answer = read_answer_head(&mut stream).unwrap_or_default();
     assert!(answer.starts_with("HTTP/1.1 200"), "{sent:?}, {answer:?}");
     instance.assert_unharmed();
 }
+
+// Guards against copies of a body, and against a budget that refuses the largest permitted one.
+#[test]
+#[ignore = "known red"]
+fn largest_permitted_body_is_served_on_the_smallest_machine() {
+    assert_serves_largest(13, BodyFraming::Length);
+}
+
+// Guards against a budget that grows in too large steps for a body of unknown length.
+#[test]
+#[ignore = "known red"]
+fn largest_permitted_chunked_body_is_served_on_the_smallest_machine() {
+    assert_serves_largest(14, BodyFraming::Chunked);
+}
--- a/crates/daemon/tests/large_bodies/small_site.rs
+++ b/crates/daemon/tests/large_bodies/small_site.rs
@@ -1,12 +1,13 @@
-//! Store, one server and the configuration of a small site.
+//! Store, servers and the configuration of a small site.
 
 use crate::{
-    http_server::{Reply, is_socket_of, reply_with, serve},
+    http_server::{Reply, reply_with, serve},
     small_store::SmallStore,
 };
 use bytes::Bytes;
 use geraniummast_net::WorkerPool;
 use geraniummast_platform::{AnswerHeaders, ObjectKind, RequestHeaders};
+use geraniummast_soak::{ConnectionEnds, SocketFinder, open_sockets};
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -38,42 +39,43 @@
 /// Time for which the server holds a slow request, so that many are open at once.
 const SLOW_TIME: Duration = Duration::from_secs(2);
 const HEALTH_PATH: &str = "/health";
-const SERVER_ID: &str = "s-1";
+/// Number of servers, so that one that is out of use for a moment is not the only one.
+const SERVERS: usize = 4;
+/// Requests that each server runs at the same time, and connections to it.
+const SERVER_SLOTS: usize = 128;
+/// Value with which a server marks its answers.
+const SIGNATURE: &str = "signed";
 
 /// Simulated platform of one test.
 pub(crate) struct SmallSite {
     pub(crate) store_address: SocketAddr,
     pool: Arc<WorkerPool>,
-    /// Process whose new connections to the server are closed; 0 for none.
+    /// Process whose new connections to the servers are closed; 0 for none.
     refused_process: Arc<AtomicU32>,
 }
 
 impl SmallSite {
-    /// Starts the store and the server; bodies may have `max_body_bytes`.
+    /// Starts the store and the servers; bodies may have `max_body_bytes`.
     pub(crate) fn start(host: Ipv4Addr, max_body_bytes: usize) -> Self {
         let pool = WorkerPool::start("small-site", 2).unwrap();
         let refused_process = Arc::new(AtomicU32::new(0));
-        let refused = refused_process.clone();
-        let is_refused = move |client| match refused.load(Ordering::SeqCst) {
-            0 => false,
-            process => is_socket_of(process, client),
-        };
-        let server_address = serve(&pool, host, is_refused, run_request);
         let store = Arc::new(SmallStore::default());
-        store.put(
-            ObjectKind::Configuration,
-            ObjectKind::CONFIGURATION_NAME,
-            configuration(max_body_bytes),
-            Value::Null,
-        );
-        let (spec, status) = server_entry(server_address);
-        store.put(ObjectKind::Servers, SERVER_ID, spec, status);
-        let store_address = serve(
-            &pool,
-            host,
-            |_| false,
-            move |request| store.clone().handle(request),
-        );
+        let spec = configuration(max_body_bytes);
+        let (kind, name) = (ObjectKind::Configuration, ObjectKind::CONFIGURATION_NAME);
+        store.put(kind, name, spec, Value::Null);
+        let finder = Arc::new(SocketFinder::open().unwrap());
+        for number in 0..SERVERS {
+            let (refused, finder) = (refused_process.clone(), finder.clone());
+            let is_refused = move |ends| match refused.load(Ordering::SeqCst) {
+                0 => false,
+                process => is_client(process, &finder, ends),
+            };
+            let address = serve(&pool, host, is_refused, run_request);
+            let (spec, status) = server_entry(address);
+            store.put(ObjectKind::Servers, &format!("s-{number}"), spec, status);
+        }
+        let handle = move |request| store.clone().handle(request);
+        let store_address = serve(&pool, host, |_| false, handle);
         Self {
             store_address,
             pool,
@@ -81,12 +83,18 @@
         }
     }
 
-    /// Closes all new connections of a process to the server from now on.
+    /// Closes all new connections of a process to the servers from now on.
     pub(crate) fn refuse_process(&self, process: u32) {
         self.refused_process.store(process, Ordering::SeqCst);
     }
 }
 
+/// Whether a process has opened a connection; true if the connection is closed already.
+fn is_client(process: u32, finder: &SocketFinder, ends: ConnectionEnds) -> bool {
+    let socket = finder.find(ends).unwrap();
+    socket.is_none_or(|socket| open_sockets(process).contains(&socket))
+}
+
 impl Drop for SmallSite {
     fn drop(&mut self) {
         self.pool.stop();
@@ -113,7 +121,7 @@
     let headers = RequestHeaders::from(&head.headers);
     let answer = AnswerHeaders {
         request_id: headers.request_id.as_ref(),
-        signature: Some(SERVER_ID),
+        signature: Some(SIGNATURE),
         ..AnswerHeaders::default()
     };
     answer.set(reply.headers_mut());
@@ -139,7 +147,7 @@
         "services": [{
             "name": "plain",
             "health_path": HEALTH_PATH,
-            "max_connections": 128,
+            "max_connections": SERVER_SLOTS,
         }],
         "limits": {
             "max_header_bytes": 16_384,
@@ -150,7 +158,7 @@
     })
 }
 
-/// Value and status of the server's entry.
+/// Value and status of a server's entry.
 fn server_entry(address: SocketAddr) -> (Value, Value) {
     let now = std::time::SystemTime::now();
     let born = now
@@ -160,7 +168,7 @@
     let spec = json!({
         "address": address.to_string(),
         "born": born,
-        "info": { "service": "plain", "zone": "dc1", "capacity": 128 },
+        "info": { "service": "plain", "zone": "dc1", "capacity": SERVER_SLOTS },
     });
     (spec, json!({ "state": "ready", "warmup_left_s": 0.0 }))
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -87,6 +87,7 @@
     changes_beside::NewerKind,
     soak_plan::{FaultScenario, SoakPlan},
     soak_run::SoakReport,
+    socket_finder::{ConnectionEnds, SocketFinder, SocketNumber, open_sockets},
 };
 
 /// Imports used throughout the crate.
--- a/crates/soak/src/socket_finder.rs
+++ b/crates/soak/src/socket_finder.rs
@@ -11,18 +11,19 @@
 };
 
 /// Asks the kernel for sockets.
-pub(crate) struct SocketFinder {
+#[derive(Debug)]
+pub struct SocketFinder {
     /// Requests and answers alternate, so one asks at a time.
     socket: Mutex<OwnedFd>,
 }
 
 /// Number of a socket, which no other socket has while it is open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct SocketNumber(u32);
+pub struct SocketNumber(u32);
 
 /// Addresses of a connection's two ends: the client's and the one that it connected to. Only both
 /// together identify it.
-pub(crate) type ConnectionEnds = (SocketAddr, SocketAddr);
+pub type ConnectionEnds = (SocketAddr, SocketAddr);
 
 impl SocketFinder {
     /// Message type of a request for sockets by address family.
@@ -39,8 +40,8 @@
     /// Room for an answer with all attributes, in bytes.
     const ANSWER_BYTES: usize = 4_096;
 
-    /// Opens the connection to the kernel.
-    pub(crate) fn open() -> eyre::Result<Self> {
+    /// Opens the connection to the kernel; fails if the kernel has no such interface.
+    pub fn open() -> eyre::Result<Self> {
         let socket = net::socket_with(
             net::AddressFamily::NETLINK,
             net::SocketType::RAW,
@@ -52,8 +53,9 @@
         })
     }
 
-    /// Returns the client's socket of a connection; `None` if it is closed.
-    pub(crate) fn find(&self, ends: ConnectionEnds) -> eyre::Result<Option<SocketNumber>> {
+    /// Returns the client's socket of a connection; `None` if it is closed. Fails for connections of
+    /// IP version 6 and if the kernel rejects the request.
+    pub fn find(&self, ends: ConnectionEnds) -> eyre::Result<Option<SocketNumber>> {
         let (SocketAddr::V4(client), SocketAddr::V4(server)) = ends else {
             eyre::bail!("not a connection of version 4: {ends:?}");
         };
@@ -118,7 +120,7 @@
 }
 
 /// Returns the sockets that a process has open.
-pub(crate) fn open_sockets(process: u32) -> Vec<SocketNumber> {
+pub fn open_sockets(process: u32) -> Vec<SocketNumber> {
     let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) else {
         return Vec::new();
     };
