Decide which connection gives way at a full listener

At its limit, a listener drops new connections, so that silent ones lock out all callers. ConnectionActivity says what a connection is doing and whether it stalls; ListenerStep chooses the connection that is closed for a new one: silent ones first, then the one idle for longest, never one with a request in progress. Nothing uses them yet.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,10 +2,16 @@
 //!
 //! This crate makes no decisions about keys or requests.
 
+mod connection_activity;
+#[cfg(test)]
+mod connection_activity_tests;
 mod exchange_error;
 mod http_client;
 mod http_connection;
 mod http_listener;
+mod listener_step;
+#[cfg(test)]
+mod listener_step_tests;
 mod log_output;
 mod log_rate_limiter;
 mod memory_budget;
@@ -25,10 +31,12 @@
 mod worker_pool;
 
 pub use {
+    connection_activity::{ConnectionActivity, ConnectionPhase, StallKind, StallLimits},
     exchange_error::ExchangeError,
     http_client::{ExchangeLimits, HttpClient},
     http_connection::HttpConnection,
     http_listener::{HttpLimits, HttpListener},
+    listener_step::ListenerStep,
     log_rate_limiter::LogRateLimiter,
     memory_budget::MemoryBudget,
     one_shot_event::OneShotEvent,
