Close a resting connection for a new one at a full listener

A full listener dropped new connections, and nothing but the head's timeout of 75 s ended one that made no progress. Each connection now reports what it does: its stream received and blocked bytes, its service requests and answers. HttpListener::replace_resting closes the connection that ListenerStep chooses; one that has read a request meanwhile answers it first. close_stalled closes connections whose head stands still or whose peer does not read, by one check a second for all. Both are off unless asked for.

--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -1,13 +1,21 @@
 //! HTTP/1.1 server on one address.
 
-use crate::prelude::*;
+use crate::{
+    open_connections::TrackedGuard,
+    prelude::*,
+    tracked_connection::{CloseRequest, TrackedConnection},
+    tracked_stream::TrackedStream,
+};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::pin::pin;
+use std::{pin::pin, sync::Weak};
 
 /// Smallest buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// Time between checks for stalled connections.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Limits on the connections and request heads that a listener accepts.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
@@ -37,8 +45,16 @@
     listener: TcpListener,
     limits: HttpLimits,
     connections: Arc<OpenConnections>,
+    replaces_resting: bool,
+    observe: ConnectionObserver,
+    stall_limits: Option<StallLimitSource>,
 }
 
+/// Called for each connection that a listener closes or refuses because of a limit.
+type ConnectionObserver = Arc<dyn Fn(ConnectionEvent) + Send + Sync>;
+/// Looks up the limits that are in force.
+type StallLimitSource = Box<dyn Fn() -> StallLimits + Send + Sync>;
+
 impl HttpListener {
     /// Binds `address` and starts listening.
     pub async fn bind(address: SocketAddr, limits: HttpLimits) -> io::Result<Self> {
@@ -46,9 +62,34 @@
             listener: TcpListener::bind(address).await?,
             limits,
             connections: Arc::default(),
+            replaces_resting: false,
+            observe: Arc::new(|_| ()),
+            stall_limits: None,
         })
     }
 
+    /// Closes a connection without a request in progress for a new one when too many are open,
+    /// instead of refusing the new one.
+    pub fn replace_resting(mut self) -> Self {
+        self.replaces_resting = true;
+        self
+    }
+
+    /// Calls `observe` for each connection that is closed or refused because of a limit.
+    pub fn observe(mut self, observe: impl Fn(ConnectionEvent) + Send + Sync + 'static) -> Self {
+        self.observe = Arc::new(observe);
+        self
+    }
+
+    /// Closes connections that make no progress for longer than `limits` returns at the time.
+    pub fn close_stalled(
+        mut self,
+        limits: impl Fn() -> StallLimits + Send + Sync + 'static,
+    ) -> Self {
+        self.stall_limits = Some(Box::new(limits));
+        self
+    }
+
     /// Count and shutdown state of this listener's connections.
     pub fn connections(&self) -> Arc<OpenConnections> {
         self.connections.clone()
@@ -61,11 +102,15 @@
 
     /// Answers every request with `handle` until the pool stops or
     /// [`OpenConnections::stop_accepting`] is called.
-    pub async fn serve<H, F>(self, pool: Arc<WorkerPool>, handle: H)
+    pub async fn serve<H, F>(mut self, pool: Arc<WorkerPool>, handle: H)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
+        if let Some(limits) = self.stall_limits.take() {
+            let connections = Arc::downgrade(&self.connections);
+            pool.spawn(close_stalled(connections, limits));
+        }
         let mut accept_stopped = pin!(async {
             self.connections.wait_accept_stopped().await;
             None
@@ -74,7 +119,11 @@
             let accept = async { Some(self.listener.accept().await) };
             match future::or(accept_stopped.as_mut(), accept).await {
                 None => break,
-                Some(Ok((stream, _))) => self.start_connection(&pool, stream, &handle),
+                Some(Ok((stream, _))) => {
+                    self.start_connection(&pool, stream, &handle);
+                    // Lets connections close that gave way, so that not more stay open than allowed.
+                    future::yield_now().await;
+                }
                 Some(Err(_)) => {
                     async_io::Timer::after(Duration::from_millis(10)).await;
                 }
@@ -92,30 +141,58 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
-        let Some(guard) = self.connections.admit(self.limits.max_connections) else {
+        let now = SteadyClock.now();
+        let max = self.limits.max_connections;
+        let (guard, event) = self.connections.track(max, self.replaces_resting, now);
+        if let Some(event) = event {
+            (self.observe)(event);
+        }
+        let Some(guard) = guard else {
             return;
         };
         let _ = stream.set_nodelay(true);
         let connections = self.connections.clone();
         let handle = handle.clone();
+        let observe = self.observe.clone();
         let limits = self.limits;
         pool.spawn(async move {
-            serve_connection(stream, limits, &connections, handle).await;
+            let stalled = serve_connection(stream, limits, &connections, &guard, handle).await;
             drop(guard);
+            if let Some(kind) = stalled {
+                observe(ConnectionEvent::Stalled(kind));
+            }
         });
     }
 }
 
+/// Periodically closes the connections that have stalled, while there may be any.
+///
+/// One timer for all connections spares each request the timers of its own.
+async fn close_stalled(connections: Weak<OpenConnections>, limits: StallLimitSource) {
+    loop {
+        async_io::Timer::after(STALL_CHECK_INTERVAL).await;
+        let Some(connections) = connections.upgrade() else {
+            return;
+        };
+        connections.close_stalled(limits(), SteadyClock.now());
+    }
+}
+
+/// Serves a connection until it ends; returns the stall that ended it, if one did.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: HttpLimits,
     connections: &OpenConnections,
+    guard: &TrackedGuard,
     handle: H,
-) where
+) -> Option<StallKind>
+where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Full<Bytes>>>,
 {
+    let tracked: &TrackedConnection = &guard.connection;
     let service = service_fn(|request| {
+        tracked.begin_request();
         let answer = handle(request);
         async move {
             let mut response = answer.await;
@@ -125,9 +202,11 @@
                     .headers_mut()
                     .insert(http::header::CONNECTION, close);
             }
+            tracked.begin_answer();
             Ok::<_, std::convert::Infallible>(response)
         }
     });
+    let stream = TrackedStream::new(stream, guard.connection.clone());
     let mut connection = pin!(
         http1::Builder::new()
             .timer(SmolTimer::new())
@@ -136,16 +215,29 @@
             .max_headers(limits.max_headers)
             .serve_connection(FuturesIo::new(stream), service)
     );
+    // The connection is polled first each time, so that bytes that have arrived count before a
+    // request to close it does.
     let ended = async {
         let _ = connection.as_mut().await;
-        true
+        None
     };
     let closing = async {
         connections.wait_closing().await;
-        false
+        Some(CloseRequest::Graceful)
     };
-    if !future::or(ended, closing).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    let requested = async { Some(tracked.wait_close().await) };
+    match future::or(ended, future::or(closing, requested)).await {
+        None => None,
+        Some(CloseRequest::Stalled(kind)) => Some(kind),
+        // The HTTP server would wait for a request if it has received an empty line.
+        Some(CloseRequest::Graceful) if tracked.is_silent() => None,
+        Some(CloseRequest::Graceful) => {
+            connection.as_mut().graceful_shutdown();
+            let ended = async {
+                let _ = connection.await;
+                None
+            };
+            future::or(ended, async { Some(tracked.wait_stalled().await) }).await
+        }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod connection_activity;
 #[cfg(test)]
 mod connection_activity_tests;
+mod connection_event;
 mod exchange_error;
 mod http_client;
 mod http_connection;
@@ -28,10 +29,15 @@
 mod state_mutex;
 mod steady_clock;
 mod tcp_dialer;
+mod tracked_connection;
+mod tracked_stream;
+#[cfg(test)]
+mod tracked_stream_tests;
 mod worker_pool;
 
 pub use {
     connection_activity::{ConnectionActivity, ConnectionPhase, StallKind, StallLimits},
+    connection_event::ConnectionEvent,
     exchange_error::ExchangeError,
     http_client::{ExchangeLimits, HttpClient},
     http_connection::HttpConnection,
