Guard the gateway's listeners and bound them by the machine's descriptors

2,000 silent connections locked out all callers, 64 the load balancer's probe. A caller that did not read its answer held it for as long as it kept the connection, and a head could take 75 s.

--- a/crates/gateway/src/caller_listeners.rs
+++ b/crates/gateway/src/caller_listeners.rs
@@ -1,6 +1,11 @@
 //! HTTP listeners for callers, for the load balancer's readiness probe and for operators.
 
-use crate::{operator_page, prelude::*, request_handler};
+use crate::{
+    listener_guard::{caller_head_limit, guard},
+    operator_page,
+    prelude::*,
+    request_handler,
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 /// Time after which a connection without a request is closed. Longer than the platform's callers
@@ -11,8 +16,6 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of headers in a caller's request.
 const MAX_HEADERS: usize = 256;
-/// Maximum number of open connections on each of the readiness and operator addresses.
-const MAX_OPERATOR_CONNECTIONS: usize = 64;
 
 /// Binds and serves all listeners; returns the connections of the callers' listener.
 pub(crate) async fn start(
@@ -20,20 +23,27 @@
     metrics: PrometheusHandle,
 ) -> eyre::Result<Arc<OpenConnections>> {
     let settings = &node.settings;
+    let plan = settings.descriptor_plan();
     let operator_limits = HttpLimits {
-        max_connections: MAX_OPERATOR_CONNECTIONS,
+        max_connections: plan.operators,
         ..HttpLimits::default()
     };
     let readiness = HttpListener::bind(settings.readiness_address, operator_limits).await?;
     let operators = HttpListener::bind(settings.operator_address, operator_limits).await?;
     let limits = HttpLimits {
-        max_connections: settings.max_connections,
+        max_connections: plan.callers,
         head_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
         max_headers: MAX_HEADERS,
     };
     let callers = HttpListener::bind(settings.caller_address, limits).await?;
     let connections = callers.connections();
+    let operator_head_limit = move |_: &GatewayNode| operator_limits.head_timeout;
+    let readiness = guard(node, readiness, "readiness", operator_head_limit);
+    let operators = guard(node, operators, "operators", operator_head_limit);
+    let callers = guard(node, callers, "callers", |node| {
+        caller_head_limit(node, IDLE_TIMEOUT)
+    });
 
     let handler_node = node.clone();
     let workers = &node.workers;
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -16,8 +16,6 @@
 pub(crate) const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Largest number of connections open at once.
-const MAX_CONNECTIONS: usize = 512;
 
 /// Length-delimited frames on one connection between instances.
 pub(crate) type FeedFrames = Framed<tokio_util::compat::Compat<TcpStream>, LengthDelimitedCodec>;
@@ -32,12 +30,13 @@
 /// Accepts connections and serves feed requests until the worker pool stops.
 pub(crate) async fn serve(node: Arc<GatewayNode>, listener: TcpListener) {
     let connections: Arc<OpenConnections> = Arc::default();
+    let max_connections = node.settings.descriptor_plan().feed;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(Duration::from_millis(10)).await;
             continue;
         };
-        let Some(guard) = connections.admit(MAX_CONNECTIONS) else {
+        let Some(guard) = connections.admit(max_connections) else {
             continue;
         };
         let task_node = node.clone();
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -1,6 +1,10 @@
 //! Settings of a gateway instance.
 
-use crate::prelude::*;
+use crate::{
+    descriptor_plan::DescriptorPlan,
+    prelude::*,
+    setting_readers::{read_optional_address, read_optional_number, read_seconds},
+};
 use geraniummast_settings::{
     SettingError, SettingSpec, SettingTable, SettingsOutcome, read_address, read_addresses,
     read_name, read_number,
@@ -43,6 +47,10 @@
     pub retry_window: Duration,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
+    /// Maximum number of descriptors that the process may have open, if it is limited.
+    pub max_descriptors: Option<usize>,
+    /// Maximum time for which a caller may read nothing of its answer.
+    pub answer_stall_limit: Duration,
     /// Share of a core that the process may use.
     pub processor_share: f64,
     /// Minimum severity that is logged.
@@ -177,6 +185,20 @@
         "Maximum number of open connections from callers",
         |to, text| read_number(&mut to.max_connections, text, 1..=100_000),
     ),
+    SettingSpec::optional(
+        "max-descriptors",
+        "",
+        "a number of descriptors, 256 to 10000000, or nothing",
+        "Maximum number of descriptors of the process; bounds the connections of all listeners",
+        |to, text| read_optional_number(&mut to.max_descriptors, text, 256..=10_000_000),
+    ),
+    SettingSpec::optional(
+        "answer-stall-s",
+        "30",
+        "seconds, 0.1 to 3600",
+        "Time after which a connection is closed whose caller reads nothing of its answer",
+        |to, text| read_seconds(&mut to.answer_stall_limit, text, 0.1..=3_600.0),
+    ),
     SettingSpec::optional(
         "processor-share",
         "1",
@@ -205,6 +227,11 @@
         !self.seed_addresses.is_empty() && !self.seed_addresses.contains(&self.feed_address)
     }
 
+    /// Bounds of the listeners' connections.
+    pub(crate) fn descriptor_plan(&self) -> DescriptorPlan {
+        DescriptorPlan::new(self.max_descriptors, self.max_connections)
+    }
+
     /// Schedule of a graceful stop.
     pub(crate) fn stop_plan(&self) -> StopPlan {
         /// Minimum time for which new connections are accepted: the load balancer probes once per
@@ -253,6 +280,8 @@
             retry_slack: 0.0,
             retry_window: Duration::ZERO,
             max_connections: 0,
+            max_descriptors: None,
+            answer_stall_limit: Duration::ZERO,
             processor_share: 0.0,
             log_level: log::LevelFilter::Info,
         }
@@ -275,25 +304,3 @@
         has_duplicate.then(error).into_iter().collect()
     }
 }
-
-/// Parses an address into `target` unless the text is empty; returns whether the text is valid.
-fn read_optional_address(target: &mut Option<SocketAddr>, text: &str) -> bool {
-    if text.is_empty() {
-        *target = None;
-        return true;
-    }
-    let mut address = UNSPECIFIED;
-    let is_valid = read_address(&mut address, text);
-    *target = is_valid.then_some(address);
-    is_valid
-}
-
-/// Parses fractional seconds within `bounds` into `target`; returns whether the text is valid.
-fn read_seconds(target: &mut Duration, text: &str, bounds: std::ops::RangeInclusive<f64>) -> bool {
-    let mut value = 0.0;
-    let accepted = read_number(&mut value, text, bounds);
-    if accepted {
-        *target = Duration::from_secs_f64(value);
-    }
-    accepted
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,9 @@
 mod configuration_worker;
 #[cfg(test)]
 mod configuration_worker_tests;
+mod descriptor_plan;
+#[cfg(test)]
+mod descriptor_plan_tests;
 mod discovery_worker;
 mod end_detection;
 #[cfg(test)]
@@ -68,6 +71,9 @@
 #[cfg(test)]
 mod leader_worker_tests;
 mod leadership_wire;
+mod listener_guard;
+#[cfg(test)]
+mod listener_guard_tests;
 mod load_report_wire;
 mod local_response;
 mod metric_names;
@@ -149,6 +155,7 @@
 #[cfg(test)]
 mod service_choice_tests;
 mod service_state;
+mod setting_readers;
 mod stop_plan;
 #[cfg(test)]
 mod stop_plan_tests;
--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -18,6 +18,8 @@
 pub(crate) const RELAYS: &str = "geraniummast_relays_total";
 /// Quarantines of requests that crash servers, by change.
 pub(crate) const QUARANTINES: &str = "geraniummast_quarantines_total";
+/// Connections that listeners closed or refused because of a limit, by listener and reason.
+pub(crate) const CLOSED_CONNECTIONS: &str = "geraniummast_closed_connections_total";
 /// Connections opened to servers.
 pub(crate) const SERVER_CONNECTIONS: &str = "geraniummast_server_connections_total";
 /// Calls to the platform's store, by kind and result.
--- a/crates/gateway/src/relay_server.rs
+++ b/crates/gateway/src/relay_server.rs
@@ -1,9 +1,7 @@
 //! Accepts requests of instances that do not reach the servers.
 
-use crate::{prelude::*, request_handler};
+use crate::{listener_guard::guard, prelude::*, request_handler};
 
-/// Largest number of connections of other instances.
-const MAX_CONNECTIONS: usize = 1_024;
 /// Largest head of a request, in bytes: a caller's head and the relay headers.
 const MAX_HEAD_BYTES: usize = 80 << 10;
 /// Largest number of headers of a request.
@@ -17,12 +15,13 @@
         return Ok(());
     };
     let limits = HttpLimits {
-        max_connections: MAX_CONNECTIONS,
+        max_connections: node.settings.descriptor_plan().relay,
         head_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
         max_headers: MAX_HEADERS,
     };
     let listener = HttpListener::bind(address, limits).await?;
+    let listener = guard(node, listener, "relay", |_| IDLE_TIMEOUT);
     let handler_node = node.clone();
     let workers = &node.workers;
     workers.spawn(listener.serve(workers.clone(), move |request| {
--- /dev/null
+++ b/crates/gateway/src/setting_readers.rs
@@ -0,0 +1,36 @@
+//! Functions that parse the value of a gateway setting into a target; each returns whether the text
+//! is valid.
+
+use crate::prelude::*;
+use geraniummast_settings::{read_address, read_number};
+use std::{net::Ipv4Addr, ops::RangeInclusive};
+
+/// Parses an address into `target` unless the text is empty.
+pub(crate) fn read_optional_address(target: &mut Option<SocketAddr>, text: &str) -> bool {
+    let mut address = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    let is_valid = text.is_empty() || read_address(&mut address, text);
+    *target = (is_valid && !text.is_empty()).then_some(address);
+    is_valid
+}
+
+/// Parses a number within `bounds` into `target` unless the text is empty.
+pub(crate) fn read_optional_number(
+    target: &mut Option<usize>,
+    text: &str,
+    bounds: RangeInclusive<usize>,
+) -> bool {
+    let mut number = 0;
+    let is_valid = text.is_empty() || read_number(&mut number, text, bounds);
+    *target = (is_valid && !text.is_empty()).then_some(number);
+    is_valid
+}
+
+/// Parses fractional seconds within `bounds` into `target`.
+pub(crate) fn read_seconds(target: &mut Duration, text: &str, bounds: RangeInclusive<f64>) -> bool {
+    let mut value = 0.0;
+    let accepted = read_number(&mut value, text, bounds);
+    if accepted {
+        *target = Duration::from_secs_f64(value);
+    }
+    accepted
+}
