Bound the requests of the feed and the time to read a reply

The feed's listener accepted frames of up to 8 MiB, though a request is a few hundred bytes, and sent a reply for as long as its peer kept the connection open. FeedCodec bounds requests to 64 KiB and leaves replies at 8 MiB; a reply that is not read within 10 s ends its connection, after the peer has given up (0.6 s). Refused and ended connections are logged and counted.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -1,6 +1,7 @@
 //! Fetches the store's objects from other instances.
 
 use crate::{
+    feed_codec::FeedCodec,
     feed_server::{FeedFrames, frame_stream},
     feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
     mirror_delta::{DeltaOutcome, MirrorDelta},
@@ -180,7 +181,7 @@
         stream.set_nodelay(true).ok()?;
         *connection = Some(FeedConnection {
             address,
-            frames: frame_stream(stream),
+            frames: frame_stream(stream, FeedCodec::client()),
         });
     }
     let frames = &mut connection.as_mut()?.frames;
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -1,29 +1,28 @@
 //! Serves the store's objects to other instances.
 
 use crate::{
+    feed_codec::FeedCodec,
     feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
+    listener_guard,
     prelude::*,
 };
 use async_net::{TcpListener, TcpStream};
 use futures_lite::StreamExt;
 use futures_util::SinkExt;
-use tokio_util::{
-    codec::{Framed, LengthDelimitedCodec},
-    compat::FuturesAsyncReadCompatExt,
-};
+use std::io;
+use tokio_util::{codec::Framed, compat::FuturesAsyncReadCompatExt};
 
-/// Largest frame, in bytes: enough for the configuration, which is one value of the store.
-pub(crate) const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which a connection is closed whose peer has not read its reply. Peers wait for less
+/// than a second and close the connection then.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Length-delimited frames on one connection between instances.
-pub(crate) type FeedFrames = Framed<tokio_util::compat::Compat<TcpStream>, LengthDelimitedCodec>;
+/// Frames on one connection between instances.
+pub(crate) type FeedFrames = Framed<tokio_util::compat::Compat<TcpStream>, FeedCodec>;
 
 /// Wraps a new connection in the frame codec.
-pub(crate) fn frame_stream(stream: TcpStream) -> FeedFrames {
-    let mut codec = LengthDelimitedCodec::new();
-    codec.set_max_frame_length(MAX_FRAME_BYTES);
+pub(crate) fn frame_stream(stream: TcpStream, codec: FeedCodec) -> FeedFrames {
     Framed::new(stream.compat(), codec)
 }
 
@@ -37,11 +36,12 @@
             continue;
         };
         let Some(guard) = connections.admit(max_connections) else {
+            listener_guard::report(&node, "feed", ConnectionEvent::Refused);
             continue;
         };
         let task_node = node.clone();
         node.workers.spawn(async move {
-            serve_connection(&task_node, frame_stream(stream)).await;
+            serve_connection(&task_node, frame_stream(stream, FeedCodec::server())).await;
             drop(guard);
         });
     }
@@ -66,26 +66,49 @@
     prost::Message::encode(&tail, &mut reply).map_or(objects, |()| Bytes::from(reply))
 }
 
+/// Sends a reply; returns `None` if the peer has not read it within `timeout`.
+pub(crate) async fn send_within(
+    frames: &mut FeedFrames,
+    reply: Bytes,
+    timeout: Duration,
+) -> Option<io::Result<()>> {
+    let unread = async {
+        Timer::after(timeout).await;
+        None
+    };
+    future::or(async { Some(frames.send(reply).await) }, unread).await
+}
+
 async fn serve_connection(node: &GatewayNode, mut frames: FeedFrames) {
     loop {
         let idle = async {
             Timer::after(IDLE_TIMEOUT).await;
             None
         };
-        let Some(Ok(frame)) = future::or(frames.next(), idle).await else {
+        let Some(received) = future::or(frames.next(), idle).await else {
             return;
         };
-        let request = <FeedRequestWire as prost::Message>::decode(frame.freeze())
-            .ok()
-            .and_then(|wire| FeedRequest::try_from(wire).ok());
+        let request = match received {
+            Ok(frame) => <FeedRequestWire as prost::Message>::decode(frame.freeze())
+                .ok()
+                .and_then(|wire| FeedRequest::try_from(wire).ok()),
+            Err(error) if error.kind() == io::ErrorKind::InvalidData => None,
+            Err(_) => return,
+        };
         let Some(request) = request else {
             if node.log.allow("feed", node.now()) {
                 log::warn!("cannot decode feed request of another instance");
             }
             return;
         };
-        if frames.send(reply_to(node, request)).await.is_err() {
-            return;
+        match send_within(&mut frames, reply_to(node, request), REPLY_TIMEOUT).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) => return,
+            None => {
+                let stalled = ConnectionEvent::Stalled(StallKind::Write);
+                listener_guard::report(node, "feed", stalled);
+                return;
+            }
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,10 +36,13 @@
 mod era_wire;
 mod era_worker;
 mod feed_client;
+mod feed_codec;
 mod feed_replies;
 #[cfg(test)]
 mod feed_replies_tests;
 mod feed_server;
+#[cfg(test)]
+mod feed_server_tests;
 mod feed_wire;
 #[cfg(test)]
 mod former_wire_tests;
