--- a/crates/gateway/src/caller_listeners.rs
+++ b/crates/gateway/src/caller_listeners.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners for callers, for the load balancer's readiness probe and for operators.
 
 use crate::{
+    descriptor_plan::DescriptorPlan,
     listener_guard::{caller_head_limit, guard},
     operator_page,
     prelude::*,
@@ -23,7 +24,7 @@
     metrics: PrometheusHandle,
 ) -> eyre::Result<Arc<OpenConnections>> {
     let settings = &node.settings;
-    let plan = settings.descriptor_plan();
+    let plan = DescriptorPlan::from(settings);
     let operator_limits = HttpLimits {
         max_connections: plan.operators,
         ..HttpLimits::default()
--- a/crates/gateway/src/descriptor_plan.rs
+++ b/crates/gateway/src/descriptor_plan.rs
@@ -5,6 +5,8 @@
 //! with 3,075 descriptors, that leaves 2,000 connections to callers, 109 to operators, 437 to other
 //! instances and 329 to servers, helpers and the store.
 
+use crate::GatewaySettings;
+
 /// Largest numbers of connections that the listeners accept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct DescriptorPlan {
@@ -57,3 +59,9 @@
         self.callers + self.relay + self.feed + 2 * self.operators
     }
 }
+
+impl From<&GatewaySettings> for DescriptorPlan {
+    fn from(settings: &GatewaySettings) -> Self {
+        Self::new(settings.max_descriptors, settings.max_connections)
+    }
+}
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -1,6 +1,7 @@
 //! Serves the store's objects to other instances.
 
 use crate::{
+    descriptor_plan::DescriptorPlan,
     feed_codec::FeedCodec,
     feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
     listener_guard,
@@ -29,7 +30,7 @@
 /// Accepts connections and serves feed requests until the worker pool stops.
 pub(crate) async fn serve(node: Arc<GatewayNode>, listener: TcpListener) {
     let connections: Arc<OpenConnections> = Arc::default();
-    let max_connections = node.settings.descriptor_plan().feed;
+    let max_connections = DescriptorPlan::from(&node.settings).feed;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(Duration::from_millis(10)).await;
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -1,9 +1,8 @@
 //! Settings of a gateway instance.
 
 use crate::{
-    descriptor_plan::DescriptorPlan,
     prelude::*,
-    setting_readers::{read_optional_address, read_optional_number, read_seconds},
+    setting_readers::{UNSPECIFIED, read_optional_address, read_optional_number, read_seconds},
 };
 use geraniummast_settings::{
     SettingError, SettingSpec, SettingTable, SettingsOutcome, read_address, read_addresses,
@@ -57,9 +56,6 @@
     pub log_level: log::LevelFilter,
 }
 
-const UNSPECIFIED: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
-
 const ADDRESS: &str = "IP:PORT, no wildcard address";
 const NAME: &str = "a name of 1 to 64 letters, digits, '-', '_', '.'";
 
@@ -227,11 +223,6 @@
         !self.seed_addresses.is_empty() && !self.seed_addresses.contains(&self.feed_address)
     }
 
-    /// Bounds of the listeners' connections.
-    pub(crate) fn descriptor_plan(&self) -> DescriptorPlan {
-        DescriptorPlan::new(self.max_descriptors, self.max_connections)
-    }
-
     /// Schedule of a graceful stop.
     pub(crate) fn stop_plan(&self) -> StopPlan {
         /// Minimum time for which new connections are accepted: the load balancer probes once per
--- a/crates/gateway/src/relay_server.rs
+++ b/crates/gateway/src/relay_server.rs
@@ -1,6 +1,6 @@
 //! Accepts requests of instances that do not reach the servers.
 
-use crate::{listener_guard::guard, prelude::*, request_handler};
+use crate::{descriptor_plan::DescriptorPlan, listener_guard::guard, prelude::*, request_handler};
 
 /// Largest head of a request, in bytes: a caller's head and the relay headers.
 const MAX_HEAD_BYTES: usize = 80 << 10;
@@ -15,7 +15,7 @@
         return Ok(());
     };
     let limits = HttpLimits {
-        max_connections: node.settings.descriptor_plan().relay,
+        max_connections: DescriptorPlan::from(&node.settings).relay,
         head_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
         max_headers: MAX_HEADERS,
--- a/crates/gateway/src/setting_readers.rs
+++ b/crates/gateway/src/setting_readers.rs
@@ -3,11 +3,17 @@
 
 use crate::prelude::*;
 use geraniummast_settings::{read_address, read_number};
-use std::{net::Ipv4Addr, ops::RangeInclusive};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    ops::RangeInclusive,
+};
+
+/// Address of a setting that has not been read.
+pub(crate) const UNSPECIFIED: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// Parses an address into `target` unless the text is empty.
 pub(crate) fn read_optional_address(target: &mut Option<SocketAddr>, text: &str) -> bool {
-    let mut address = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    let mut address = UNSPECIFIED;
     let is_valid = text.is_empty() || read_address(&mut address, text);
     *target = (is_valid && !text.is_empty()).then_some(address);
     is_valid
