--- a/crates/gateway/src/descriptor_plan.rs
+++ b/crates/gateway/src/descriptor_plan.rs
@@ -2,8 +2,8 @@
 //!
 //! The callers' connections get at most 70 % of what the files leave, the rest is for connections
 //! to servers, helpers, peers and the store and for the other listeners. On the smallest machine,
-//! with 3,075 descriptors, that leaves 2,000 connections to callers, 109 to operators, 437 to other
-//! instances and 329 to servers, helpers and the store.
+//! with 3,075 descriptors, that leaves 2,000 connections to callers, 108 to operators, 436 to other
+//! instances and 331 to servers, helpers and the store.
 
 use crate::GatewaySettings;
 
