--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,9 @@
 mod configuration_worker;
 #[cfg(test)]
 mod configuration_worker_tests;
+mod descriptor_plan;
+#[cfg(test)]
+mod descriptor_plan_tests;
 mod discovery_worker;
 mod end_detection;
 #[cfg(test)]
@@ -33,10 +36,13 @@
 mod era_wire;
 mod era_worker;
 mod feed_client;
+mod feed_codec;
 mod feed_replies;
 #[cfg(test)]
 mod feed_replies_tests;
 mod feed_server;
+#[cfg(test)]
+mod feed_server_tests;
 mod feed_wire;
 #[cfg(test)]
 mod former_wire_tests;
@@ -66,6 +72,9 @@
 mod leader_worker_tests;
 mod leadership_checks;
 mod leadership_wire;
+mod listener_guard;
+#[cfg(test)]
+mod listener_guard_tests;
 mod load_report_wire;
 mod local_response;
 mod metric_names;
@@ -147,6 +156,7 @@
 #[cfg(test)]
 mod service_choice_tests;
 mod service_state;
+mod setting_readers;
 mod stop_plan;
 #[cfg(test)]
 mod stop_plan_tests;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,10 +2,17 @@
 //!
 //! This crate makes no decisions about keys or requests.
 
+mod connection_activity;
+#[cfg(test)]
+mod connection_activity_tests;
+mod connection_event;
 mod exchange_error;
 mod http_client;
 mod http_connection;
 mod http_listener;
+mod listener_step;
+#[cfg(test)]
+mod listener_step_tests;
 mod log_output;
 mod log_rate_limiter;
 mod memory_budget;
@@ -22,13 +29,20 @@
 mod state_mutex;
 mod steady_clock;
 mod tcp_dialer;
+mod tracked_connection;
+mod tracked_stream;
+#[cfg(test)]
+mod tracked_stream_tests;
 mod worker_pool;
 
 pub use {
+    connection_activity::{ConnectionActivity, ConnectionPhase, StallKind, StallLimits},
+    connection_event::ConnectionEvent,
     exchange_error::ExchangeError,
     http_client::{ExchangeLimits, HttpClient},
     http_connection::HttpConnection,
     http_listener::{HttpLimits, HttpListener},
+    listener_step::ListenerStep,
     log_rate_limiter::LogRateLimiter,
     memory_budget::MemoryBudget,
     one_shot_event::OneShotEvent,
