--- a/crates/daemon/tests/large_bodies/main.rs
+++ b/crates/daemon/tests/large_bodies/main.rs
@@ -186,7 +186,6 @@
 // Guards against silent connections that use up the descriptors, where fewer are there than
 // `--max-connections` has by default.
 #[test]
-#[ignore = "known red"]
 fn silent_connections_leave_descriptors_free() {
     let limits = MachineLimits {
         descriptors: 1_024,
@@ -201,7 +200,6 @@
 
 // Guards against silent connections that lock out all other callers.
 #[test]
-#[ignore = "known red"]
 fn more_silent_connections_than_permitted_lock_out_no_caller() {
     let _running = lock();
     let (_site, mut instance) = start(12, SMALL_MACHINE, &["--max-connections=200"]);
