Decide which request bodies share a bounded memory

Nothing bounds the bodies of all requests together. The ledger accounts for bodies as they come, and decides without a network whether one may hold more: it takes the bytes, names the bodies to evict first, or refuses. Unit tests cover bodies stopped short, slow, whole, one large body, small ones beside a full budget, and forwarded requests. Nothing uses it yet.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,9 @@
 mod log_output;
 mod log_rate_limiter;
 mod memory_budget;
+mod memory_ledger;
+#[cfg(test)]
+mod memory_ledger_tests;
 mod one_shot_event;
 mod open_connections;
 mod process_runner;
@@ -31,6 +34,7 @@
     http_listener::{HttpLimits, HttpListener},
     log_rate_limiter::LogRateLimiter,
     memory_budget::MemoryBudget,
+    memory_ledger::{BodyAccount, BodyId, BodyStage, MemoryLedger, MemoryLimits, MemoryVerdict},
     one_shot_event::OneShotEvent,
     open_connections::{ConnectionGuard, LAST_ANSWER_TIME, OpenConnections},
     process_runner::{EXIT_FAILURE, run_logged, run_process},
