Bound the memory of request and answer bodies together

Bodies were collected completely into two copies each, and nothing bounded their sum: 40 bodies of 8 MiB stopped one byte short took an instance to 403 MB. When the budget is exhausted, requests that have not been forwarded are evicted or refused with 503, Retry-After and Connection: close. Answers share the budget, with their first 64 KiB, and go to callers from their blocks. Bodies that stall, stay below a least rate or outlast their request's deadline get 408.

--- a/crates/gateway/src/attempt_result.rs
+++ b/crates/gateway/src/attempt_result.rs
@@ -6,15 +6,17 @@
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
     /// The server ran the request; its answer goes to the caller.
-    Answered(Response<Bytes>),
+    Answered(Response<StoredBody>),
     /// The server ran the request and failed; contains its answer.
-    Failed(Response<Bytes>),
+    Failed(Response<StoredBody>),
     /// The server reported that it did not run the request.
     NotRun,
     /// The server does not own the key, or another server now has its address.
     Misdirected,
     /// The request was not sent, for the given cause.
     NotSent(String),
+    /// The request was evicted before it was sent.
+    Evicted,
     /// The server refused the connection; the request was not sent.
     Refused,
     /// The request was sent, and the connection ended before the answer was complete.
@@ -33,6 +35,7 @@
             Self::NotRun => "not-run",
             Self::Misdirected => "misdirected",
             Self::NotSent(_) => "not-sent",
+            Self::Evicted => "evicted",
             Self::Refused => "refused",
             Self::ConnectionLost(_) => "connection-lost",
             Self::Unclear(_) => "unclear",
--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -39,12 +39,17 @@
         server.pool.keep(connection, None, max, sent_at);
         return AttemptResult::NotSent("server leaves".into());
     }
+    let Some(body) = call.body.forward() else {
+        let max = node.max_idle_connections(server);
+        server.pool.keep(connection, None, max, sent_at);
+        return AttemptResult::Evicted;
+    };
     if reservation.has_token {
         metrics::counter!(LIMITED_ATTEMPTS).increment(1);
     }
     call.progress.in_flight.store(true, Ordering::Relaxed);
     call.progress.attempts_sent.fetch_add(1, Ordering::Relaxed);
-    let request = forwarded(call, server, call.time_left(sent_at));
+    let request = forwarded(call, body, server, call.time_left(sent_at));
     // An unresponsive server gets no new requests, but this one is waited for: it may be running.
     // One that may be repeated goes elsewhere if the server is out of this instance's reach.
     let is_new = connection.is_new();
@@ -55,7 +60,7 @@
             false => std::future::pending().await,
         }
     };
-    let exchange = connection.exchange(sent, request, &node.answer_memory);
+    let exchange = connection.exchange(sent, request, &node.body_memory);
     let exchange = future::or(exchange, given_up).await;
     call.progress.in_flight.store(false, Ordering::Relaxed);
     let now = node.now();
@@ -159,8 +164,13 @@
     quota_worker::update_limit(server, "answer", |limit| limit.apply(notice, sent_at, now));
 }
 
-fn forwarded(call: &CallerCall, server: &ServerRuntime, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn forwarded(
+    call: &CallerCall,
+    body: MessageBody,
+    server: &ServerRuntime,
+    left: Duration,
+) -> Request<MessageBody> {
+    let mut request = Request::new(body);
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
     let mut headers = call.parts.headers.clone();
--- a/crates/gateway/src/body_reader.rs
+++ b/crates/gateway/src/body_reader.rs
@@ -1,8 +1,10 @@
-//! Reads the bodies of callers' requests.
+//! Reads the bodies of callers' requests within the memory for all of them.
+//!
+//! Memory is taken as the bytes come: a length that is only announced keeps nobody out, and a body
+//! that stops is known by then and gives way to those that go on.
 
 use crate::prelude::*;
-use http_body_util::{LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 /// Why a request body was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,13 +13,113 @@
     TooLarge,
     /// The body ended early or is malformed.
     Unreadable,
+    /// There is no memory for the body. Holds the bytes that were stored.
+    NoMemory(MemoryDenial, usize),
+    /// The body did not come in time. Holds the bytes that were stored.
+    Late(PaceLimit, usize),
 }
 
-/// Reads a complete body of at most `max_bytes`.
-pub(crate) async fn read(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Unreadable),
+/// Limits of one body.
+pub(crate) struct BodyTerms<'a> {
+    /// Memory for all bodies.
+    pub(crate) memory: &'a Arc<MemoryBudget>,
+    /// Largest length, in bytes.
+    pub(crate) max_bytes: usize,
+    /// Limits on the time that the body takes.
+    pub(crate) limits: BodyLimits,
+    /// When the request ends.
+    pub(crate) deadline: MonoTime,
+    /// Priority of the route; 0 is the highest.
+    pub(crate) priority: u32,
+}
+
+impl BodyError {
+    /// Value of the `reason` field in logs, metrics and response bodies.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::TooLarge => "body-too-large",
+            Self::Unreadable => "body-broken",
+            Self::NoMemory(MemoryDenial::NoRoom, _) => "no-memory",
+            Self::NoMemory(MemoryDenial::Evicted, _) => "evicted",
+            Self::Late(PaceLimit::Stalled, _) => "body-stalled",
+            Self::Late(PaceLimit::TooSlow, _) => "body-slow",
+            Self::Late(PaceLimit::DeadlinePassed, _) => "body-late",
+        }
     }
 }
+
+/// Length that a message announces, in bytes; `None` if it announces none.
+pub(crate) fn announced_bytes(body: &Incoming) -> Option<usize> {
+    let exact = body.size_hint().exact();
+    exact.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
+/// Reads a complete body.
+pub(crate) async fn read(
+    body: &mut Incoming,
+    terms: BodyTerms<'_>,
+) -> Result<StoredBody, BodyError> {
+    if body.is_end_stream() {
+        return Ok(StoredBody::default());
+    }
+    let announced = announced_bytes(body);
+    if announced.is_some_and(|bytes| bytes > terms.max_bytes) {
+        return Err(BodyError::TooLarge);
+    }
+    let started_at = SteadyClock.now();
+    let mut pace = BodyPace::new(terms.limits, started_at, terms.deadline);
+    let mut writer = BodyWriter::request(terms.memory, announced, terms.priority, started_at);
+    let mut received = 0;
+    loop {
+        let frame = async { Ok(body.frame().await) };
+        let evicted = async {
+            writer.wait_evicted().await;
+            Err(BodyError::NoMemory(MemoryDenial::Evicted, received))
+        };
+        let late = async {
+            let (ends_at, limit) = pace.next_limit();
+            Timer::after(ends_at.since(SteadyClock.now())).await;
+            Err(BodyError::Late(limit, received))
+        };
+        // What has come already is read first, so that no timer is set for a body that is there.
+        let Some(frame) = future::or(frame, future::or(evicted, late)).await? else {
+            break;
+        };
+        let frame = frame.map_err(|_| BodyError::Unreadable)?;
+        let Some(piece) = frame.data_ref() else {
+            continue;
+        };
+        if received + piece.len() > terms.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        let now = SteadyClock.now();
+        pace.record(piece.len(), now);
+        let pushed = writer.push(piece, now);
+        pushed.map_err(|denial| BodyError::NoMemory(denial, received))?;
+        received += piece.len();
+    }
+    let body = writer.finish();
+    body.map_err(|denial| BodyError::NoMemory(denial, received))
+}
+
+/// Reads and drops what still comes of a refused body for a short time. A connection that is closed
+/// with unread bytes is reset, and its caller may lose the answer.
+pub(crate) async fn discard(mut body: Incoming) {
+    /// Longest time for which a body is read on.
+    const MAX_TIME: Duration = Duration::from_secs(1);
+    /// Number of bytes after which no more is read.
+    const MAX_BYTES: usize = 1 << 20;
+    let drained = async {
+        let mut read = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > MAX_BYTES {
+                break;
+            }
+        }
+    };
+    let timed_out = async {
+        Timer::after(MAX_TIME).await;
+    };
+    future::or(drained, timed_out).await;
+}
--- a/crates/gateway/src/caller_call.rs
+++ b/crates/gateway/src/caller_call.rs
@@ -1,6 +1,6 @@
 //! A caller's request while it is processed, and its possible outcomes.
 
-use crate::prelude::*;
+use crate::{body_refusal, prelude::*};
 use http::header;
 use std::sync::OnceLock;
 
@@ -9,7 +9,7 @@
     /// Method, URI and headers as the caller sent them.
     pub(crate) parts: http::request::Parts,
     /// Complete body.
-    pub(crate) body: Bytes,
+    pub(crate) body: StoredBody,
     /// Identifier, deadline and key from the caller's headers.
     pub(crate) headers: RequestHeaders,
     /// Route that matched.
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub(crate) enum CallOutcome {
     /// A server answered.
-    Served(Response<Bytes>),
+    Served(Response<StoredBody>),
     /// The request has not run. Holds the reason, the time after which to retry, and the load at
     /// the time.
     Refused(RefusalReason, Duration, LoadView),
@@ -62,6 +62,14 @@
     Failed(FailureReason),
 }
 
+impl CallOutcome {
+    /// Refusal of a request whose body was evicted before any of it was sent.
+    pub(crate) fn evicted() -> Self {
+        let pause = body_refusal::memory_retry_after();
+        Self::Refused(RefusalReason::NoMemory, pause, LoadView::default())
+    }
+}
+
 /// Load of a service's servers when a request was refused.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct LoadView {
@@ -110,6 +118,8 @@
     Helper,
     /// The request has crashed servers. Holds the time after which to retry.
     Quarantined(Duration),
+    /// The memory for requests is used up.
+    NoMemory,
 }
 
 /// Why a request that may have run has no answer.
@@ -141,6 +151,7 @@
             Self::OtherConfiguration => "other-configuration",
             Self::Helper => "helper",
             Self::Quarantined(_) => "quarantined",
+            Self::NoMemory => "no-memory",
         }
     }
 }
@@ -171,14 +182,15 @@
             let headers = &self.parts.headers;
             let host = headers.get(header::HOST);
             let credentials = headers.get(header::AUTHORIZATION);
-            RequestIdentity::from(RequestContent {
+            let content = RequestContent {
                 method: self.parts.method.as_str(),
                 host: host.and_then(|host| host.to_str().ok()).unwrap_or_default(),
                 target: self.target(),
                 credentials: credentials.map_or(&[], |value| value.as_bytes()),
                 key: self.headers.key,
-                body: &self.body,
-            })
+                body: &[],
+            };
+            RequestIdentity::with_blocks(content, &self.body.blocks())
         })
     }
 
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -33,8 +33,8 @@
     first_attempt_timeouts: StateMutex<IndexMap<String, Duration>>,
     pub(crate) keys: StateMutex<IndexMap<String, KeyView>>,
     pub(crate) peers: StateMutex<PeerTable>,
-    /// Memory for the answers that are being read from servers and helpers, or delivered.
-    pub(crate) answer_memory: Arc<MemoryBudget>,
+    /// Memory for the bodies of callers' requests, and of answers until they are delivered.
+    pub(crate) body_memory: Arc<MemoryBudget>,
     /// Connections to instances that run requests for this one.
     pub(crate) helpers: HelperTable,
     /// Whether this instance reaches the servers.
@@ -90,8 +90,6 @@
     const MAX_OCCUPANCY: f64 = 2.0;
     /// The same limit for the owner of a key.
     const MAX_OWNER_OCCUPANCY: f64 = 2.6;
-    /// Memory for answers, apart from the first 64 KB of each, in bytes.
-    const ANSWER_MEMORY_BYTES: usize = 64 << 20;
     /// Part of the drain time that is reserved for requests already on their way.
     const DRAIN_MARGIN: Duration = Duration::from_millis(400);
     /// How long entries that expire around a store outage stay in use.
@@ -132,7 +130,7 @@
             first_attempt_timeouts: StateMutex::default(),
             keys: StateMutex::default(),
             peers: StateMutex::default(),
-            answer_memory: MemoryBudget::new(Self::ANSWER_MEMORY_BYTES),
+            body_memory: MemoryBudget::with_limits(settings.memory.limits()),
             helpers: HelperTable::default(),
             reach: StateMutex::default(),
             reach_checked: Event::new(),
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -1,6 +1,10 @@
 //! Settings of a gateway instance.
 
-use crate::prelude::*;
+use crate::{
+    memory_settings::MemorySettings,
+    prelude::*,
+    setting_readers::{read_optional_address, read_seconds},
+};
 use geraniummast_settings::{
     SettingError, SettingSpec, SettingTable, SettingsOutcome, read_address, read_addresses,
     read_name, read_number,
@@ -45,13 +49,12 @@
     pub max_connections: usize,
     /// Share of a core that the process may use.
     pub processor_share: f64,
+    /// Memory for requests and answers, and the time that bodies may take.
+    pub(crate) memory: MemorySettings,
     /// Minimum severity that is logged.
     pub log_level: log::LevelFilter,
 }
 
-const UNSPECIFIED: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
-
 const ADDRESS: &str = "IP:PORT, no wildcard address";
 const NAME: &str = "a name of 1 to 64 letters, digits, '-', '_', '.'";
 
@@ -184,6 +187,34 @@
         "Share of a core that the process may use; instances with the largest share lead the keys",
         |to, text| read_number(&mut to.processor_share, text, 0.01..=1_024.0),
     ),
+    SettingSpec::optional(
+        "memory-mb",
+        "",
+        "MiB, 1 to 1048576, or nothing",
+        "Memory of the machine, of which requests and answers get three fifths",
+        |to, text| to.memory.read_machine(text),
+    ),
+    SettingSpec::optional(
+        "request-memory-mb",
+        "",
+        "MiB, 1 to 1048576, or nothing",
+        "Memory for requests and answers; 1024 if neither this nor memory-mb is given",
+        |to, text| to.memory.read_requests(text),
+    ),
+    SettingSpec::optional(
+        "body-stall-s",
+        "10",
+        "seconds, 0.1 to 3600",
+        "Maximum time without progress of a request body, and before its least rate applies",
+        |to, text| read_seconds(&mut to.memory.stall_timeout, text, 0.1..=3_600.0),
+    ),
+    SettingSpec::optional(
+        "body-min-rate",
+        "1024",
+        "bytes per second, 0 to 1000000000",
+        "Least mean rate over a whole request body",
+        |to, text| read_number(&mut to.memory.min_bytes_per_s, text, 0..=1_000_000_000),
+    ),
     SettingSpec::optional(
         "log-level",
         "info",
@@ -194,38 +225,15 @@
 ];
 
 impl GatewaySettings {
-    /// Part of the stop timeout that is reserved for closing sockets.
-    const STOP_MARGIN: Duration = Duration::from_millis(400);
-    /// Share of the stop timeout in which all requests are accepted. The platform's shutdown rule
-    /// allows requests sent in the first half to be still running in the last sixth.
-    const CLOSE_IDLE_SHARE: f64 = 0.48;
+    /// Address of a setting that has not been read yet.
+    pub(crate) const UNSPECIFIED: SocketAddr =
+        SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
 
     /// Whether seeds are configured and this instance is not one of them.
     pub(crate) fn asks_seeds(&self) -> bool {
         !self.seed_addresses.is_empty() && !self.seed_addresses.contains(&self.feed_address)
     }
 
-    /// Schedule of a graceful stop.
-    pub(crate) fn stop_plan(&self) -> StopPlan {
-        /// Minimum time for which new connections are accepted: the load balancer probes once per
-        /// second and stops sending after two failed probes.
-        const MIN_DURATION: Duration = Duration::from_millis(3_200);
-        /// Share of the stop timeout during which running requests are waited for: the platform's
-        /// shutdown rule allows them until the last sixth.
-        const ANSWER_PENDING_SHARE: f64 = 5.0 / 6.0;
-        let limit = self.stop_timeout.saturating_sub(Self::STOP_MARGIN);
-        let last_answer_at = limit.saturating_sub(LAST_ANSWER_TIME);
-        StopPlan {
-            min_duration: MIN_DURATION.min(limit),
-            close_idle_at: self.stop_timeout.mul_f64(Self::CLOSE_IDLE_SHARE),
-            answer_pending_at: last_answer_at
-                .max(self.stop_timeout.mul_f64(ANSWER_PENDING_SHARE))
-                .min(limit),
-            limit,
-            answer_delivery_time: LAST_ANSWER_TIME.min(self.stop_timeout / 4),
-        }
-    }
-
     /// Reads the settings from `arguments` and from the environment, which `variable` looks up.
     pub fn read(
         arguments: impl IntoIterator<Item = std::ffi::OsString>,
@@ -238,14 +246,14 @@
         Self {
             name: String::new(),
             data_centre: String::new(),
-            caller_address: UNSPECIFIED,
-            readiness_address: UNSPECIFIED,
-            operator_address: UNSPECIFIED,
-            peer_address: UNSPECIFIED,
-            feed_address: UNSPECIFIED,
+            caller_address: Self::UNSPECIFIED,
+            readiness_address: Self::UNSPECIFIED,
+            operator_address: Self::UNSPECIFIED,
+            peer_address: Self::UNSPECIFIED,
+            feed_address: Self::UNSPECIFIED,
             relay_address: None,
             seed_addresses: Vec::new(),
-            store_address: UNSPECIFIED,
+            store_address: Self::UNSPECIFIED,
             stop_timeout: Duration::ZERO,
             drain_time: Duration::ZERO,
             max_hold: Duration::ZERO,
@@ -254,6 +262,7 @@
             retry_window: Duration::ZERO,
             max_connections: 0,
             processor_share: 0.0,
+            memory: MemorySettings::default(),
             log_level: log::LevelFilter::Info,
         }
     }
@@ -265,35 +274,17 @@
             self.operator_address,
         ];
         let has_duplicate = (0..addresses.len()).any(|index| {
-            addresses[..index].contains(&addresses[index]) && addresses[index] != UNSPECIFIED
+            addresses[..index].contains(&addresses[index]) && addresses[index] != Self::UNSPECIFIED
         });
         let error = || SettingError {
             source: "--caller-address, --readiness-address, --operator-address".into(),
             value: Some("the same address twice".into()),
             expected: "three different addresses".into(),
         };
-        has_duplicate.then(error).into_iter().collect()
-    }
-}
-
-/// Parses an address into `target` unless the text is empty; returns whether the text is valid.
-fn read_optional_address(target: &mut Option<SocketAddr>, text: &str) -> bool {
-    if text.is_empty() {
-        *target = None;
-        return true;
-    }
-    let mut address = UNSPECIFIED;
-    let is_valid = read_address(&mut address, text);
-    *target = is_valid.then_some(address);
-    is_valid
-}
-
-/// Parses fractional seconds within `bounds` into `target`; returns whether the text is valid.
-fn read_seconds(target: &mut Duration, text: &str, bounds: std::ops::RangeInclusive<f64>) -> bool {
-    let mut value = 0.0;
-    let accepted = read_number(&mut value, text, bounds);
-    if accepted {
-        *target = Duration::from_secs_f64(value);
+        let duplicate = has_duplicate.then(error);
+        duplicate
+            .into_iter()
+            .chain(self.memory.conflict())
+            .collect()
     }
-    accepted
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 #[cfg(test)]
 mod attempt_sender_tests;
 mod body_reader;
+mod body_refusal;
 mod caller_call;
 mod caller_listeners;
 #[cfg(test)]
@@ -70,6 +71,7 @@
 mod leadership_wire;
 mod load_report_wire;
 mod local_response;
+mod memory_settings;
 mod metric_names;
 mod mirror_delta;
 #[cfg(test)]
@@ -149,6 +151,7 @@
 #[cfg(test)]
 mod service_choice_tests;
 mod service_state;
+mod setting_readers;
 mod stop_plan;
 #[cfg(test)]
 mod stop_plan_tests;
@@ -199,7 +202,7 @@
             server_quota::ServerQuota,
             server_runtime::ServerRuntime,
             service_state::ServiceState,
-            stop_plan::{StopOutcome, StopPlan, StopProgress, StopStep},
+            stop_plan::{StopOutcome, StopProgress, StopStep},
             store_health::StoreHealth,
             *,
         },
--- a/crates/gateway/src/local_response.rs
+++ b/crates/gateway/src/local_response.rs
@@ -8,9 +8,9 @@
     request: &RequestHeaders,
     status: StatusCode,
     reason: &str,
-) -> Response<Full<Bytes>> {
+) -> Response<MessageBody> {
     let body = format!("{{\"reason\":\"{reason}\"}}");
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Full::new(Bytes::from(body)).into());
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(
@@ -26,8 +26,16 @@
     request: &RequestHeaders,
     reason: RefusalReason,
     retry_after: Duration,
-) -> Response<Full<Bytes>> {
-    let mut response = with_reason(request, StatusCode::SERVICE_UNAVAILABLE, reason.label());
+) -> Response<MessageBody> {
+    let response = with_reason(request, StatusCode::SERVICE_UNAVAILABLE, reason.label());
+    retried_after(response, retry_after)
+}
+
+/// Adds a `Retry-After` header to a response.
+pub(crate) fn retried_after(
+    mut response: Response<MessageBody>,
+    retry_after: Duration,
+) -> Response<MessageBody> {
     let seconds = format!("{:.2}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -6,6 +6,10 @@
 pub(crate) const REQUEST_SECONDS: &str = "geraniummast_request_seconds";
 /// Refused requests, by reason.
 pub(crate) const REFUSALS: &str = "geraniummast_refusals_total";
+/// Request bodies that were not read to their end or were evicted, by reason.
+pub(crate) const REFUSED_BODIES: &str = "geraniummast_refused_bodies_total";
+/// Memory that bodies of requests and answers hold, in bytes.
+pub(crate) const BODY_MEMORY: &str = "geraniummast_body_memory_bytes";
 /// Attempts to run a request on a server, by result.
 pub(crate) const ATTEMPTS: &str = "geraniummast_attempts_total";
 /// Attempts sent to servers that name a limit.
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -81,6 +81,7 @@
         METRICS_PATH => {
             let age = node.knowledge.lock().age(node.now());
             metrics::gauge!(KNOWLEDGE_AGE).set(age.as_secs_f64());
+            metrics::gauge!(BODY_MEMORY).set(node.body_memory.used() as f64);
             metrics.run_upkeep();
             text(StatusCode::OK, metrics.render())
         }
--- a/crates/gateway/src/relay_client.rs
+++ b/crates/gateway/src/relay_client.rs
@@ -48,7 +48,7 @@
         let helper = helpers.entry(address).or_insert_with(|| {
             Arc::new(HelperState {
                 http: HttpClient::new(node.workers.clone(), TcpDialer::direct(), address)
-                    .with_budget(&node.answer_memory),
+                    .with_budget(&node.body_memory),
                 load: StateMutex::new(LoadTracker::new(HELPER_SLOTS, INITIAL_ANSWER_TIME)),
             })
         });
@@ -158,11 +158,12 @@
         max_answer_bytes: MAX_ANSWER_BYTES,
     };
     let guard = HelperUse::start(helper, sent_at);
+    let Some(body) = call.body.forward() else {
+        return HelperResult::Ended(CallOutcome::evicted());
+    };
     call.progress.in_flight.store(true, Ordering::Relaxed);
-    let answer = helper
-        .http
-        .exchange_within(relayed(call, left), limits)
-        .await;
+    let request = relayed(call, body, left);
+    let answer = helper.http.exchange_stored(request, limits).await;
     call.progress.in_flight.store(false, Ordering::Relaxed);
     drop(guard);
     let now = node.now();
@@ -193,7 +194,7 @@
 fn read_answer(
     node: &GatewayNode,
     call: &CallerCall,
-    mut response: Response<Bytes>,
+    mut response: Response<StoredBody>,
 ) -> HelperResult {
     node.compare_configuration(RelayOutcome::take_revision(response.headers_mut()));
     let outcome = RelayOutcome::take(response.headers_mut());
@@ -219,8 +220,8 @@
     })
 }
 
-fn relayed(call: &CallerCall, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn relayed(call: &CallerCall, body: MessageBody, left: Duration) -> Request<MessageBody> {
+    let mut request = Request::new(body);
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
     let mut headers = call.parts.headers.clone();
--- a/crates/gateway/src/relay_terms.rs
+++ b/crates/gateway/src/relay_terms.rs
@@ -138,6 +138,7 @@
                 RefusalReason::NoConfiguration
                 | RefusalReason::Stopping
                 | RefusalReason::OtherConfiguration
+                | RefusalReason::NoMemory
                 | RefusalReason::Unreachable => Self::Declined,
                 _ => Self::Refused,
             },
--- a/crates/gateway/src/request_dispatch.rs
+++ b/crates/gateway/src/request_dispatch.rs
@@ -29,7 +29,7 @@
     let mut history = AttemptHistory::default();
     let mut failed_dials = 0;
     let mut crashes = 0;
-    let mut last_failure: Option<Response<Bytes>> = None;
+    let mut last_failure: Option<Response<StoredBody>> = None;
     loop {
         let found = server_finder::find(node, call, &state, &mut history).await;
         if let (Err(RefusalReason::Unreachable), false) = (&found, call.is_relayed) {
@@ -119,7 +119,7 @@
     call: &CallerCall,
     state: &ServiceState,
     reason: RefusalReason,
-    last_failure: Option<Response<Bytes>>,
+    last_failure: Option<Response<StoredBody>>,
 ) -> CallOutcome {
     if let Some(response) = last_failure {
         return CallOutcome::Served(response);
@@ -136,7 +136,7 @@
     state: &ServiceState,
     result: AttemptResult,
     failed_dials: usize,
-    last_failure: &mut Option<Response<Bytes>>,
+    last_failure: &mut Option<Response<StoredBody>>,
 ) -> NextStep {
     let end_refused = |reason| {
         NextStep::End(match call.progress.may_have_run() {
@@ -154,6 +154,7 @@
             true => NextStep::Retry,
             false => end_refused(RefusalReason::NotRun),
         },
+        AttemptResult::Evicted => NextStep::End(CallOutcome::evicted()),
         AttemptResult::Failed(response) => {
             if call.route.idempotent && take_retry(node, call, state) {
                 *last_failure = Some(response);
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -1,7 +1,8 @@
 //! Handles a caller's request from its arrival to the response.
 
 use crate::{
-    body_reader::{self, BodyError},
+    body_reader::{self, BodyTerms},
+    body_refusal::{self, RefusedBody},
     hop_headers, local_response,
     prelude::*,
     relay_terms::{RelayOutcome, RelayTerms},
@@ -29,7 +30,7 @@
 pub(crate) async fn handle(
     node: Arc<GatewayNode>,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> Response<MessageBody> {
     let headers = RequestHeaders::from(request.headers());
     answer_or_fail(&headers, route_request(node, request, None)).await
 }
@@ -38,7 +39,7 @@
 pub(crate) async fn handle_relayed(
     node: Arc<GatewayNode>,
     mut request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> Response<MessageBody> {
     let headers = RequestHeaders::from(request.headers());
     let terms = RelayTerms::take(request.headers_mut());
     let answer = async {
@@ -59,8 +60,8 @@
 /// Runs `answer`. If it panics, the caller gets a failure that leaves open whether the request ran.
 pub(crate) async fn answer_or_fail(
     headers: &RequestHeaders,
-    answer: impl Future<Output = Response<Full<Bytes>>>,
-) -> Response<Full<Bytes>> {
+    answer: impl Future<Output = Response<MessageBody>>,
+) -> Response<MessageBody> {
     let answered = AssertUnwindSafe(answer).catch_unwind().await;
     answered.unwrap_or_else(|_| {
         log::error!(id = headers.id_text(); "request handler panicked");
@@ -72,9 +73,9 @@
     node: Arc<GatewayNode>,
     request: Request<Incoming>,
     terms: Option<RelayTerms>,
-) -> Response<Full<Bytes>> {
+) -> Response<MessageBody> {
     let arrived_at = node.now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let headers = RequestHeaders::from(&parts.headers);
     let Some(table) = node.route_table() else {
         let reason = RefusalReason::NoConfiguration;
@@ -100,17 +101,26 @@
     {
         return local_response::with_reason(&headers, StatusCode::BAD_REQUEST, "two-lengths");
     }
-    let body = match body_reader::read(body, table.limits().max_body_bytes).await {
+    let caller_timeout = headers.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    let terms_of_body = BodyTerms {
+        memory: &node.body_memory,
+        max_bytes: table.limits().max_body_bytes,
+        limits: node.settings.memory.body_limits(),
+        deadline: arrived_at.after(caller_timeout.min(route.timeout)),
+        priority: route.priority,
+    };
+    let announced_bytes = body_reader::announced_bytes(&body);
+    let body = match body_reader::read(&mut body, terms_of_body).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => {
-            return local_response::with_reason(
-                &headers,
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body-too-large",
-            );
-        }
-        Err(BodyError::Unreadable) => {
-            return local_response::with_reason(&headers, StatusCode::BAD_REQUEST, "body-broken");
+        Err(error) => {
+            let refused = RefusedBody {
+                headers: &headers,
+                route,
+                arrived_at,
+                error,
+                announced_bytes,
+            };
+            return body_refusal::answer(&node, &refused, body);
         }
     };
     let service = match service_choice::choose(&node, route, terms.as_ref()) {
@@ -152,7 +162,7 @@
     node: &GatewayNode,
     selected: SelectedRoute,
     parts: http::request::Parts,
-    body: Bytes,
+    body: StoredBody,
     headers: RequestHeaders,
     arrived_at: MonoTime,
 ) -> CallerCall {
@@ -208,7 +218,11 @@
             ),
         }
     };
-    let cut_off = future::or(deadline_passed, stop_reached);
+    let evicted = async {
+        call.body.wait_evicted().await;
+        CallOutcome::evicted()
+    };
+    let cut_off = future::or(evicted, future::or(deadline_passed, stop_reached));
     future::or(request_dispatch::run(node, call), cut_off).await
 }
 
@@ -216,7 +230,7 @@
     node: &GatewayNode,
     call: &CallerCall,
     outcome: CallOutcome,
-) -> Response<Full<Bytes>> {
+) -> Response<MessageBody> {
     let now = node.now();
     let took = now.since(call.arrived_at);
     let relay_outcome = RelayOutcome::from(&outcome);
@@ -227,7 +241,7 @@
                 false if now <= call.target_deadline => "served",
                 false => "late",
             };
-            let mut response = response.map(Full::new);
+            let mut response = response.map(MessageBody::from);
             hop_headers::strip(response.headers_mut());
             (label, response)
         }
@@ -244,10 +258,12 @@
                 reason,
                 call.arrived_at,
             );
-            (
-                "refused",
-                local_response::refusal(&call.headers, reason, retry_after),
-            )
+            let mut response = local_response::refusal(&call.headers, reason, retry_after);
+            if reason == RefusalReason::NoMemory {
+                body_refusal::record_waiting(node, call);
+                body_refusal::close_after(&mut response);
+            }
+            ("refused", response)
         }
         CallOutcome::Failed(reason) => {
             log_failure(node, call, reason, took);
--- a/crates/gateway/src/server_lookup_tests.rs
+++ b/crates/gateway/src/server_lookup_tests.rs
@@ -38,7 +38,7 @@
 pub(crate) fn late_call(now: MonoTime) -> CallerCall {
     CallerCall {
         parts: Request::new(()).into_parts().0,
-        body: Bytes::new(),
+        body: StoredBody::default(),
         headers: RequestHeaders::default(),
         route: RouteRule {
             name: "order".into(),
--- a/crates/gateway/src/server_pool.rs
+++ b/crates/gateway/src/server_pool.rs
@@ -138,9 +138,9 @@
     pub(crate) async fn exchange(
         &mut self,
         sent: SentRequest,
-        request: Request<Full<Bytes>>,
+        request: Request<MessageBody>,
         memory: &Arc<MemoryBudget>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<Response<StoredBody>, ExchangeError> {
         self.sent.record(sent);
         self.http
             .exchange_within_budget(request, ServerPool::MAX_ANSWER_BYTES, memory)
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -68,7 +68,7 @@
     /// Sends a request and reads the complete answer within `timeout`.
     pub async fn exchange(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<MessageBody>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let limits = ExchangeLimits {
@@ -79,15 +79,25 @@
         self.exchange_within(request, limits).await
     }
 
+    /// Sends a request and reads the complete answer within `limits`, in one piece.
+    pub async fn exchange_within(
+        &self,
+        request: Request<impl Into<MessageBody>>,
+        limits: ExchangeLimits,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let answer = self.exchange_stored(request, limits).await?;
+        Ok(answer.map(StoredBody::into_bytes))
+    }
+
     /// Sends a request and reads the complete answer within `limits`.
     ///
     /// The connection of an exchange that fails or is dropped is closed. After a timeout all idle
     /// connections are closed too, because they may have been lost together with it.
-    pub async fn exchange_within(
+    pub async fn exchange_stored(
         &self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<MessageBody>>,
         limits: ExchangeLimits,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<Response<StoredBody>, ExchangeError> {
         let started = Instant::now();
         let reused = self.take_idle();
         let timeout = match reused {
--- a/crates/net/src/http_connection.rs
+++ b/crates/net/src/http_connection.rs
@@ -1,6 +1,7 @@
 //! Client side of one HTTP/1.1 connection.
 
-use crate::{memory_budget::BudgetedBytes, prelude::*};
+use crate::prelude::*;
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use smol_hyper::rt::FuturesIo;
 
@@ -9,7 +10,7 @@
 
 /// Open client connection; dropping it closes the socket.
 pub struct HttpConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<MessageBody>,
     _driver: async_executor::Task<()>,
 }
 
@@ -51,21 +52,22 @@
     /// Sends one request and reads the complete answer, at most `max_answer_bytes` bytes of body.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<MessageBody>>,
         max_answer_bytes: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let budget = MemoryBudget::new(usize::MAX);
-        self.exchange_within_budget(request, max_answer_bytes, &budget)
-            .await
+        let answer = self.exchange_within_budget(request, max_answer_bytes, &budget);
+        Ok(answer.await?.map(|body| body.into_bytes()))
     }
 
     /// Like [`Self::exchange`], for an answer that shares `budget` with others.
     pub async fn exchange_within_budget(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<impl Into<MessageBody>>,
         max_answer_bytes: usize,
         budget: &Arc<MemoryBudget>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<Response<StoredBody>, ExchangeError> {
+        let request = request.map(Into::into);
         if let Err(error) = self.sender.ready().await {
             return Err(ExchangeError::NotSent(error.to_string()));
         }
@@ -81,17 +83,25 @@
             }
         };
         let (head, mut body) = response.into_parts();
-        let mut bytes = BudgetedBytes::new(budget);
+        let announced = body
+            .size_hint()
+            .exact()
+            .and_then(|bytes| bytes.try_into().ok());
+        let mut writer = BodyWriter::answer(budget, announced, SteadyClock.now());
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| unanswered(&error))?;
             let Some(piece) = frame.data_ref() else {
                 continue;
             };
-            if bytes.len() + piece.len() > max_answer_bytes || !bytes.push(piece) {
+            let is_too_long = writer.stored_bytes() + piece.len() > max_answer_bytes;
+            if is_too_long || writer.push(piece, SteadyClock.now()).is_err() {
                 return Err(ExchangeError::AnswerTooLarge(head.headers.into()));
             }
         }
-        Ok(Response::from_parts(head, bytes.finish()))
+        match writer.finish() {
+            Ok(body) => Ok(Response::from_parts(head, body)),
+            Err(_) => Err(ExchangeError::AnswerTooLarge(head.headers.into())),
+        }
     }
 }
 
--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -61,11 +61,16 @@
 
     /// Answers every request with `handle` until the pool stops or
     /// [`OpenConnections::stop_accepting`] is called.
-    pub async fn serve<H, F>(self, pool: Arc<WorkerPool>, handle: H)
+    pub async fn serve<H, F, B>(self, pool: Arc<WorkerPool>, handle: H)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Into<MessageBody> + 'static,
     {
+        let handle = move |request| {
+            let answer = handle(request);
+            async move { answer.await.map(Into::into) }
+        };
         let mut accept_stopped = pin!(async {
             self.connections.wait_accept_stopped().await;
             None
@@ -90,7 +95,7 @@
     fn start_connection<H, F>(&self, pool: &Arc<WorkerPool>, stream: TcpStream, handle: &H)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+        F: Future<Output = Response<MessageBody>> + Send + 'static,
     {
         let Some(guard) = self.connections.admit(self.limits.max_connections) else {
             return;
@@ -113,7 +118,7 @@
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Response<Full<Bytes>>>,
+    F: Future<Output = Response<MessageBody>>,
 {
     let service = service_fn(|request| {
         let answer = handle(request);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,12 @@
 //!
 //! This crate makes no decisions about keys or requests.
 
+mod block_list;
+#[cfg(test)]
+mod block_list_tests;
+mod body_pace;
+#[cfg(test)]
+mod body_pace_tests;
 mod exchange_error;
 mod http_client;
 mod http_connection;
@@ -12,6 +18,7 @@
 mod memory_ledger;
 #[cfg(test)]
 mod memory_ledger_tests;
+mod message_body;
 mod one_shot_event;
 mod open_connections;
 mod process_runner;
@@ -24,17 +31,22 @@
 mod signal_receiver;
 mod state_mutex;
 mod steady_clock;
+mod stored_body;
+#[cfg(test)]
+mod stored_body_tests;
 mod tcp_dialer;
 mod worker_pool;
 
 pub use {
+    body_pace::{BodyLimits, BodyPace, PaceLimit},
     exchange_error::ExchangeError,
     http_client::{ExchangeLimits, HttpClient},
     http_connection::HttpConnection,
     http_listener::{HttpLimits, HttpListener},
     log_rate_limiter::LogRateLimiter,
-    memory_budget::MemoryBudget,
+    memory_budget::{MemoryBudget, MemoryDenial},
     memory_ledger::{BodyAccount, BodyId, BodyStage, MemoryLedger, MemoryLimits, MemoryVerdict},
+    message_body::MessageBody,
     one_shot_event::OneShotEvent,
     open_connections::{ConnectionGuard, LAST_ANSWER_TIME, OpenConnections},
     process_runner::{EXIT_FAILURE, run_logged, run_process},
@@ -42,6 +54,7 @@
     signal_receiver::SignalReceiver,
     state_mutex::StateMutex,
     steady_clock::SteadyClock,
+    stored_body::{BodyWriter, StoredBody},
     tcp_dialer::{ConnectFuture, TcpDialer},
     worker_pool::WorkerPool,
 };
--- a/crates/net/src/memory_budget.rs
+++ b/crates/net/src/memory_budget.rs
@@ -1,127 +1,123 @@
-//! Memory that all answers being read may use together.
+//! Memory that the bodies of requests and answers may use together.
 
-use crate::prelude::*;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use crate::{prelude::*, stored_body::BodyCell};
+use std::sync::Weak;
 
-/// Bytes that are left to all users of one budget.
+/// Budget of memory, with the bodies that hold a part of it.
 #[derive(Debug)]
 pub struct MemoryBudget {
-    left: AtomicUsize,
+    state: StateMutex<BudgetState>,
 }
 
-/// Answer that is being read, with the part of the budget that it takes until it is dropped.
-///
-/// Blocks of one size are freed and used again without gaps between them, whatever the sizes of
-/// the pieces in which answers come.
-pub(crate) struct BudgetedBytes {
-    blocks: Vec<Vec<u8>>,
-    length: usize,
-    share: BudgetShare,
+#[derive(Debug)]
+struct BudgetState {
+    ledger: MemoryLedger,
+    /// Requests that can be evicted.
+    requests: IndexMap<BodyId, Weak<BodyCell>>,
 }
 
-/// Bytes taken from a budget, given back on drop.
-struct BudgetShare {
-    taken: usize,
-    budget: Arc<MemoryBudget>,
+/// Why a body gets no memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryDenial {
+    /// There is no room for more of it.
+    NoRoom,
+    /// What it held has been given to others.
+    Evicted,
 }
 
-/// Complete answer that still takes its part of the budget.
-struct CompleteAnswer {
-    data: Vec<u8>,
-    _share: BudgetShare,
+/// Part of a budget that one body holds, given back on drop.
+#[derive(Debug)]
+pub(crate) struct BodyShare {
+    id: BodyId,
+    budget: Arc<MemoryBudget>,
 }
 
 impl MemoryBudget {
     /// Creates a budget of this many bytes.
     pub fn new(bytes: usize) -> Arc<Self> {
+        Self::with_limits(MemoryLimits {
+            total_bytes: bytes,
+            answer_bytes: bytes,
+        })
+    }
+
+    /// Creates a budget with these limits.
+    pub fn with_limits(limits: MemoryLimits) -> Arc<Self> {
         Arc::new(Self {
-            left: AtomicUsize::new(bytes),
+            state: StateMutex::new(BudgetState {
+                ledger: MemoryLedger::new(limits),
+                requests: IndexMap::new(),
+            }),
         })
     }
 
     /// Bytes that are left.
     pub fn left(&self) -> usize {
-        self.left.load(Ordering::Relaxed)
+        self.state.lock().ledger.left()
     }
 
-    fn take(&self, bytes: usize) -> bool {
-        let order = Ordering::Relaxed;
-        let taken = self
-            .left
-            .fetch_update(order, order, |left| left.checked_sub(bytes));
-        taken.is_ok()
+    /// Bytes that bodies hold.
+    pub fn used(&self) -> usize {
+        self.state.lock().ledger.used()
     }
-}
-
-impl BudgetedBytes {
-    /// Size of a block. The first one takes nothing from the budget, so that small answers are read
-    /// whatever the others do.
-    const BLOCK_BYTES: usize = 64 << 10;
 
-    pub(crate) fn new(budget: &Arc<MemoryBudget>) -> Self {
-        Self {
-            blocks: vec![Vec::new()],
-            length: 0,
-            share: BudgetShare {
-                taken: 0,
-                budget: budget.clone(),
-            },
+    /// Adds a body that holds nothing yet.
+    pub(crate) fn open(self: &Arc<Self>, account: BodyAccount) -> BodyShare {
+        BodyShare {
+            id: self.state.lock().ledger.open(account),
+            budget: self.clone(),
         }
     }
+}
 
-    pub(crate) fn len(&self) -> usize {
-        self.length
+impl BodyShare {
+    /// Makes the body one that can be evicted.
+    pub(crate) fn allow_eviction(&self, cell: Weak<BodyCell>) {
+        self.budget.state.lock().requests.insert(self.id, cell);
     }
 
-    /// Adds a piece of the answer; returns false if the budget has no room for it.
-    pub(crate) fn push(&mut self, mut piece: &[u8]) -> bool {
-        self.length += piece.len();
-        while !piece.is_empty() {
-            let last = self.blocks.last().map_or(0, Vec::len);
-            if last == Self::BLOCK_BYTES {
-                if !self.share.budget.take(Self::BLOCK_BYTES) {
-                    return false;
-                }
-                self.share.taken += Self::BLOCK_BYTES;
-                self.blocks.push(Vec::with_capacity(Self::BLOCK_BYTES));
-            }
-            let room = Self::BLOCK_BYTES - last % Self::BLOCK_BYTES;
-            let (fitting, rest) = piece.split_at(room.min(piece.len()));
-            if let Some(block) = self.blocks.last_mut() {
-                block.extend_from_slice(fitting);
-            }
-            piece = rest;
-        }
-        true
+    /// Records that bytes of the body came.
+    pub(crate) fn record_progress(&self, now: MonoTime) {
+        let mut state = self.budget.state.lock();
+        state.ledger.record_progress(self.id, now);
     }
 
-    /// The complete answer.
-    pub(crate) fn finish(mut self) -> Bytes {
-        let data = match self.blocks.len() {
-            1 => self.blocks.remove(0),
-            _ => {
-                let mut data = Vec::with_capacity(self.length);
-                for block in self.blocks.drain(..) {
-                    data.extend_from_slice(&block);
-                }
-                data
-            }
-        };
-        Bytes::from_owner(CompleteAnswer {
-            data,
-            _share: self.share,
-        })
+    /// Records how far the body's message has come; false if the body has been evicted.
+    pub(crate) fn set_stage(&self, stage: BodyStage) -> bool {
+        self.budget.state.lock().ledger.set_stage(self.id, stage)
     }
-}
 
-impl AsRef<[u8]> for CompleteAnswer {
-    fn as_ref(&self) -> &[u8] {
-        &self.data
+    /// Takes memory for the body, and evicts others if they have to give way.
+    pub(crate) fn take(&self, bytes: usize, now: MonoTime) -> Result<(), MemoryDenial> {
+        let mut evicted = Vec::new();
+        let mut state = self.budget.state.lock();
+        if state.ledger.account(self.id).is_none() {
+            return Err(MemoryDenial::Evicted);
+        }
+        match state.ledger.decide(self.id, bytes, now) {
+            MemoryVerdict::Take => {}
+            MemoryVerdict::Refuse => return Err(MemoryDenial::NoRoom),
+            MemoryVerdict::Evict(victims) => {
+                for victim in victims {
+                    state.ledger.close(victim);
+                    evicted.extend(state.requests.swap_remove(&victim));
+                }
+            }
+        }
+        state.ledger.take(self.id, bytes);
+        // A body that ends with the last reference to it locks the budget.
+        drop(state);
+        for cell in evicted.iter().filter_map(Weak::upgrade) {
+            cell.evict();
+        }
+        Ok(())
     }
 }
 
-impl Drop for BudgetShare {
+impl Drop for BodyShare {
     fn drop(&mut self) {
-        self.budget.left.fetch_add(self.taken, Ordering::Relaxed);
+        let mut state = self.budget.state.lock();
+        state.requests.swap_remove(&self.id);
+        state.ledger.close(self.id);
     }
 }
