Bound what each connection holds beside its body

hyper's read buffer grew to 64 KiB and its flattened write buffer to the size of what was sent, and both stayed with the connection; the state of a request was a part of each connection's task.

--- a/crates/net/src/http_connection.rs
+++ b/crates/net/src/http_connection.rs
@@ -1,9 +1,8 @@
 //! Client side of one HTTP/1.1 connection.
 
-use crate::prelude::*;
+use crate::{http_stream::HttpStream, prelude::*};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
-use smol_hyper::rt::FuturesIo;
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -32,7 +31,7 @@
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(FuturesIo::new(stream))
+            .handshake(HttpStream::from(stream))
             .await
             .map_err(|error| not_sent(&error))?;
         let driver = pool.spawn_cancellable(async move {
--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 server on one address.
 
-use crate::prelude::*;
+use crate::{http_stream::HttpStream, prelude::*};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::SmolTimer;
 use std::pin::pin;
 
 /// Smallest buffer that hyper accepts, in bytes.
@@ -68,7 +68,8 @@
         B: Into<MessageBody> + 'static,
     {
         let handle = move |request| {
-            let answer = handle(request);
+            // Without the box, the state of a request would be a part of each idle connection.
+            let answer = Box::pin(handle(request));
             async move { answer.await.map(Into::into) }
         };
         let mut accept_stopped = pin!(async {
@@ -139,7 +140,7 @@
             .header_read_timeout(limits.head_timeout)
             .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
             .max_headers(limits.max_headers)
-            .serve_connection(FuturesIo::new(stream), service)
+            .serve_connection(HttpStream::from(stream), service)
     );
     let ended = async {
         let _ = connection.as_mut().await;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 mod http_client;
 mod http_connection;
 mod http_listener;
+mod http_stream;
 mod log_output;
 mod log_rate_limiter;
 mod memory_budget;
