Test request bodies over connections

Covers what is forwarded in each attempt, eviction of bodies stopped short, small requests beside a full budget, stalled bodies, callers that disconnect and lengths beyond the limit, against an instance over loopback.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,8 @@
 mod attempt_sender;
 #[cfg(test)]
 mod attempt_sender_tests;
+#[cfg(test)]
+mod body_memory_tests;
 mod body_reader;
 mod body_refusal;
 mod caller_call;
@@ -72,6 +74,8 @@
 mod load_report_wire;
 mod local_response;
 mod memory_settings;
+#[cfg(test)]
+mod memory_settings_tests;
 mod metric_names;
 mod mirror_delta;
 #[cfg(test)]
--- a/crates/gateway/src/test_node.rs
+++ b/crates/gateway/src/test_node.rs
@@ -10,8 +10,12 @@
 
 /// Creates the same state, with a store at `address`.
 pub(crate) fn build_with_store(address: SocketAddr) -> GatewayNode {
-    let store = format!("--store-address={address}");
-    let flags = [
+    build_with(&[&format!("--store-address={address}")])
+}
+
+/// Creates the same state, with these settings besides.
+pub(crate) fn build_with(settings: &[&str]) -> GatewayNode {
+    let mut flags = vec![
         "--name=a1",
         "--data-centre=dc1",
         "--caller-address=127.0.0.1:1",
@@ -19,10 +23,13 @@
         "--operator-address=127.0.0.1:3",
         "--peer-address=127.0.0.1:4",
         "--feed-address=127.0.0.1:5",
-        store.as_str(),
         "--stop-timeout-s=6",
     ];
-    let read = GatewaySettings::read(flags.map(Into::into), |_| None);
+    flags.extend(settings);
+    if !settings.iter().any(|flag| flag.starts_with("--store")) {
+        flags.push("--store-address=127.0.0.1:6");
+    }
+    let read = GatewaySettings::read(flags.into_iter().map(Into::into), |_| None);
     let SettingsOutcome::Run(settings) = read else {
         panic!("settings are invalid");
     };
