--- a/crates/gateway/src/body_memory_tests.rs
+++ b/crates/gateway/src/body_memory_tests.rs
@@ -125,26 +125,37 @@
         };
         fields.set(&mut headers);
         let status = if is_rejected { 503 } else { 200 };
-        let answer = test_http::answer(status, &headers, "done");
+        let answer = test_http::answer(status, &headers, &answer_of(length));
         stream.write_all(answer.as_bytes()).unwrap();
     }
 }
 
-/// Status and headers of the next answer.
-fn read_answer(stream: &TcpStream) -> (u16, HeaderMap) {
+/// Body of the answer to a request of this length.
+fn answer_of(length: usize) -> String {
+    (0..length)
+        .map(|index| char::from(b'a' + (index % 23) as u8))
+        .collect()
+}
+
+/// Status, headers and body of the next answer.
+fn read_answer(stream: &TcpStream) -> (u16, HeaderMap, Vec<u8>) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut status = [0; 12];
     reader.read_exact(&mut status).unwrap();
     let status = std::str::from_utf8(&status[9..]).unwrap().parse().unwrap();
-    (status, test_http::read_head(&mut reader).unwrap())
+    let head = test_http::read_head(&mut reader).unwrap();
+    let length = head["content-length"].to_str().unwrap().parse().unwrap();
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    (status, head, body)
 }
 
 fn body_of(bytes: usize) -> Vec<u8> {
     (0..bytes).map(|index| (index % 251) as u8).collect()
 }
 
-// Guards against a body that is altered by its way through blocks, is lost in a second attempt, or
-// goes on without its length.
+// Guards against a body or answer that is altered by its way through blocks, a body that is lost in
+// a second attempt, and one that goes on without its length.
 #[test]
 fn bodies_are_forwarded_as_they_came_in_each_attempt() {
     for rejections in [0, 1] {
@@ -152,7 +163,9 @@
             let gateway = Gateway::start(&[], rejections);
             let body = body_of(bytes);
             let stream = gateway.send_with_length(bytes, &body);
-            assert_eq!(read_answer(&stream).0, 200, "{bytes} bytes");
+            let (status, _, answer) = read_answer(&stream);
+            assert_eq!(status, 200, "{bytes} bytes");
+            assert!(answer == answer_of(bytes).into_bytes(), "{bytes} bytes");
             let received = gateway.received.lock().unwrap();
             assert_eq!(received.len(), rejections + 1);
             for (head, got) in received.iter() {
@@ -201,9 +214,9 @@
     loop {
         let stream = gateway.send_with_length(MIB, &body);
         match read_answer(&stream) {
-            (200, _) => break,
-            (503, headers) => assert!(headers.contains_key("retry-after")),
-            other => panic!("{other:?}"),
+            (200, ..) => break,
+            (503, headers, _) => assert!(headers.contains_key("retry-after")),
+            (status, ..) => panic!("{status}"),
         }
         assert!(started.elapsed() < MAX_WAIT, "never served");
         std::thread::sleep(Duration::from_millis(100));
@@ -224,7 +237,7 @@
         );
         std::thread::sleep(Duration::from_millis(5));
     };
-    let (status, headers) = read_answer(evicted);
+    let (status, headers, _) = read_answer(evicted);
     assert_eq!(status, 503);
     assert!(headers.contains_key("retry-after"));
     assert_eq!(headers["connection"], "close");
@@ -252,7 +265,7 @@
 fn stalled_body_is_answered_with_408_and_closed() {
     let gateway = Gateway::start(&["--body-stall-s=0.2"], 0);
     let stream = gateway.send_with_length(1_000, b"part of it");
-    let (status, headers) = read_answer(&stream);
+    let (status, headers, _) = read_answer(&stream);
     assert_eq!(status, 408);
     assert!(headers.contains_key("retry-after"));
     assert_eq!(headers["connection"], "close");
