--- a/crates/net/src/block_list.rs
+++ b/crates/net/src/block_list.rs
@@ -17,8 +17,9 @@
 impl BlockList {
     /// Smallest size of a block in a body of unknown length, in bytes.
     const MIN_BLOCK_BYTES: usize = 4 << 10;
-    /// Largest size of a block, in bytes.
-    const MAX_BLOCK_BYTES: usize = 64 << 10;
+    /// Largest size of a block, in bytes. With larger ones, the gaps that many evicted small bodies
+    /// leave between the buffers of their connections are of no use to a large body.
+    const MAX_BLOCK_BYTES: usize = 16 << 10;
 
     /// Length in bytes.
     pub(crate) fn len(&self) -> usize {
