--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod block_list;
 #[cfg(test)]
 mod block_list_tests;
+mod body_account;
 mod body_pace;
 #[cfg(test)]
 mod body_pace_tests;
@@ -39,6 +40,7 @@
 mod worker_pool;
 
 pub use {
+    body_account::{BodyAccount, BodyId, BodyStage},
     body_pace::{BodyLimits, BodyPace, PaceLimit},
     exchange_error::ExchangeError,
     http_client::{ExchangeLimits, HttpClient},
@@ -46,7 +48,7 @@
     http_listener::{HttpLimits, HttpListener},
     log_rate_limiter::LogRateLimiter,
     memory_budget::{MemoryBudget, MemoryDenial},
-    memory_ledger::{BodyAccount, BodyId, BodyStage, MemoryLedger, MemoryLimits, MemoryVerdict},
+    memory_ledger::{MemoryLedger, MemoryLimits, MemoryVerdict},
     message_body::MessageBody,
     one_shot_event::OneShotEvent,
     open_connections::{ConnectionGuard, LAST_ANSWER_TIME, OpenConnections},
