--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod block_list;
 #[cfg(test)]
 mod block_list_tests;
+mod body_account;
 mod body_pace;
 #[cfg(test)]
 mod body_pace_tests;
@@ -50,6 +51,7 @@
 mod worker_pool;
 
 pub use {
+    body_account::{BodyAccount, BodyId, BodyStage},
     body_pace::{BodyLimits, BodyPace, PaceLimit},
     connection_activity::{ConnectionActivity, ConnectionPhase, StallKind, StallLimits},
     connection_event::ConnectionEvent,
@@ -60,7 +62,7 @@
     listener_step::ListenerStep,
     log_rate_limiter::LogRateLimiter,
     memory_budget::{MemoryBudget, MemoryDenial},
-    memory_ledger::{BodyAccount, BodyId, BodyStage, MemoryLedger, MemoryLimits, MemoryVerdict},
+    memory_ledger::{MemoryLedger, MemoryLimits, MemoryVerdict},
     message_body::MessageBody,
     one_shot_event::OneShotEvent,
     open_connections::{ConnectionGuard, LAST_ANSWER_TIME, OpenConnections},
