Choose servers by the reported speed of their machines

The figure scales the expected run time when a server is chosen, relative to its mean at that server, since the measured run time includes the mean effect. The effect lies between 0.5 and 3 and ends at an age of 0.4 s. It does not count for refusing requests, which may outlast it. Of the servers with a recent figure, each request considers at most four drawn at random, so that instances with the same figures spread over servers. Servers without a figure are chosen as before.

--- a/crates/routing/src/load_tracker.rs
+++ b/crates/routing/src/load_tracker.rs
@@ -29,6 +29,10 @@
     is_rest_probed: bool,
     /// Time since which requests of this instance are in flight and none has been answered.
     unanswered_since: Option<MonoTime>,
+    /// Run time on the server's machine as of the last report, in percent of the normal one.
+    run_time_percent: Option<u32>,
+    /// Mean of that figure over the samples of the service time.
+    mean_run_time_percent: f64,
 }
 
 /// Load as reported by the server.
@@ -40,6 +44,9 @@
     pub waiting: u32,
     /// Requests that the server runs at the same time.
     pub slots: u32,
+    /// How long work takes on the server's machine now, in percent of the normal time, if the
+    /// server says so.
+    pub run_time_percent: Option<u32>,
 }
 
 impl LoadTracker {
@@ -61,6 +68,15 @@
     const EJECTION_TIME: Duration = Duration::from_millis(400);
     /// Longest time of one ejection.
     const MAX_EJECTION_TIME: Duration = Duration::from_secs(3);
+    /// Age at which a reported run time says nothing more, in seconds: other work on the machine
+    /// comes and goes many times a second.
+    const RUN_TIME_HORIZON_S: f64 = 0.4;
+    /// Smallest effect of a reported run time.
+    const MIN_RUN_TIME_FACTOR: f64 = 0.5;
+    /// Largest effect of a reported run time.
+    const MAX_RUN_TIME_FACTOR: f64 = 3.0;
+    /// Reported run time of a machine without other work.
+    const NORMAL_RUN_TIME_PERCENT: f64 = 100.0;
 
     /// Creates the tracker of a server with `slots` and an initial guess of its service time in
     /// seconds.
@@ -79,6 +95,8 @@
             is_rest_unproved: false,
             is_rest_probed: false,
             unanswered_since: None,
+            run_time_percent: None,
+            mean_run_time_percent: Self::NORMAL_RUN_TIME_PERCENT,
         }
     }
 
@@ -109,6 +127,7 @@
                 .saturating_add(load.waiting)
                 .saturating_sub(self.own_requests),
         );
+        self.run_time_percent = load.run_time_percent;
         self.reported_at = now;
     }
 
@@ -124,6 +143,10 @@
         self.samples += 1;
         let weight = Self::SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples + 1));
         self.service_time += (took - self.service_time) * weight;
+        if let Some(percent) = self.run_time_percent {
+            self.mean_run_time_percent +=
+                (f64::from(percent) - self.mean_run_time_percent) * weight;
+        }
     }
 
     /// Records that the server answered, whether with success or failure.
@@ -207,6 +230,24 @@
         self.service_time * (assumptions.service_time_ratio + excess / f64::from(self.slots))
     }
 
+    /// Run time that a request sent now is expected to have by the last report of the machine's
+    /// speed, as a multiple of the mean one; `None` without a recent report. The mean service time
+    /// includes the mean effect of other work on the machine, so only the difference from it
+    /// counts. The value is good for choosing among servers but not for refusing requests, which
+    /// may outlast it.
+    pub fn run_time_factor(&self, now: MonoTime) -> Option<f64> {
+        let percent = f64::from(self.run_time_percent?);
+        // What counts is the time in the middle of the request's run.
+        let age = now.since(self.reported_at).as_secs_f64() + self.service_time / 2.0;
+        let weight = 1.0 - age / Self::RUN_TIME_HORIZON_S;
+        let factor = percent / self.mean_run_time_percent.max(1.0);
+        (weight > 0.0).then(|| {
+            factor
+                .clamp(Self::MIN_RUN_TIME_FACTOR, Self::MAX_RUN_TIME_FACTOR)
+                .powf(weight)
+        })
+    }
+
     /// Requests of other instances per slot, as of the last report.
     pub fn foreign_occupancy(&self) -> f64 {
         self.foreign_requests / f64::from(self.slots)
--- a/crates/routing/src/server_selector.rs
+++ b/crates/routing/src/server_selector.rs
@@ -3,6 +3,10 @@
 //! The server with the earliest expected completion is chosen among those with a short queue. The
 //! queue is limited because servers of some services never answer requests that they cannot queue,
 //! and several instances fill the same queue without knowing of each other's requests.
+//!
+//! Many instances may read the same reported speed of a server's machine at the same time. Of the
+//! servers with such a report, each request considers only a few drawn at random, so that the
+//! fastest one does not get the requests of all.
 
 use crate::prelude::*;
 
@@ -30,6 +34,17 @@
     Refuse,
 }
 
+/// A candidate that can take the request.
+#[derive(Clone, Copy)]
+struct AvailableServer {
+    /// Whether it is expected to complete the request after its deadline.
+    is_too_slow: bool,
+    cost: f64,
+    position: usize,
+    /// Whether the cost depends on a recent report of the speed of its machine.
+    has_speed: bool,
+}
+
 /// Parameters of the selection.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSelector {
@@ -64,6 +79,9 @@
     /// Random share added to the expected completion time, so that instances choose differently
     /// among similar servers.
     const MAX_JITTER: f64 = 0.1;
+    /// Number of servers with a recently reported speed that a request considers; at most about half
+    /// of them, but two in any case.
+    const DRAWN_SERVERS: usize = 4;
 
     /// Selects the server for one request; `draw` returns random numbers from 0 to 1.
     pub fn choose(
@@ -72,7 +90,7 @@
         now: MonoTime,
         mut draw: impl FnMut() -> f64,
     ) -> SelectionOutcome {
-        let mut best: Option<(bool, f64, usize)> = None;
+        let mut available = Vec::with_capacity(candidates.len());
         let mut is_any_full = false;
         for (position, candidate) in candidates.iter().enumerate() {
             let rests = !candidate.load.rest_left(now).is_zero();
@@ -95,23 +113,49 @@
             } else {
                 self.remote_penalty
             };
+            let run_time_factor = candidate.load.run_time_factor(now);
             let cost = candidate.load.expected_completion(now, self.assumptions)
+                * run_time_factor.unwrap_or(1.0)
                 * warm_up_factor
                 * (1.0 + Self::MAX_JITTER * draw())
                 + remote_penalty;
-            let is_too_slow = expected > self.time_left;
-            if best.is_none_or(|(slow, lowest, _)| (is_too_slow, cost) < (slow, lowest)) {
-                best = Some((is_too_slow, cost, position));
-            }
+            available.push(AvailableServer {
+                is_too_slow: expected > self.time_left,
+                cost,
+                position,
+                has_speed: run_time_factor.is_some(),
+            });
         }
+        Self::drop_undrawn(&mut available, draw);
+        let is_better = |one: &AvailableServer, other: &AvailableServer| {
+            (one.is_too_slow, one.cost) < (other.is_too_slow, other.cost)
+        };
+        let best = available
+            .into_iter()
+            .reduce(|best, next| if is_better(&next, &best) { next } else { best });
         match best {
-            Some((true, ..)) if is_any_full => SelectionOutcome::Wait,
-            Some((_, _, position)) => SelectionOutcome::Send(position),
+            Some(best) if best.is_too_slow && is_any_full => SelectionOutcome::Wait,
+            Some(best) => SelectionOutcome::Send(best.position),
             None if is_any_full => SelectionOutcome::Wait,
             None => SelectionOutcome::Refuse,
         }
     }
 
+    /// Drops servers with a reported speed, except for a few drawn at random among those that are
+    /// expected to complete the request in time.
+    fn drop_undrawn(available: &mut Vec<AvailableServer>, mut draw: impl FnMut() -> f64) {
+        let is_drawn = |server: &AvailableServer| server.has_speed && !server.is_too_slow;
+        let mut drawn: Vec<AvailableServer> = available
+            .extract_if(.., |server| is_drawn(server))
+            .collect();
+        let count = drawn.len().div_ceil(2).clamp(2, Self::DRAWN_SERVERS);
+        while drawn.len() > count {
+            let position = (draw() * drawn.len() as f64) as usize;
+            drawn.swap_remove(position.min(drawn.len() - 1));
+        }
+        available.extend(drawn);
+    }
+
     /// Expected time until another request would complete, in seconds, by the server's own reports.
     pub fn reported_completion(&self, load: &LoadTracker, now: MonoTime) -> f64 {
         load.expected_completion(now, self.assumptions.reported_only())
--- a/crates/routing/tests/load_tracker.rs
+++ b/crates/routing/tests/load_tracker.rs
@@ -19,6 +19,7 @@
                     running,
                     waiting,
                     slots,
+                    run_time_percent: None,
                 };
                 load.apply_report(report, now);
                 let expected = load.expected_completion(now, LoadAssumptions::default());
--- a/crates/routing/tests/server_selector.rs
+++ b/crates/routing/tests/server_selector.rs
@@ -94,6 +94,7 @@
                 running: simulated.running.len() as u32,
                 waiting: simulated.queue.len() as u32,
                 slots: SLOTS as u32,
+                run_time_percent: None,
             };
             load.apply_report(report, MonoTime(now));
             occupancies[instance].record_report(load.foreign_occupancy(), MonoTime(now));
@@ -228,6 +229,7 @@
         running: 3,
         waiting: 2,
         slots: 3,
+        run_time_percent: None,
     };
     load.apply_report(report, MonoTime(0));
     let blank = LoadAssumptions::default();
--- a/crates/soak/src/backend_answers.rs
+++ b/crates/soak/src/backend_answers.rs
@@ -75,6 +75,7 @@
             running: self.running.load(Ordering::SeqCst) as u32,
             waiting: self.waiting.load(Ordering::SeqCst) as u32,
             slots: Self::SLOTS as u32,
+            run_time_percent: None,
         }
     }
 
