Read the rate of cold servers, and bound it for all instances together

WarmupBound gives the rate of tokens that keeps the operators' bound.

The simulation of shared limits gets two faults (instances that follow two holders, and some that reach none) and instances that learn of the server at different times or start later.

--- a/crates/gateway/src/test_objects.rs
+++ b/crates/gateway/src/test_objects.rs
@@ -14,6 +14,8 @@
             max_connections: 1,
             keyed: false,
             warmup: Duration::ZERO,
+            cold_time: Duration::ZERO,
+            cold_rate: None,
         };
         ((*name).into(), config)
     });
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -54,6 +54,7 @@
 mod server_roster;
 mod server_selector;
 mod server_subset;
+mod server_warmup;
 mod service_config;
 mod settle_period;
 mod store_revision;
@@ -64,6 +65,7 @@
 mod typical_occupancy;
 mod unknown_incarnation;
 mod waiting_queue;
+mod warmup_bound;
 mod watcher_selection;
 mod weighted_round_robin;
 
@@ -108,6 +110,7 @@
     server_roster::ServerRoster,
     server_selector::{SelectionOutcome, ServerCandidate, ServerSelector},
     server_subset::{InstancePosition, InstancePositions, ServerSubset},
+    server_warmup::{ServerWarmup, WarmupChange},
     service_config::ServiceConfig,
     store_revision::StoreRevision,
     stored_record::{RecordError, StoredRecord},
@@ -116,6 +119,7 @@
     suspect_report::{CrashVerdict, IncarnationHash, SuspectReport},
     typical_occupancy::TypicalOccupancy,
     waiting_queue::{QueueRank, QueueTicket, WaitingQueue},
+    warmup_bound::WarmupBound,
     watcher_selection::{WatcherCandidate, WatcherSelection},
     weighted_round_robin::WeightedRoundRobin,
 };
--- a/crates/routing/src/quota_client.rs
+++ b/crates/routing/src/quota_client.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Drops the unused tokens, which were granted for a higher limit.
+    pub fn drop_tokens(&mut self) {
+        self.tokens.clear();
+    }
+
     /// Applies an answer of the holder; returns false if it is not the answer to the open ask.
     pub fn apply_grant(&mut self, grant: QuotaGrant, now: MonoTime) -> bool {
         let Some(open) = self.open_ask.filter(|open| open.ask.number == grant.number) else {
--- a/crates/routing/src/quota_holder.rs
+++ b/crates/routing/src/quota_holder.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Highest rate with which at most `requests` take effect in any window of length `window`.
+    pub fn rate_within(requests: f64, window: Duration) -> f64 {
+        let rate_time_s = Self::DEPTH_TIME_S + (Self::LEASE_TIME + window).as_secs_f64();
+        ((requests - Self::MIN_DEPTH) / rate_time_s).max(0.0)
+    }
+
     /// Answers an ask of an instance; `per_second` is the limit that the server names.
     pub fn answer(
         &mut self,
--- a/crates/routing/src/server_roster.rs
+++ b/crates/routing/src/server_roster.rs
@@ -76,10 +76,8 @@
         if revision.era < self.period.era() {
             return;
         }
-        let listed_ids: Vec<String> = entries
-            .iter()
-            .map(|(entry, _)| entry.incarnation.id.clone())
-            .collect();
+        let id_of = |(entry, _): &(ServerEntry, StoreRevision)| entry.incarnation.id.clone();
+        let listed_ids: Vec<String> = entries.iter().map(id_of).collect();
         for (entry, revision) in entries {
             self.insert_entry(entry, revision, now);
         }
@@ -149,6 +147,11 @@
         self.servers.values().map(|row| &row.entry)
     }
 
+    /// All entries, each with the revision of its last change.
+    pub fn dated_entries(&self) -> impl Iterator<Item = (&ServerEntry, StoreRevision)> {
+        self.servers.values().map(|row| (&row.entry, row.revision))
+    }
+
     /// Number of entries that are held back since they may be older than what is known.
     pub fn held_count(&self) -> usize {
         self.held.len()
--- a/crates/routing/src/service_config.rs
+++ b/crates/routing/src/service_config.rs
@@ -15,4 +15,9 @@
     pub keyed: bool,
     /// Time for which a server is slow with keys that it received without handover data.
     pub warmup: Duration,
+    /// Time for which a server is cold after its start.
+    pub cold_time: Duration,
+    /// Requests per second that a cold server should get from all instances together, if its
+    /// operators say so.
+    pub cold_rate: Option<f64>,
 }
--- a/crates/routing/tests/shared_limit/limit_simulation.rs
+++ b/crates/routing/tests/shared_limit/limit_simulation.rs
@@ -43,6 +43,8 @@
     holders: BTreeMap<usize, QuotaHolder>,
     waiting: BTreeMap<usize, WaitingRequest>,
     request_count: usize,
+    /// When each instance learns of the server.
+    knows_at: Vec<MonoTime>,
     sent: Vec<f64>,
 }
 
@@ -55,9 +57,18 @@
 
     pub(crate) fn new(plan: SimulationPlan) -> Self {
         let start = MonoTime(0);
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let knows_at = (0..plan.instances).map(|instance| match plan.is_staggered {
+            true if instance > 1 && rng.random_bool(0.2) => {
+                MonoTime(rng.random_range(0..plan.seconds * 1_000_000))
+            }
+            true => MonoTime(rng.random_range(0..2_000_000)),
+            false => start,
+        });
         Self {
             plan,
-            rng: StdRng::seed_from_u64(plan.seed),
+            knows_at: knows_at.collect(),
+            rng,
             events: BinaryHeap::new(),
             event_count: 0,
             clients: vec![QuotaClient::default(); plan.instances],
@@ -121,12 +132,16 @@
         MonoTime(self.plan.seconds * 1_000_000 / 3)
     }
 
-    /// The instance that the others take for the holder.
-    fn current_holder(&self, now: MonoTime) -> usize {
-        let has_successor = self.plan.fault != HolderFault::None
-            && self.plan.instances > 1
-            && now >= self.fault_at().after(Self::SUCCESSION_TIME);
-        usize::from(has_successor)
+    /// The instance that another one takes for the holder.
+    fn current_holder(&self, instance: usize, now: MonoTime) -> usize {
+        let has_successor = match self.plan.fault {
+            HolderFault::Lost | HolderFault::Frozen => true,
+            HolderFault::Split => instance % 2 == 1,
+            HolderFault::None | HolderFault::Unreachable => false,
+        };
+        let is_over =
+            self.plan.instances > 1 && now >= self.fault_at().after(Self::SUCCESSION_TIME);
+        usize::from(has_successor && is_over)
     }
 
     fn arrive(&mut self, now: MonoTime) {
@@ -144,6 +159,9 @@
             CallerSpread::Moving if is_late => last,
             CallerSpread::Moving => last / 2,
         };
+        if now < self.knows_at[instance] {
+            return;
+        }
         self.request_count += 1;
         let request = WaitingRequest {
             instance,
@@ -175,7 +193,7 @@
                 self.waiting.remove(&number);
             }
             QuotaStep::Ask(ask) => {
-                let holder = self.current_holder(now);
+                let holder = self.current_holder(instance, now);
                 let event = Event::AskReceived {
                     holder,
                     instance,
@@ -202,9 +220,13 @@
     }
 
     fn answer(&mut self, holder: usize, instance: usize, ask: QuotaAsk, now: MonoTime) {
+        if now < self.knows_at[holder] {
+            return;
+        }
         let is_faulty = holder == 0 && self.plan.instances > 1 && now >= self.fault_at();
         match self.plan.fault {
             HolderFault::Lost if is_faulty => return,
+            HolderFault::Unreachable if is_faulty && instance % 3 == 1 => return,
             HolderFault::Frozen if is_faulty => {
                 let thaw_at = self.fault_at().after(Self::FREEZE_TIME);
                 if now < thaw_at {
--- a/crates/routing/tests/shared_limit/simulation_plan.rs
+++ b/crates/routing/tests/shared_limit/simulation_plan.rs
@@ -17,6 +17,10 @@
     Lost,
     /// It stands still for a while and then answers what it received, beside its successor.
     Frozen,
+    /// Half of the instances go on asking it, the others its successor.
+    Split,
+    /// A third of the instances do not reach it.
+    Unreachable,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +35,8 @@
     /// Share of messages that are lost.
     pub(crate) loss: f64,
     pub(crate) fault: HolderFault,
+    /// Whether instances learn of the server within two seconds, and some start later.
+    pub(crate) is_staggered: bool,
     pub(crate) seconds: u64,
 }
 
@@ -40,6 +46,13 @@
 
 impl HolderFault {
     pub(crate) const ALL: [Self; 3] = [Self::None, Self::Lost, Self::Frozen];
+    pub(crate) const ALL_PARTIAL: [Self; 5] = [
+        Self::None,
+        Self::Lost,
+        Self::Frozen,
+        Self::Split,
+        Self::Unreachable,
+    ];
 }
 
 impl SimulationPlan {
--- a/crates/soak/src/soak_routes.rs
+++ b/crates/soak/src/soak_routes.rs
@@ -53,6 +53,8 @@
         max_connections: 64,
         keyed: name == KEYED_SERVICE,
         warmup: Duration::ZERO,
+        cold_time: Duration::ZERO,
+        cold_rate: None,
     };
     let names = [PLAIN_SERVICE, KEYED_SERVICE]
         .into_iter()
