Keep cold servers below a rate for all instances together

A server that starts or becomes cold again crashes well above the rate that its service names, but only had a worse place in the selection and half its share of keys.

A server is cold by its first entry, by an entry that says more, by an answer (to a request, an order or a check of the reach), by the word of another instance and, when its data centre is taken back, by presumption (presume_cold, not connected yet). Answers are told in heartbeats (field 26, optional) and in messages about tokens (field 8); entries are not, since all instances read them. A grant of a holder that does not know that the server is cold, as one of the previous build, does not count: the instance then uses its equal share. An instance is the holder for a cold server only with authority, or while it hears others. A reserved request is not sent if the server has become cold since, or if its token is older than 0.5 s.

--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -3,6 +3,7 @@
 use crate::{
     hop_headers, prelude::*, quarantine_worker, quota_worker, reach_worker,
     sent_request::SentRequest, server_notices, server_reservation::ServerReservation,
+    warmup_worker,
 };
 
 /// Sends one attempt to the reserved server and judges its answer.
@@ -39,9 +40,17 @@
         server.pool.keep(connection, None, max, sent_at);
         return AttemptResult::NotSent("server leaves".into());
     }
+    if !warmup_worker::may_send(node, reservation, sent_at) {
+        let max = node.max_idle_connections(server);
+        server.pool.keep(connection, None, max, sent_at);
+        return AttemptResult::NotSent("server is cold".into());
+    }
     if reservation.has_token {
         metrics::counter!(LIMITED_ATTEMPTS).increment(1);
     }
+    if reservation.is_cold {
+        metrics::counter!(COLD_ATTEMPTS).increment(1);
+    }
     call.progress.in_flight.store(true, Ordering::Relaxed);
     call.progress.attempts_sent.fetch_add(1, Ordering::Relaxed);
     let request = forwarded(call, server, call.time_left(sent_at));
@@ -132,6 +141,7 @@
     ) {
         apply_limit(node, server, headers.limit, sent_at);
         server_notices::apply(node, server, &headers, response.status());
+        warmup_worker::apply_answer(node, server, headers.warmup_left);
     }
     if verdict != AnswerVerdict::Unverified && !headers.closes_connection {
         let max = node.max_idle_connections(server);
--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -1,6 +1,6 @@
 //! Keeps the server list up to date with the store.
 
-use crate::prelude::*;
+use crate::{prelude::*, warmup_worker};
 
 /// Applies an update of the server entries, which may have changed from `changed_at` on.
 pub(crate) fn apply(node: &Arc<GatewayNode>, update: StoreUpdate, changed_at: MonoTime) {
@@ -57,6 +57,7 @@
         }
         node.helpers.close_idle(now);
         for server in node.all_servers() {
+            warmup_worker::record_end(&node, &server, now);
             server.pool.close_idle(now);
             server.grants.close_idle(now);
             server.releases.close_idle();
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -1,6 +1,9 @@
 //! Settings of a gateway instance.
 
-use crate::prelude::*;
+use crate::{
+    prelude::*,
+    setting_readers::{read_optional_address, read_optional_number, read_seconds},
+};
 use geraniummast_settings::{
     SettingError, SettingSpec, SettingTable, SettingsOutcome, read_address, read_addresses,
     read_name, read_number,
@@ -41,6 +44,10 @@
     pub retry_slack: f64,
     /// Length of the retry budget's window.
     pub retry_window: Duration,
+    /// Factor on the requests per second that cold servers should get, in the bound that is kept.
+    pub warmup_overage: Option<f64>,
+    /// Additional requests to a cold server in one second; without both settings there is no bound.
+    pub warmup_slack: Option<f64>,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
     /// Share of a core that the process may use.
@@ -170,6 +177,20 @@
         "Length of the retry budget's window",
         |to, text| read_seconds(&mut to.retry_window, text, 0.1..=600.0),
     ),
+    SettingSpec::optional(
+        "warmup-overage",
+        "",
+        "a factor, 0 to 1000, or nothing",
+        "Factor on the request rate of a service's cold servers, in the bound that is kept",
+        |to, text| read_optional_number(&mut to.warmup_overage, text, 0.0..=1_000.0),
+    ),
+    SettingSpec::optional(
+        "warmup-slack",
+        "",
+        "a number of requests, 0 to 100000, or nothing",
+        "Additional requests to a cold server in one second; no bound without both settings",
+        |to, text| read_optional_number(&mut to.warmup_slack, text, 0.0..=100_000.0),
+    ),
     SettingSpec::optional(
         "max-connections",
         "2000",
@@ -194,36 +215,17 @@
 ];
 
 impl GatewaySettings {
-    /// Part of the stop timeout that is reserved for closing sockets.
-    const STOP_MARGIN: Duration = Duration::from_millis(400);
-    /// Share of the stop timeout in which all requests are accepted. The platform's shutdown rule
-    /// allows requests sent in the first half to be still running in the last sixth.
-    const CLOSE_IDLE_SHARE: f64 = 0.48;
-
     /// Whether seeds are configured and this instance is not one of them.
     pub(crate) fn asks_seeds(&self) -> bool {
         !self.seed_addresses.is_empty() && !self.seed_addresses.contains(&self.feed_address)
     }
 
-    /// Schedule of a graceful stop.
-    pub(crate) fn stop_plan(&self) -> StopPlan {
-        /// Minimum time for which new connections are accepted: the load balancer probes once per
-        /// second and stops sending after two failed probes.
-        const MIN_DURATION: Duration = Duration::from_millis(3_200);
-        /// Share of the stop timeout during which running requests are waited for: the platform's
-        /// shutdown rule allows them until the last sixth.
-        const ANSWER_PENDING_SHARE: f64 = 5.0 / 6.0;
-        let limit = self.stop_timeout.saturating_sub(Self::STOP_MARGIN);
-        let last_answer_at = limit.saturating_sub(LAST_ANSWER_TIME);
-        StopPlan {
-            min_duration: MIN_DURATION.min(limit),
-            close_idle_at: self.stop_timeout.mul_f64(Self::CLOSE_IDLE_SHARE),
-            answer_pending_at: last_answer_at
-                .max(self.stop_timeout.mul_f64(ANSWER_PENDING_SHARE))
-                .min(limit),
-            limit,
-            answer_delivery_time: LAST_ANSWER_TIME.min(self.stop_timeout / 4),
-        }
+    /// Bound on the requests to cold servers, if the settings name one.
+    pub(crate) fn warmup_bound(&self) -> Option<WarmupBound> {
+        Some(WarmupBound {
+            overage: self.warmup_overage?,
+            slack: self.warmup_slack?,
+        })
     }
 
     /// Reads the settings from `arguments` and from the environment, which `variable` looks up.
@@ -252,6 +254,8 @@
             retry_ratio: 0.0,
             retry_slack: 0.0,
             retry_window: Duration::ZERO,
+            warmup_overage: None,
+            warmup_slack: None,
             max_connections: 0,
             processor_share: 0.0,
             log_level: log::LevelFilter::Info,
@@ -275,25 +279,3 @@
         has_duplicate.then(error).into_iter().collect()
     }
 }
-
-/// Parses an address into `target` unless the text is empty; returns whether the text is valid.
-fn read_optional_address(target: &mut Option<SocketAddr>, text: &str) -> bool {
-    if text.is_empty() {
-        *target = None;
-        return true;
-    }
-    let mut address = UNSPECIFIED;
-    let is_valid = read_address(&mut address, text);
-    *target = is_valid.then_some(address);
-    is_valid
-}
-
-/// Parses fractional seconds within `bounds` into `target`; returns whether the text is valid.
-fn read_seconds(target: &mut Duration, text: &str, bounds: std::ops::RangeInclusive<f64>) -> bool {
-    let mut value = 0.0;
-    let accepted = read_number(&mut value, text, bounds);
-    if accepted {
-        *target = Duration::from_secs_f64(value);
-    }
-    accepted
-}
--- a/crates/gateway/src/heartbeat_bound.rs
+++ b/crates/gateway/src/heartbeat_bound.rs
@@ -18,6 +18,7 @@
         cut_list(&mut self, max_bytes, |wire| &mut wire.granted_ranges);
         cut_list(&mut self, max_bytes, |wire| &mut wire.rests);
         cut_list(&mut self, max_bytes, |wire| &mut wire.limits);
+        cut_list(&mut self, max_bytes, |wire| &mut wire.cold);
         cut_list(&mut self, max_bytes, |wire| &mut wire.isolated);
         cut_list(&mut self, max_bytes, |wire| &mut wire.suspects);
         cut_list(&mut self, max_bytes, |wire| &mut wire.leaving);
--- a/crates/gateway/src/heartbeat_bound_tests.rs
+++ b/crates/gateway/src/heartbeat_bound_tests.rs
@@ -3,10 +3,12 @@
 use crate::{
     heartbeat_content,
     heartbeat_wire::MAX_DATAGRAM_BYTES,
-    peer_heartbeat::{GrantedRange, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate},
+    peer_heartbeat::{
+        ColdServer, GrantedRange, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
+    },
     peer_worker,
     prelude::*,
-    server_notices,
+    server_notices, warmup_worker,
 };
 
 fn server(number: usize) -> ServerIncarnation {
@@ -72,6 +74,11 @@
         },
     });
     heartbeat.limits = limits.collect();
+    let cold = (0..warmup_worker::MAX_COLD).map(|number| ColdServer {
+        server: server(number),
+        left: Duration::from_secs(8),
+    });
+    heartbeat.cold = cold.collect();
     let suspects = (0..peer_worker::MAX_SUSPECTS).map(|number| SuspectReport {
         identity: RequestIdentity(u128::MAX - number as u128),
         target: TargetHash(u64::MAX),
@@ -114,6 +121,7 @@
     let received = PeerHeartbeat::decode(&datagram).unwrap();
     assert_eq!(received.isolated, full.isolated);
     assert_eq!(received.limits, full.limits);
+    assert_eq!(received.cold, full.cold);
     assert_eq!(received.suspects, full.suspects);
     assert!(received.record_updates.len() < full.record_updates.len());
     assert!(full.record_updates.starts_with(&received.record_updates));
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -5,13 +5,12 @@
     feed_wire::{eras, numbers, with_eras},
     knowledge_wire::KnowledgeWire,
     leadership_wire::{GrantedRangeWire, LeadershipWire},
+    limit_wire::{ColdServerWire, KnownLimitWire},
     load_report_wire::{KeySamplesWire, KnownRestWire, ServiceTimeWire},
     peer_heartbeat::{
-        GrantedRange, KeySamples, KnownLimit, LeadershipStatus, PeerHeartbeat, RecordUpdate,
-        ServiceTimeReport,
+        GrantedRange, KeySamples, LeadershipStatus, PeerHeartbeat, RecordUpdate, ServiceTimeReport,
     },
     prelude::*,
-    quota_wire::LimitReportWire,
     record_update_wire::RecordUpdateWire,
     suspect_report_wire::SuspectReportWire,
 };
@@ -74,6 +73,8 @@
     /// the record.
     #[prost(message, repeated, tag = "25")]
     pub(crate) raising_updates: Vec<RecordUpdateWire>,
+    #[prost(message, repeated, tag = "26")]
+    pub(crate) cold: Vec<ColdServerWire>,
 }
 
 #[derive(prost::Message)]
@@ -84,16 +85,6 @@
     born: u64,
 }
 
-#[derive(prost::Message)]
-pub(crate) struct KnownLimitWire {
-    #[prost(string, tag = "1")]
-    server: String,
-    #[prost(uint64, tag = "2")]
-    born: u64,
-    #[prost(message, optional, tag = "3")]
-    report: Option<LimitReportWire>,
-}
-
 impl PeerHeartbeat {
     /// Encodes the heartbeat as a datagram, without what does not fit.
     pub(crate) fn encode(self) -> Vec<u8> {
@@ -150,15 +141,8 @@
                     fence: range.fence,
                 })
                 .collect(),
-            limits: heartbeat
-                .limits
-                .into_iter()
-                .map(|known| KnownLimitWire {
-                    server: known.server.id,
-                    born: known.server.born,
-                    report: Some(known.report.into()),
-                })
-                .collect(),
+            limits: heartbeat.limits.into_iter().map(Into::into).collect(),
+            cold: heartbeat.cold.into_iter().map(Into::into).collect(),
             leaving: heartbeat
                 .leaving
                 .into_iter()
@@ -230,15 +214,10 @@
             });
         }
         // A limit that cannot be read is left out; the rest of the heartbeat counts.
-        let limits = wire.limits.into_iter().filter_map(|known| {
-            Some(KnownLimit {
-                server: ServerIncarnation {
-                    id: known.server,
-                    born: known.born,
-                },
-                report: known.report?.try_into().ok()?,
-            })
-        });
+        let limits = wire
+            .limits
+            .into_iter()
+            .filter_map(|known| known.try_into().ok());
         let leaving = wire.leaving.into_iter().map(|server| ServerIncarnation {
             id: server.server,
             born: server.born,
@@ -249,6 +228,7 @@
             .filter_map(|report| report.try_into().ok());
         Ok(Self {
             limits: limits.collect(),
+            cold: wire.cold.into_iter().map(Into::into).collect(),
             suspects: suspects.collect(),
             leaving: leaving.collect(),
             revisions: with_eras([0, 1, 2].map(revision), &wire.eras),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,6 +66,7 @@
 mod leader_worker_tests;
 mod leadership_checks;
 mod leadership_wire;
+mod limit_wire;
 mod load_report_wire;
 mod local_response;
 mod metric_names;
@@ -147,6 +148,7 @@
 #[cfg(test)]
 mod service_choice_tests;
 mod service_state;
+mod setting_readers;
 mod stop_plan;
 #[cfg(test)]
 mod stop_plan_tests;
@@ -170,6 +172,9 @@
 mod update_router;
 #[cfg(test)]
 mod update_router_tests;
+mod warmup_worker;
+#[cfg(test)]
+mod warmup_worker_tests;
 #[cfg(test)]
 mod wire_decoding_tests;
 
@@ -197,7 +202,7 @@
             server_quota::ServerQuota,
             server_runtime::ServerRuntime,
             service_state::ServiceState,
-            stop_plan::{StopOutcome, StopPlan, StopProgress, StopStep},
+            stop_plan::{StopOutcome, StopProgress, StopStep},
             store_health::StoreHealth,
             *,
         },
--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -10,6 +10,10 @@
 pub(crate) const ATTEMPTS: &str = "geraniummast_attempts_total";
 /// Attempts sent to servers that name a limit.
 pub(crate) const LIMITED_ATTEMPTS: &str = "geraniummast_limited_attempts_total";
+/// Attempts sent to cold servers whose requests are bounded.
+pub(crate) const COLD_ATTEMPTS: &str = "geraniummast_cold_attempts_total";
+/// Times that a server whose requests are bounded became cold.
+pub(crate) const COLD_PERIODS: &str = "geraniummast_cold_periods_total";
 /// Answers with a limit that cannot be read.
 pub(crate) const UNREADABLE_LIMITS: &str = "geraniummast_unreadable_limits_total";
 /// Times that this instance lost the servers of a data centre.
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -1,6 +1,9 @@
 //! Plans which keys move to other servers, by measured load and service times.
 
-use crate::{key_view::PublishedDelta, leader_worker::LeaderLoopState, prelude::*, record_writer};
+use crate::{
+    key_view::PublishedDelta, leader_worker::LeaderLoopState, prelude::*, record_writer,
+    warmup_worker,
+};
 
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(300);
@@ -185,6 +188,7 @@
     let servers = node.usable_servers(service);
     record_rests(node, &servers, now);
     let may_avoid = can_avoid_resting(&servers, now);
+    let cold_rate = warmup_worker::cold_rate(node, service);
     let peers = node.peers.lock();
     servers
         .iter()
@@ -202,13 +206,13 @@
             let service_time =
                 (own * own_samples + reported * reported_samples + mean * PRIOR_SAMPLES)
                     / (own_samples + reported_samples + PRIOR_SAMPLES);
-            let share = if now < server.warmup_ends_at {
+            let share = if server.is_warming_up(cold_rate.is_some(), now) {
                 WARMUP_CAPACITY_SHARE
             } else {
                 1.0
             };
             let capacity = f64::from(server.entry.slots) / service_time.max(0.001) * share;
-            let limit = server.quota.lock().limit.per_second(now);
+            let limit = server.quota.lock().per_second(cold_rate, now);
             PlannedServer {
                 incarnation: server.incarnation().clone(),
                 capacity: limit.map_or(capacity, |limit| capacity.min(limit.max(MIN_CAPACITY))),
--- a/crates/gateway/src/node_servers.rs
+++ b/crates/gateway/src/node_servers.rs
@@ -1,6 +1,6 @@
 //! The servers that an instance knows, kept up to date with service discovery.
 
-use crate::prelude::*;
+use crate::{prelude::*, warmup_worker};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Usable servers of one service, in ring order: by the hash of their identifiers.
@@ -19,12 +19,16 @@
     /// `changed_at` that are draining or gone.
     pub(crate) fn refresh_servers_changed_at(&self, changed_at: MonoTime) {
         let now = self.now();
-        let entries: Vec<ServerEntry> = {
+        let entries: Vec<(ServerEntry, StoreRevision)> = {
             let roster = self.roster.lock();
-            roster.entries().cloned().collect()
+            let entries = roster.dated_entries();
+            entries
+                .map(|(entry, revision)| (entry.clone(), revision))
+                .collect()
         };
+        let mut cold = Vec::new();
         let mut servers = self.servers.lock();
-        for entry in &entries {
+        for (entry, revision) in &entries {
             let known = servers.get(&entry.incarnation).filter(|server| {
                 server.entry.address == entry.address && server.entry.service == entry.service
             });
@@ -51,10 +55,16 @@
                     servers.insert(entry.incarnation.clone(), Arc::new(server));
                 }
             }
+            let server = &servers[&entry.incarnation];
+            let (left, sequence) = (entry.warmup_left, entry.sequence);
+            let change = (server.quota.lock().warmup).apply_entry(left, *revision, sequence, now);
+            if let WarmupChange::Cold(left) = change {
+                cold.push((server.clone(), left));
+            }
         }
         let is_listed = |incarnation: &ServerIncarnation| {
             let mut listed = entries.iter();
-            listed.any(|entry| entry.incarnation == *incarnation)
+            listed.any(|(entry, _)| entry.incarnation == *incarnation)
         };
         for (incarnation, server) in servers.iter() {
             if !is_listed(incarnation) && server.mark_gone(changed_at) {
@@ -69,6 +79,10 @@
                     .is_none_or(|at| now.since(at) < Self::GONE_RETENTION)
         });
         *self.usable.lock() = group_by_service(servers.values());
+        drop(servers);
+        for (server, left) in cold {
+            warmup_worker::record_cold(self, &server, left, "entry");
+        }
     }
 
     /// Finds a server incarnation, in use or recently gone.
--- a/crates/gateway/src/order_results.rs
+++ b/crates/gateway/src/order_results.rs
@@ -1,6 +1,6 @@
 //! Applies the results of orders to what is known of their servers.
 
-use crate::prelude::*;
+use crate::{prelude::*, warmup_worker};
 
 /// Applies an order's result to the server's health, counts it, and logs failures and moves.
 pub(crate) fn record_result(
@@ -17,6 +17,7 @@
             server.with_order_health(OrderHealth::record_answer);
             match OrderAnswer::from(response) {
                 OrderAnswer::Accepted(_) => {
+                    warmup_worker::apply_headers(node, server, response.headers());
                     server.with_order_health(OrderHealth::record_acceptance);
                     ("taken", String::new())
                 }
--- a/crates/gateway/src/peer_heartbeat.rs
+++ b/crates/gateway/src/peer_heartbeat.rs
@@ -45,6 +45,8 @@
     pub(crate) service_times: Vec<ServiceTimeReport>,
     /// Limits that servers name or have lifted.
     pub(crate) limits: Vec<KnownLimit>,
+    /// Servers that say in answers that they are cold.
+    pub(crate) cold: Vec<ColdServer>,
     /// Servers that want no requests from the sender.
     pub(crate) rests: Vec<KnownRest>,
     /// Servers that say that they leave.
@@ -124,6 +126,14 @@
     pub(crate) left: Duration,
 }
 
+/// Server that is cold, as it says in answers.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ColdServer {
+    pub(crate) server: ServerIncarnation,
+    /// Time for which it is still cold.
+    pub(crate) left: Duration,
+}
+
 /// What the sender knows of a server's limit.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct KnownLimit {
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -12,7 +12,7 @@
     prelude::*,
     quarantine_worker,
     quota_wire::QuotaMessage,
-    quota_worker, record_worker, server_notices,
+    quota_worker, record_worker, server_notices, warmup_worker,
 };
 use async_net::UdpSocket;
 
@@ -83,11 +83,7 @@
             server_notices::apply_leaving(node, &server, "peer");
         }
     }
-    for known in std::mem::take(&mut heartbeat.limits) {
-        if let Some(server) = node.server(&known.server) {
-            quota_worker::apply_report(&server, known.report, now);
-        }
-    }
+    quota_worker::apply_known(node, &mut heartbeat);
     let era = heartbeat.era.map_or(0, |era| era.number);
     let sender = InstanceIncarnation {
         instance: heartbeat.instance.clone(),
@@ -225,6 +221,7 @@
     heartbeat.leaving = server_notices::leaving_servers(node, now);
     heartbeat.suspects = node.suspects.lock().reports(is_leader, MAX_SUSPECTS, now);
     heartbeat.limits = heartbeat_content::known_limits(node, is_leader, now);
+    heartbeat.cold = warmup_worker::cold_servers(node, is_leader, now);
     let targets = {
         let peers = node.peers.lock();
         if is_leader && !heartbeat.store_lost {
--- a/crates/gateway/src/quota_wire.rs
+++ b/crates/gateway/src/quota_wire.rs
@@ -3,7 +3,10 @@
 //! A datagram with such a message has no field of a heartbeat, so that an instance of an earlier
 //! version, which skips the unknown field, finds a heartbeat of nobody.
 
-use crate::prelude::*;
+use crate::{
+    limit_wire::{InvalidLimit, LimitReportWire, read_cold_time, write_cold_time},
+    prelude::*,
+};
 
 /// Message about the rate limit of one server.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,6 +16,9 @@
     pub(crate) server: ServerIncarnation,
     /// What the sender knows of the limit.
     pub(crate) report: Option<LimitReport>,
+    /// Time for which the server is still cold, if the sender keeps the bound for cold servers and
+    /// takes it for cold.
+    pub(crate) cold_left: Option<Duration>,
     pub(crate) body: QuotaBody,
 }
 
@@ -25,15 +31,6 @@
     Grant(QuotaGrant),
 }
 
-/// What an instance knows of a server's limit, in a heartbeat or with an ask.
-#[derive(prost::Message)]
-pub(crate) struct LimitReportWire {
-    #[prost(double, optional, tag = "1")]
-    per_second: Option<f64>,
-    #[prost(uint64, tag = "2")]
-    age_ms: u64,
-}
-
 #[derive(prost::Message)]
 struct QuotaEnvelopeWire {
     #[prost(message, optional, tag = "100")]
@@ -56,6 +53,8 @@
     ask: Option<QuotaAskWire>,
     #[prost(message, optional, tag = "7")]
     grant: Option<QuotaGrantWire>,
+    #[prost(uint32, optional, tag = "8")]
+    cold_left_ms: Option<u32>,
 }
 
 #[derive(prost::Message)]
@@ -107,6 +106,7 @@
             server: message.server.id,
             born: message.server.born,
             report: message.report.map(LimitReportWire::from),
+            cold_left_ms: message.cold_left.map(write_cold_time),
             ask: ask.map(|ask| QuotaAskWire {
                 number: ask.number,
                 wanted: ask.wanted,
@@ -124,6 +124,12 @@
 #[derive(Debug)]
 pub(crate) struct InvalidQuotaMessage;
 
+impl From<InvalidLimit> for InvalidQuotaMessage {
+    fn from(_: InvalidLimit) -> Self {
+        Self
+    }
+}
+
 impl TryFrom<QuotaMessageWire> for QuotaMessage {
     type Error = InvalidQuotaMessage;
 
@@ -150,31 +156,8 @@
                 born: wire.born,
             },
             report: wire.report.map(LimitReport::try_from).transpose()?,
+            cold_left: wire.cold_left_ms.map(read_cold_time),
             body,
         })
     }
 }
-
-impl From<LimitReport> for LimitReportWire {
-    fn from(report: LimitReport) -> Self {
-        Self {
-            per_second: report.per_second,
-            age_ms: report.age.as_millis() as u64,
-        }
-    }
-}
-
-impl TryFrom<LimitReportWire> for LimitReport {
-    type Error = InvalidQuotaMessage;
-
-    fn try_from(wire: LimitReportWire) -> Result<Self, Self::Error> {
-        let is_valid = |limit: f64| limit.is_finite() && limit >= 0.0;
-        if wire.per_second.is_some_and(|limit| !is_valid(limit)) {
-            return Err(InvalidQuotaMessage);
-        }
-        Ok(Self {
-            per_second: wire.per_second,
-            age: Duration::from_millis(wire.age_ms),
-        })
-    }
-}
--- a/crates/gateway/src/reach_worker.rs
+++ b/crates/gateway/src/reach_worker.rs
@@ -1,6 +1,6 @@
 //! Finds out whether this instance still reaches the servers of each data centre.
 
-use crate::prelude::*;
+use crate::{prelude::*, warmup_worker};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderValue, header};
 use rand::seq::IteratorRandom;
@@ -138,7 +138,11 @@
         Timer::after(CHECK_TIMEOUT).await;
         None
     };
-    future::or(exchange, timed_out).await.is_some()
+    let Some(response) = future::or(exchange, timed_out).await else {
+        return false;
+    };
+    warmup_worker::apply_headers(node, server, response.headers());
+    true
 }
 
 /// Path of a server's health check, if the configuration names a readable one.
--- a/crates/gateway/src/server_lookup.rs
+++ b/crates/gateway/src/server_lookup.rs
@@ -5,6 +5,7 @@
     prelude::*,
     quota_worker::{self, TokenOutcome},
     server_reservation::ServerReservation,
+    warmup_worker,
 };
 
 /// Result of a lookup.
@@ -187,6 +188,7 @@
     }
 
     fn select(&self, servers: &[&Arc<ServerRuntime>]) -> SelectionOutcome {
+        let is_bounded = warmup_worker::cold_rate(self.node, &self.call.service).is_some();
         let loads: Vec<_> = servers.iter().map(|server| server.load.lock()).collect();
         let candidates: Vec<ServerCandidate<'_>> = servers
             .iter()
@@ -195,7 +197,7 @@
                 load,
                 is_local: server.entry.data_centre == self.node.settings.data_centre,
                 was_tried: self.history.tried.contains(server.incarnation()),
-                is_warming_up: self.now < server.warmup_ends_at,
+                is_warming_up: server.is_warming_up(is_bounded, self.now),
             })
             .collect();
         let selector = ServerSelector {
@@ -272,22 +274,24 @@
             return LookupOutcome::Wait(RefusalReason::NoRoom);
         }
         drop(load);
-        let has_token = match quota_worker::take_token(self.node, server, self.ticket.is_none()) {
-            TokenOutcome::NotNeeded => false,
-            TokenOutcome::Taken => true,
-            TokenOutcome::Wait => {
-                return LookupOutcome::Wait(RefusalReason::Limited(Duration::ZERO));
-            }
-            TokenOutcome::Refused(pause) => {
-                return LookupOutcome::Refuse(RefusalReason::Limited(pause));
-            }
-        };
+        let (has_token, is_cold) =
+            match quota_worker::take_token(self.node, server, self.ticket.is_none()) {
+                TokenOutcome::NotNeeded => (false, false),
+                TokenOutcome::Taken { is_cold } => (true, is_cold),
+                TokenOutcome::Wait => {
+                    return LookupOutcome::Wait(RefusalReason::Limited(Duration::ZERO));
+                }
+                TokenOutcome::Refused(pause) => {
+                    return LookupOutcome::Refuse(RefusalReason::Limited(pause));
+                }
+            };
         server.load.lock().request_started(now);
         LookupOutcome::Reserved(ServerReservation {
             server: server.clone(),
             reserved_at: now,
             was_full,
             has_token,
+            is_cold,
             key_revision,
             service_state: self.state.clone(),
             clock: self.node.clock,
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -11,6 +11,8 @@
     pub(crate) was_full: bool,
     /// Whether the server has a rate limit, and the request took a token.
     pub(crate) has_token: bool,
+    /// Whether the token was for a cold server.
+    pub(crate) is_cold: bool,
     /// Revision of the key record that names the server as the owner; `None` for services without
     /// keys.
     pub(crate) key_revision: Option<StoreRevision>,
--- a/crates/gateway/src/server_reservation_tests.rs
+++ b/crates/gateway/src/server_reservation_tests.rs
@@ -21,6 +21,7 @@
         reserved_at: node.now(),
         was_full: false,
         has_token: false,
+        is_cold: false,
         key_revision,
         service_state: node.service("s"),
         clock: node.clock,
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -17,7 +17,7 @@
     /// Connections for releases of keys, which any incarnation of the server may answer.
     pub(crate) releases: HttpClient,
     /// When the server's warm-up after its start ends; it is slow until then.
-    pub(crate) warmup_ends_at: MonoTime,
+    warmup_ends_at: MonoTime,
     state: StateMutex<RuntimeState>,
 }
 
@@ -119,6 +119,12 @@
         both.min()
     }
 
+    /// Whether the server is slow since it is warming up after its start, or, if its requests are
+    /// bounded while it is cold, cold for any reason.
+    pub(crate) fn is_warming_up(&self, is_bounded: bool, now: MonoTime) -> bool {
+        now < self.warmup_ends_at || is_bounded && self.quota.lock().warmup.is_cold(now)
+    }
+
     /// Whether callers' requests may be sent to the server: while it is in use, and for
     /// `drain_time` after it began to leave.
     pub(crate) fn accepts_requests(&self, now: MonoTime, drain_time: Duration) -> bool {
--- a/crates/gateway/src/stop_plan.rs
+++ b/crates/gateway/src/stop_plan.rs
@@ -102,3 +102,32 @@
         }
     }
 }
+
+impl GatewaySettings {
+    /// Part of the stop timeout that is reserved for closing sockets.
+    const STOP_MARGIN: Duration = Duration::from_millis(400);
+    /// Share of the stop timeout in which all requests are accepted. The platform's shutdown rule
+    /// allows requests sent in the first half to be still running in the last sixth.
+    const CLOSE_IDLE_SHARE: f64 = 0.48;
+
+    /// Schedule of a graceful stop.
+    pub(crate) fn stop_plan(&self) -> StopPlan {
+        /// Minimum time for which new connections are accepted: the load balancer probes once per
+        /// second and stops sending after two failed probes.
+        const MIN_DURATION: Duration = Duration::from_millis(3_200);
+        /// Share of the stop timeout during which running requests are waited for: the platform's
+        /// shutdown rule allows them until the last sixth.
+        const ANSWER_PENDING_SHARE: f64 = 5.0 / 6.0;
+        let limit = self.stop_timeout.saturating_sub(Self::STOP_MARGIN);
+        let last_answer_at = limit.saturating_sub(LAST_ANSWER_TIME);
+        StopPlan {
+            min_duration: MIN_DURATION.min(limit),
+            close_idle_at: self.stop_timeout.mul_f64(Self::CLOSE_IDLE_SHARE),
+            answer_pending_at: last_answer_at
+                .max(self.stop_timeout.mul_f64(ANSWER_PENDING_SHARE))
+                .min(limit),
+            limit,
+            answer_delivery_time: LAST_ANSWER_TIME.min(self.stop_timeout / 4),
+        }
+    }
+}
--- a/crates/gateway/src/stop_plan_tests.rs
+++ b/crates/gateway/src/stop_plan_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the schedule of a graceful stop.
 
-use crate::{prelude::*, test_node};
+use crate::{prelude::*, stop_plan::StopPlan, test_node};
 
 const PLAN: StopPlan = StopPlan {
     min_duration: Duration::from_millis(3_200),
--- a/crates/gateway/src/test_node.rs
+++ b/crates/gateway/src/test_node.rs
@@ -10,6 +10,17 @@
 
 /// Creates the same state, with a store at `address`.
 pub(crate) fn build_with_store(address: SocketAddr) -> GatewayNode {
+    build_with_flags(address, &[])
+}
+
+/// Creates the same state for an instance that keeps a bound on the requests to cold servers.
+pub(crate) fn build_with_warmup_bound() -> GatewayNode {
+    let flags = ["--warmup-overage=1.5", "--warmup-slack=8"];
+    build_with_flags(SocketAddr::from(([127, 0, 0, 1], 6)), &flags)
+}
+
+/// Creates the same state, with `added` flags.
+pub(crate) fn build_with_flags(address: SocketAddr, added: &[&str]) -> GatewayNode {
     let store = format!("--store-address={address}");
     let flags = [
         "--name=a1",
@@ -22,7 +33,8 @@
         store.as_str(),
         "--stop-timeout-s=6",
     ];
-    let read = GatewaySettings::read(flags.map(Into::into), |_| None);
+    let flags = flags.iter().chain(added).map(Into::into);
+    let read = GatewaySettings::read(flags, |_| None);
     let SettingsOutcome::Run(settings) = read else {
         panic!("settings are invalid");
     };
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -5,8 +5,8 @@
     feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
     mirror_delta::{DeltaOutcome, MirrorDelta},
     peer_heartbeat::{
-        GrantedRange, KeySamples, KnownLimit, KnownRest, LeadershipStatus, PeerHeartbeat,
-        RecordUpdate, ServiceTimeReport,
+        ColdServer, GrantedRange, KeySamples, KnownLimit, KnownRest, LeadershipStatus,
+        PeerHeartbeat, RecordUpdate, ServiceTimeReport,
     },
     prelude::*,
     quota_wire::{QuotaBody, QuotaMessage},
@@ -114,6 +114,10 @@
                 age: Duration::from_millis(20),
             },
         }],
+        cold: vec![ColdServer {
+            server: incarnation("s6"),
+            left: Duration::from_millis(7_400),
+        }],
         suspects: vec![SuspectReport {
             identity: RequestIdentity(1 << 100),
             target: TargetHash(2),
@@ -135,6 +139,7 @@
             per_second: None,
             age: Duration::from_millis(20),
         }),
+        cold_left: Some(Duration::from_millis(7_300)),
         body: QuotaBody::Ask(QuotaAsk {
             number: 7,
             wanted: 2,
