--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -183,7 +183,11 @@
 }
 
 /// Servers that may own keys, with the requests per second that each can serve.
-fn eligible_servers(node: &GatewayNode, service: &str, now: MonoTime) -> Vec<PlannedServer> {
+pub(crate) fn eligible_servers(
+    node: &GatewayNode,
+    service: &str,
+    now: MonoTime,
+) -> Vec<PlannedServer> {
     let mean = node.service(service).mean_response_time();
     let servers = node.usable_servers(service);
     record_rests(node, &servers, now);
--- a/crates/gateway/src/warmup_worker_tests.rs
+++ b/crates/gateway/src/warmup_worker_tests.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     attempt_history::AttemptHistory,
+    move_planner,
     peer_heartbeat::PeerHeartbeat,
     peer_worker,
     prelude::*,
@@ -123,6 +124,23 @@
     }
 }
 
+// Guards against keys that stay with a cold server, whose requests are then refused.
+#[test]
+fn planner_sees_the_rate_of_a_cold_server() {
+    let (node, _) = node_with_server(LEFT);
+    add_server(&node, &entry("s2", Duration::ZERO), 2);
+    let planned = move_planner::eligible_servers(&node, "s", node.now());
+    let of = |id: &str| {
+        let mut servers = planned.iter();
+        let server = servers.find(|server| server.incarnation.id == id);
+        server.unwrap()
+    };
+    let window_s = KeyView::load_window_s();
+    assert_eq!(of("s1").limit, Some(7.3 * window_s));
+    assert!(of("s1").capacity <= 7.3);
+    assert_eq!(of("s2").limit, None);
+}
+
 // Guards against requests without a key that are refused, or overload a cold server, while another
 // server has room.
 #[test]
