--- a/crates/daemon/tests/large_bodies/small_site.rs
+++ b/crates/daemon/tests/large_bodies/small_site.rs
@@ -157,6 +157,8 @@
         max_connections: SERVER_SLOTS,
         keyed: false,
         warmup: Duration::ZERO,
+        cold_time: Duration::ZERO,
+        cold_rate: None,
     };
     let limits = RequestLimits {
         max_head_bytes: 16_384,
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -45,6 +45,10 @@
     pub retry_slack: f64,
     /// Length of the retry budget's window.
     pub retry_window: Duration,
+    /// Factor on the requests per second that cold servers should get, in the bound that is kept.
+    pub warmup_overage: Option<f64>,
+    /// Additional requests to a cold server in one second; without both settings there is no bound.
+    pub warmup_slack: Option<f64>,
     /// Maximum number of open connections from callers.
     pub max_connections: usize,
     /// Maximum number of descriptors that the process may have open, if it is limited.
@@ -177,6 +181,20 @@
         "Length of the retry budget's window",
         |to, text| read_seconds(&mut to.retry_window, text, 0.1..=600.0),
     ),
+    SettingSpec::optional(
+        "warmup-overage",
+        "",
+        "a factor, 0 to 1000, or nothing",
+        "Factor on the request rate of a service's cold servers, in the bound that is kept",
+        |to, text| read_optional_number(&mut to.warmup_overage, text, 0.0..=1_000.0),
+    ),
+    SettingSpec::optional(
+        "warmup-slack",
+        "",
+        "a number of requests, 0 to 100000, or nothing",
+        "Additional requests to a cold server in one second; no bound without both settings",
+        |to, text| read_optional_number(&mut to.warmup_slack, text, 0.0..=100_000.0),
+    ),
     SettingSpec::optional(
         "max-connections",
         "2000",
@@ -248,6 +266,14 @@
         !self.seed_addresses.is_empty() && !self.seed_addresses.contains(&self.feed_address)
     }
 
+    /// Bound on the requests to cold servers, if the settings name one.
+    pub(crate) fn warmup_bound(&self) -> Option<WarmupBound> {
+        Some(WarmupBound {
+            overage: self.warmup_overage?,
+            slack: self.warmup_slack?,
+        })
+    }
+
     /// Reads the settings from `arguments` and from the environment, which `variable` looks up.
     pub fn read(
         arguments: impl IntoIterator<Item = std::ffi::OsString>,
@@ -274,6 +300,8 @@
             retry_ratio: 0.0,
             retry_slack: 0.0,
             retry_window: Duration::ZERO,
+            warmup_overage: None,
+            warmup_slack: None,
             max_connections: 0,
             max_descriptors: None,
             answer_stall_limit: Duration::ZERO,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,6 +75,7 @@
 mod leader_worker_tests;
 mod leadership_checks;
 mod leadership_wire;
+mod limit_wire;
 mod listener_guard;
 #[cfg(test)]
 mod listener_guard_tests;
@@ -186,6 +187,9 @@
 mod update_router;
 #[cfg(test)]
 mod update_router_tests;
+mod warmup_worker;
+#[cfg(test)]
+mod warmup_worker_tests;
 #[cfg(test)]
 mod wire_decoding_tests;
 
--- a/crates/gateway/src/setting_readers.rs
+++ b/crates/gateway/src/setting_readers.rs
@@ -6,6 +6,7 @@
 use std::{
     net::{IpAddr, Ipv4Addr},
     ops::RangeInclusive,
+    str::FromStr,
 };
 
 /// Address of a setting that has not been read.
@@ -20,12 +21,12 @@
 }
 
 /// Parses a number within `bounds` into `target` unless the text is empty.
-pub(crate) fn read_optional_number(
-    target: &mut Option<usize>,
+pub(crate) fn read_optional_number<T: FromStr + PartialOrd + Default>(
+    target: &mut Option<T>,
     text: &str,
-    bounds: RangeInclusive<usize>,
+    bounds: RangeInclusive<T>,
 ) -> bool {
-    let mut number = 0;
+    let mut number = T::default();
     let is_valid = text.is_empty() || read_number(&mut number, text, bounds);
     *target = (is_valid && !text.is_empty()).then_some(number);
     is_valid
--- a/crates/gateway/src/test_node.rs
+++ b/crates/gateway/src/test_node.rs
@@ -13,6 +13,11 @@
     build_with(&[&format!("--store-address={address}")])
 }
 
+/// Creates the same state for an instance that keeps a bound on the requests to cold servers.
+pub(crate) fn build_with_warmup_bound() -> GatewayNode {
+    build_with(&["--warmup-overage=1.5", "--warmup-slack=8"])
+}
+
 /// Creates the same state, with these settings besides.
 pub(crate) fn build_with(settings: &[&str]) -> GatewayNode {
     let mut flags = vec![
