Take data centres out of service that operators evacuate

Cause: nothing kept requests away from the servers of a data centre that an operator wants to empty.

Change: a fourth kind of objects, `evacuations`, is watched, mirrored and sent by the feed if the setting `--evacuate-s` is given. Feed requests carry its revisions in a field of their own, since earlier builds reject a fourth entry; heartbeats have a fourth entry once evacuations are known. Confirmations of the knowledge count only from instances that follow the kind too. `EvacuationTable` holds the evacuated data centres and the time of each change. Servers there count as leaving since the change; the owners of keys get requests for the evacuation time less a margin. The change is taken to be as old as the knowledge was, also when the watch tells of it. An instance is ready, and uses servers, once it knows the evacuations. An evacuation that a restored store lacks stays in force for the settle time.

--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -34,7 +34,7 @@
         }
     };
     let sent_at = node.now();
-    if !reservation.is_still_allowed(sent_at, node.drain_time()) {
+    if !reservation.is_still_allowed(sent_at, node.leaving_bounds()) {
         let max = node.max_idle_connections(server);
         server.pool.keep(connection, None, max, sent_at);
         return AttemptResult::NotSent("server leaves".into());
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -69,6 +69,7 @@
         let mut request = FeedRequest {
             synced_revisions: mirror.synced_revisions(),
             latest_revisions: mirror.latest_revisions(),
+            takes_evacuations: false,
         };
         if !self.instances[index].guards.feed_eras {
             era_steps::forget_request_eras(&mut request);
--- a/crates/gateway/src/change_path_tests/simulated_store.rs
+++ b/crates/gateway/src/change_path_tests/simulated_store.rs
@@ -13,7 +13,7 @@
     /// Era that the answers state.
     pub(super) era: u64,
     pub(super) revision: StoreRevision,
-    kinds: [IndexMap<String, PlatformObject>; 3],
+    kinds: [IndexMap<String, PlatformObject>; KIND_COUNT],
     history: Vec<StoredChange>,
     /// Revision up to which the history is gone.
     compacted: StoreRevision,
@@ -243,9 +243,11 @@
         })
     }
 
-    /// All objects of all kinds.
-    pub(super) fn pages(&self) -> [(ObjectKind, StoreAnswer); 3] {
-        OBJECT_KINDS.map(|kind| (kind, StoreAnswer::List(self.page(kind))))
+    /// All objects of all kinds that the instances follow.
+    pub(super) fn pages(&self) -> impl Iterator<Item = (ObjectKind, StoreAnswer)> {
+        let followed = OBJECT_KINDS.into_iter();
+        let followed = followed.filter(|kind| *kind != ObjectKind::Evacuations);
+        followed.map(|kind| (kind, StoreAnswer::List(self.page(kind))))
     }
 
     fn page(&self, kind: ObjectKind) -> ObjectPage {
--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -1,6 +1,6 @@
 //! Keeps the server list up to date with the store.
 
-use crate::prelude::*;
+use crate::{evacuation_worker, prelude::*};
 
 /// Applies an update of the server entries, which may have changed from `changed_at` on.
 pub(crate) fn apply(node: &Arc<GatewayNode>, update: StoreUpdate, changed_at: MonoTime) {
@@ -51,6 +51,7 @@
     loop {
         Timer::after(INTERVAL).await;
         let now = node.now();
+        evacuation_worker::settle(&node);
         let expired = node.roster.lock().remove_expired(now);
         if expired {
             node.refresh_servers();
--- a/crates/gateway/src/era_worker.rs
+++ b/crates/gateway/src/era_worker.rs
@@ -18,10 +18,10 @@
 /// Logs up to where the objects of the earlier era are known.
 fn log_known(node: &GatewayNode) {
     let known = node.mirror.lock().synced_revisions();
-    if known == [StoreRevision::ZERO; 3] {
+    if known == [StoreRevision::ZERO; KIND_COUNT] {
         return;
     }
-    let [servers, configuration, records] = known;
+    let [servers, configuration, records, _] = known;
     log::info!(
         era = node.store.era().number,
         leads = node.is_leading(),
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -32,6 +32,8 @@
     knowledge: Option<KnowledgeReport>,
     /// Era of the store that the instance knows.
     era: Option<StoreEra>,
+    /// Whether its knowledge includes the evacuations.
+    knows_evacuations: bool,
 }
 
 /// Requests updates from peers whose heartbeats report newer revisions.
@@ -131,6 +133,7 @@
         FeedRequest {
             synced_revisions: mirror.synced_revisions(),
             latest_revisions: mirror.latest_revisions(),
+            takes_evacuations: node.takes_evacuations(),
         }
     };
     let timeout = async {
@@ -161,7 +164,8 @@
         // may be complete.
         return None;
     }
-    if let Some(report) = reply.knowledge {
+    let is_complete = reply.knows_evacuations || !node.takes_evacuations();
+    if let Some(report) = reply.knowledge.filter(|_| is_complete) {
         node.knowledge.lock().confirm_from(report, asked_at);
     }
     Some(changed)
@@ -191,6 +195,7 @@
     Some(FeedReply {
         knowledge: wire.knowledge.map(KnowledgeReport::from),
         era: wire.era.map(StoreEra::from),
+        knows_evacuations: wire.knows_evacuations,
         deltas: wire.try_into().ok()?,
     })
 }
--- a/crates/gateway/src/feed_replies.rs
+++ b/crates/gateway/src/feed_replies.rs
@@ -18,7 +18,7 @@
 struct EncodedReply {
     request: FeedRequest,
     at: MonoTime,
-    synced_revisions: [StoreRevision; 3],
+    synced_revisions: KindRevisions,
     version: u64,
     bytes: Bytes,
 }
@@ -47,13 +47,16 @@
             let has_all_kinds =
                 known == synced_revisions.map(|revision| revision > StoreRevision::ZERO);
             let is_young = now.since(reply.at) < Self::MAX_FULL_AGE;
-            let is_full = request.synced_revisions == [StoreRevision::ZERO; 3];
+            let is_full = request.synced_revisions == [StoreRevision::ZERO; KIND_COUNT];
             reply.request == request && (is_current(reply) || is_full && is_young && has_all_kinds)
         };
         if let Some(reply) = self.replies.iter().find(is_usable) {
             return (reply.bytes.clone(), is_current(reply));
         }
-        let deltas = mirror.deltas(request.synced_revisions, request.latest_revisions);
+        let mut deltas = mirror.deltas(request.synced_revisions, request.latest_revisions);
+        if !request.takes_evacuations {
+            deltas.retain(|delta| delta.kind != ObjectKind::Evacuations);
+        }
         let bytes = Bytes::from(prost::Message::encode_to_vec(&FeedReplyWire::from(deltas)));
         self.replies.retain(|reply| reply.request != request);
         self.replies.push_front(EncodedReply {
--- a/crates/gateway/src/feed_replies_tests.rs
+++ b/crates/gateway/src/feed_replies_tests.rs
@@ -9,8 +9,9 @@
 
 /// Request of an instance that knows nothing.
 const NEW: FeedRequest = FeedRequest {
-    synced_revisions: [StoreRevision::ZERO; 3],
-    latest_revisions: [StoreRevision::ZERO; 3],
+    synced_revisions: [StoreRevision::ZERO; KIND_COUNT],
+    latest_revisions: [StoreRevision::ZERO; KIND_COUNT],
+    takes_evacuations: false,
 };
 
 const KINDS: [ObjectKind; 3] = [
@@ -85,8 +86,9 @@
     }
     let mut replies = FeedReplies::default();
     let lagging = FeedRequest {
-        synced_revisions: [8.into(), 20.into(), 20.into()],
-        latest_revisions: [8.into(), 20.into(), 20.into()],
+        synced_revisions: [8.into(), 20.into(), 20.into(), 0.into()],
+        latest_revisions: [8.into(), 20.into(), 20.into(), 0.into()],
+        takes_evacuations: false,
     };
     let (first, _) = replies.encode(&mirror, lagging, at(1_000));
     assert_eq!(objects(&first), 2);
@@ -112,8 +114,9 @@
         status: serde_json::Value::Null,
     };
     let lagging = FeedRequest {
-        synced_revisions: [20.into(); 3],
-        latest_revisions: [20.into(); 3],
+        synced_revisions: [20.into(); KIND_COUNT],
+        latest_revisions: [20.into(); KIND_COUNT],
+        takes_evacuations: false,
     };
     let mut replies = FeedReplies::default();
     mirror.insert(ObjectKind::Records, record("later", 30.into()));
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -58,6 +58,7 @@
     drop(mirror);
     let mut tail = FeedReplyWire::from(Vec::new());
     tail.era = Some(era.into());
+    tail.knows_evacuations = node.takes_evacuations() && node.knows_evacuations();
     if is_current {
         let report = node.knowledge.lock().report(now);
         tail.knowledge = Some(report.into());
--- a/crates/gateway/src/feed_wire.rs
+++ b/crates/gateway/src/feed_wire.rs
@@ -6,15 +6,20 @@
     mirror_delta::{MirrorDelta, RemainingObjects},
     object_mirror::{OBJECT_KINDS, position_of},
     prelude::*,
+    revisions_wire::{
+        FORMER_KIND_COUNT, KindRevisionsWire, former_eras, former_numbers, with_eras,
+    },
 };
 
 /// Request for the objects that changed after the requester's revisions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FeedRequest {
     /// Revisions up to which the requester knows all changes, by kind.
-    pub(crate) synced_revisions: [StoreRevision; 3],
+    pub(crate) synced_revisions: KindRevisions,
     /// Highest revisions that the requester has seen, by kind.
-    pub(crate) latest_revisions: [StoreRevision; 3],
+    pub(crate) latest_revisions: KindRevisions,
+    /// Whether the requester takes evacuations.
+    pub(crate) takes_evacuations: bool,
 }
 
 impl FeedRequest {
@@ -23,6 +28,7 @@
         Self {
             synced_revisions: self.synced_revisions.map(|revision| revision.or_era(era)),
             latest_revisions: self.latest_revisions.map(|revision| revision.or_era(era)),
+            ..self
         }
     }
 }
@@ -38,6 +44,10 @@
     synced_eras: Vec<u64>,
     #[prost(uint64, repeated, tag = "4")]
     latest_eras: Vec<u64>,
+    /// Revisions of the evacuations; missing if the requester takes none. Builds that know of none
+    /// reject a request with more than three entries in the fields above.
+    #[prost(message, optional, tag = "5")]
+    evacuations: Option<KindRevisionsWire>,
 }
 
 #[derive(prost::Message)]
@@ -49,6 +59,10 @@
     /// Era that the sender knows; missing from builds that know of none.
     #[prost(message, optional, tag = "3")]
     pub(crate) era: Option<EraWire>,
+    /// Whether the sender's knowledge includes the evacuations. The bytes of the tag do not occur in
+    /// the objects' text, so that fewer damaged frames are rejected as a whole.
+    #[prost(bool, tag = "16")]
+    pub(crate) knows_evacuations: bool,
 }
 
 #[derive(prost::Message)]
@@ -132,10 +146,17 @@
 impl From<FeedRequest> for FeedRequestWire {
     fn from(request: FeedRequest) -> Self {
         Self {
-            synced_revisions: numbers(request.synced_revisions),
-            latest_revisions: numbers(request.latest_revisions),
-            synced_eras: eras(request.synced_revisions),
-            latest_eras: eras(request.latest_revisions),
+            synced_revisions: former_numbers(request.synced_revisions),
+            latest_revisions: former_numbers(request.latest_revisions),
+            synced_eras: former_eras(request.synced_revisions),
+            latest_eras: former_eras(request.latest_revisions),
+            evacuations: request.takes_evacuations.then(|| {
+                let position = position_of(ObjectKind::Evacuations);
+                KindRevisionsWire::new(
+                    request.synced_revisions[position],
+                    request.latest_revisions[position],
+                )
+            }),
         }
     }
 }
@@ -144,33 +165,22 @@
     type Error = Vec<u64>;
 
     fn try_from(wire: FeedRequestWire) -> Result<Self, Vec<u64>> {
-        let synced: [u64; 3] = wire.synced_revisions.try_into()?;
-        let latest: [u64; 3] = wire.latest_revisions.try_into()?;
-        Ok(Self {
-            synced_revisions: with_eras(synced, &wire.synced_eras),
-            latest_revisions: with_eras(latest, &wire.latest_eras),
-        })
+        let synced: [u64; FORMER_KIND_COUNT] = wire.synced_revisions.try_into()?;
+        let latest: [u64; FORMER_KIND_COUNT] = wire.latest_revisions.try_into()?;
+        let mut request = Self {
+            synced_revisions: with_eras(&synced, &wire.synced_eras),
+            latest_revisions: with_eras(&latest, &wire.latest_eras),
+            takes_evacuations: wire.evacuations.is_some(),
+        };
+        if let Some(known) = wire.evacuations {
+            let position = position_of(ObjectKind::Evacuations);
+            request.synced_revisions[position] = known.synced();
+            request.latest_revisions[position] = known.latest();
+        }
+        Ok(request)
     }
 }
 
-/// Revisions as sent by builds that know of no eras.
-pub(crate) fn numbers(revisions: [StoreRevision; 3]) -> Vec<u64> {
-    revisions.map(|revision| revision.number).to_vec()
-}
-
-/// Eras of revisions.
-pub(crate) fn eras(revisions: [StoreRevision; 3]) -> Vec<u64> {
-    revisions.map(|revision| revision.era).to_vec()
-}
-
-/// Joins revisions and their eras; missing ones are zero.
-pub(crate) fn with_eras(numbers: [u64; 3], eras: &[u64]) -> [StoreRevision; 3] {
-    [0, 1, 2].map(|position: usize| {
-        let era = eras.get(position).copied().unwrap_or_default();
-        StoreRevision::new(era, numbers[position])
-    })
-}
-
 impl From<Vec<MirrorDelta>> for FeedReplyWire {
     fn from(deltas: Vec<MirrorDelta>) -> Self {
         let object = |object: PlatformObject| ObjectWire {
@@ -199,6 +209,7 @@
                 .collect(),
             knowledge: None,
             era: None,
+            knows_evacuations: false,
         }
     }
 }
--- a/crates/gateway/src/former_wire_tests.rs
+++ b/crates/gateway/src/former_wire_tests.rs
@@ -111,7 +111,7 @@
     PeerHeartbeat {
         instance: "p1".into(),
         incarnation: 2,
-        revisions: [10, 11, 12].map(in_era),
+        revisions: [in_era(10), in_era(11), in_era(12), StoreRevision::ZERO],
         record_updates: vec![RecordUpdate {
             service: "s".into(),
             base_revision: in_era(8),
@@ -132,8 +132,19 @@
 /// The same request as the receiver takes it: what is not known has no era.
 fn request() -> FeedRequest {
     FeedRequest {
-        synced_revisions: [in_era(10), StoreRevision::ZERO, in_era(12)],
-        latest_revisions: [in_era(11), StoreRevision::ZERO, in_era(13)],
+        synced_revisions: [
+            in_era(10),
+            StoreRevision::ZERO,
+            in_era(12),
+            StoreRevision::ZERO,
+        ],
+        latest_revisions: [
+            in_era(11),
+            StoreRevision::ZERO,
+            in_era(13),
+            StoreRevision::ZERO,
+        ],
+        takes_evacuations: false,
     }
 }
 
--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -1,6 +1,6 @@
 //! State that all workers of an instance share.
 //!
-//! Lock order: mirror, routes, roster, servers, usable, services, keys, peers, suspects, reach, knowledge, then the
+//! Lock order: mirror, routes, roster, evacuations, servers, usable, services, keys, peers, suspects, reach, knowledge, then the
 //! locks inside a server or a service. No lock is held across an await.
 
 use crate::{
@@ -25,6 +25,8 @@
     /// Configuration in force, and the revision at which the store had it.
     routes: StateMutex<Option<(Arc<RouteTable>, StoreRevision)>>,
     pub(crate) roster: StateMutex<ServerRoster>,
+    /// Data centres whose servers get no requests.
+    pub(crate) evacuations: StateMutex<EvacuationTable>,
     pub(crate) servers: StateMutex<IndexMap<ServerIncarnation, Arc<ServerRuntime>>>,
     /// Servers that accept new requests, by service.
     pub(crate) usable: StateMutex<IndexMap<String, ServerList>>,
@@ -92,8 +94,6 @@
     const MAX_OWNER_OCCUPANCY: f64 = 2.6;
     /// Memory for answers, apart from the first 64 KB of each, in bytes.
     const ANSWER_MEMORY_BYTES: usize = 64 << 20;
-    /// Part of the drain time that is reserved for requests already on their way.
-    const DRAIN_MARGIN: Duration = Duration::from_millis(400);
     /// How long entries that expire around a store outage stay in use.
     const EXPIRY_GRACE: Duration = Duration::from_millis(1_500);
 
@@ -125,6 +125,7 @@
             workers,
             routes: StateMutex::default(),
             roster: StateMutex::default(),
+            evacuations: StateMutex::default(),
             servers: StateMutex::default(),
             usable: StateMutex::default(),
             services: StateMutex::default(),
@@ -266,11 +267,6 @@
         }
     }
 
-    /// Time after which a draining server is sent no new requests.
-    pub(crate) fn drain_time(&self) -> Duration {
-        self.settings.drain_time.saturating_sub(Self::DRAIN_MARGIN)
-    }
-
     /// Number of instances that share retry budgets and connection limits.
     pub(crate) fn instance_count(&self) -> usize {
         self.peers.lock().instance_count()
@@ -293,6 +289,9 @@
 
     /// Whether the load balancer should send callers to this instance.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.route_table().is_some() && !self.servers.lock().is_empty()
+        !self.is_stopping()
+            && self.route_table().is_some()
+            && !self.servers.lock().is_empty()
+            && self.knows_evacuations()
     }
 }
--- a/crates/gateway/src/gateway_process.rs
+++ b/crates/gateway/src/gateway_process.rs
@@ -51,7 +51,7 @@
     let connections = caller_listeners::start(&node, metrics).await?;
     relay_server::start(&node).await?;
     let workers = &node.workers;
-    for kind in OBJECT_KINDS {
+    for kind in OBJECT_KINDS.into_iter().filter(|kind| node.follows(*kind)) {
         spawn(&node, kind.label(), move |node| {
             object_watcher::follow(node, kind)
         });
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -1,6 +1,9 @@
 //! Settings of a gateway instance.
 
-use crate::prelude::*;
+use crate::{
+    prelude::*,
+    setting_readers::{read_optional_address, read_optional_seconds, read_seconds},
+};
 use geraniummast_settings::{
     SettingError, SettingSpec, SettingTable, SettingsOutcome, read_address, read_addresses,
     read_name, read_number,
@@ -33,6 +36,9 @@
     pub stop_timeout: Duration,
     /// Time after which a draining server is sent no new requests.
     pub drain_time: Duration,
+    /// Time after which an evacuated data centre is sent no new requests; `None` if there are no
+    /// evacuations.
+    pub evacuate_time: Option<Duration>,
     /// Maximum time for which keys may be granted to a server.
     pub max_hold: Duration,
     /// Retries that each request of a service adds to the retry budget.
@@ -142,6 +148,13 @@
         "Time after which a draining server is sent no new requests",
         |to, text| read_seconds(&mut to.drain_time, text, 0.1..=600.0),
     ),
+    SettingSpec::optional(
+        "evacuate-s",
+        "",
+        "seconds, 0.5 to 600, or nothing",
+        "Time after which an evacuated data centre is sent no new requests, if there are evacuations",
+        |to, text| read_optional_seconds(&mut to.evacuate_time, text, 0.5..=600.0),
+    ),
     SettingSpec::optional(
         "max-hold-s",
         "10",
@@ -248,6 +261,7 @@
             store_address: UNSPECIFIED,
             stop_timeout: Duration::ZERO,
             drain_time: Duration::ZERO,
+            evacuate_time: None,
             max_hold: Duration::ZERO,
             retry_ratio: 0.0,
             retry_slack: 0.0,
@@ -275,25 +289,3 @@
         has_duplicate.then(error).into_iter().collect()
     }
 }
-
-/// Parses an address into `target` unless the text is empty; returns whether the text is valid.
-fn read_optional_address(target: &mut Option<SocketAddr>, text: &str) -> bool {
-    if text.is_empty() {
-        *target = None;
-        return true;
-    }
-    let mut address = UNSPECIFIED;
-    let is_valid = read_address(&mut address, text);
-    *target = is_valid.then_some(address);
-    is_valid
-}
-
-/// Parses fractional seconds within `bounds` into `target`; returns whether the text is valid.
-fn read_seconds(target: &mut Duration, text: &str, bounds: std::ops::RangeInclusive<f64>) -> bool {
-    let mut value = 0.0;
-    let accepted = read_number(&mut value, text, bounds);
-    if accepted {
-        *target = Duration::from_secs_f64(value);
-    }
-    accepted
-}
--- a/crates/gateway/src/heartbeat_bound_tests.rs
+++ b/crates/gateway/src/heartbeat_bound_tests.rs
@@ -21,7 +21,7 @@
     let mut heartbeat = PeerHeartbeat {
         instance: "instance-000".into(),
         incarnation: 1_700_000_000_000,
-        revisions: [1_000_001.into(), 1_000_002.into(), 1_000_003.into()],
+        revisions: [1_000_001, 1_000_002, 1_000_003, 1_000_004].map(StoreRevision::from),
         sent_at: MonoTime(77_000_000),
         knowledge: Some(KnowledgeReport {
             age: Duration::from_millis(14),
--- a/crates/gateway/src/heartbeat_targets.rs
+++ b/crates/gateway/src/heartbeat_targets.rs
@@ -14,7 +14,7 @@
     peers: &PeerTable,
     heartbeat: &PeerHeartbeat,
     leaders: &[Option<(InstanceIncarnation, MonoTime)>],
-    told: [StoreRevision; 3],
+    told: KindRevisions,
     now: MonoTime,
 ) -> Vec<SocketAddr> {
     let is_leader = heartbeat.leaderships.iter().any(|status| status.is_leader);
@@ -54,11 +54,16 @@
 /// have to know in time, although the leader may be cut off from the store without having noticed.
 fn has_news(
     peers: &PeerTable,
-    revisions: [StoreRevision; 3],
-    told: [StoreRevision; 3],
+    revisions: KindRevisions,
+    told: KindRevisions,
     now: MonoTime,
 ) -> bool {
-    let kinds = [ObjectKind::Servers, ObjectKind::Configuration].map(position_of);
+    let kinds = [
+        ObjectKind::Servers,
+        ObjectKind::Configuration,
+        ObjectKind::Evacuations,
+    ]
+    .map(position_of);
     let has_changed = kinds.iter().any(|kind| revisions[*kind] > told[*kind]);
     has_changed && peers.watches_for_others(now)
 }
--- a/crates/gateway/src/heartbeat_targets_tests.rs
+++ b/crates/gateway/src/heartbeat_targets_tests.rs
@@ -21,12 +21,12 @@
 
 /// Number of receivers of a heartbeat of instance `a1`, one of 41, with these revisions, while it hears
 /// a leader that has assigned `watchers`.
-fn receivers(watchers: &[&str], revisions: [u64; 3]) -> usize {
+fn receivers(watchers: &[&str], revisions: [u64; KIND_COUNT]) -> usize {
     receivers_of_lagging(watchers, revisions, Duration::ZERO)
 }
 
 /// The same for an instance that has lagged behind others for `lag`.
-fn receivers_of_lagging(watchers: &[&str], revisions: [u64; 3], lag: Duration) -> usize {
+fn receivers_of_lagging(watchers: &[&str], revisions: [u64; KIND_COUNT], lag: Duration) -> usize {
     let node = test_node::build();
     let now = node.now();
     let mut peers = PeerTable::default();
@@ -81,7 +81,7 @@
         &peers,
         &heartbeat,
         &leaders,
-        [5.into(), 5.into(), 5.into()],
+        [5.into(); KIND_COUNT],
         now,
     )
     .len()
@@ -91,15 +91,16 @@
 // leader was cut off from the store and had not noticed, and its watchers told only the leader.
 #[test]
 fn watcher_tells_all_instances_of_a_change_of_servers_itself() {
-    assert_eq!(receivers(&["a1", "p3"], [6, 5, 5]), 40);
-    assert_eq!(receivers(&["a1", "p3"], [5, 6, 5]), 40);
+    assert_eq!(receivers(&["a1", "p3"], [6, 5, 5, 5]), 40);
+    assert_eq!(receivers(&["a1", "p3"], [5, 6, 5, 5]), 40);
     assert_eq!(
-        receivers(&["a1", "p3"], [5, 5, 6]),
+        receivers(&["a1", "p3"], [5, 5, 6, 5]),
         1,
         "the leader tells of keys"
     );
-    assert_eq!(receivers(&["a1", "p3"], [5, 5, 5]), 1);
-    assert_eq!(receivers(&["p2", "p3"], [6, 5, 5]), 1, "fed by others");
+    assert_eq!(receivers(&["a1", "p3"], [5, 5, 5, 6]), 40, "evacuations");
+    assert_eq!(receivers(&["a1", "p3"], [5, 5, 5, 5]), 1);
+    assert_eq!(receivers(&["p2", "p3"], [6, 5, 5, 5]), 1, "fed by others");
 }
 
 // Guards against the square of 300 heartbeats for each change of servers: instances that lagged behind
@@ -107,6 +108,6 @@
 #[test]
 fn instance_that_lags_behind_tells_its_leader_only() {
     let lag = Duration::from_secs(2);
-    assert_eq!(receivers_of_lagging(&["p2", "p3"], [6, 5, 5], lag), 1);
-    assert_eq!(receivers_of_lagging(&["a1", "p3"], [6, 5, 5], lag), 40);
+    assert_eq!(receivers_of_lagging(&["p2", "p3"], [6, 5, 5, 5], lag), 1);
+    assert_eq!(receivers_of_lagging(&["a1", "p3"], [6, 5, 5, 5], lag), 40);
 }
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     era_wire::EraWire,
-    feed_wire::{eras, numbers, with_eras},
     knowledge_wire::KnowledgeWire,
     leadership_wire::{GrantedRangeWire, LeadershipWire},
     load_report_wire::{KeySamplesWire, KnownRestWire, ServiceTimeWire},
@@ -13,6 +12,7 @@
     prelude::*,
     quota_wire::LimitReportWire,
     record_update_wire::RecordUpdateWire,
+    revisions_wire::{eras, numbers, with_eras},
     suspect_report_wire::SuspectReportWire,
 };
 
@@ -206,7 +206,6 @@
     type Error = std::num::TryFromIntError;
 
     fn try_from(wire: HeartbeatWire) -> Result<Self, Self::Error> {
-        let revision = |position: usize| wire.revisions.get(position).copied().unwrap_or_default();
         let mut key_samples = Vec::with_capacity(wire.key_samples.len());
         for sample in wire.key_samples {
             let keys: Result<Vec<u16>, _> = sample.keys.into_iter().map(u16::try_from).collect();
@@ -251,7 +250,7 @@
             limits: limits.collect(),
             suspects: suspects.collect(),
             leaving: leaving.collect(),
-            revisions: with_eras([0, 1, 2].map(revision), &wire.eras),
+            revisions: with_eras(&wire.revisions, &wire.eras),
             era: wire.era.map(StoreEra::from),
             instance: wire.instance,
             incarnation: wire.incarnation,
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -85,17 +85,25 @@
     limit.saturating_sub(age).clamp(MIN_INTERVAL, MAX_INTERVAL)
 }
 
-/// Takes over the age of another instance's knowledge if this one knows at least as much of servers
-/// and configuration. Key records come in heartbeats, one by one.
+/// Takes over the age of another instance's knowledge if this one knows at least as much of servers,
+/// configuration and evacuations. Key records come in heartbeats, one by one.
 pub(crate) fn confirm(
     knowledge: &mut KnowledgeAge,
-    synced: [StoreRevision; 3],
+    synced: KindRevisions,
     report: KnowledgeReport,
-    revisions: [StoreRevision; 3],
+    revisions: KindRevisions,
     sent_at: MonoTime,
 ) {
     let knows_all = |kind| synced[position_of(kind)] >= revisions[position_of(kind)];
-    if knows_all(ObjectKind::Servers) && knows_all(ObjectKind::Configuration) {
+    let evacuations = position_of(ObjectKind::Evacuations);
+    // The age of the other's knowledge says nothing about evacuations that it does not follow.
+    let follows_fewer =
+        synced[evacuations] > StoreRevision::ZERO && revisions[evacuations] == StoreRevision::ZERO;
+    if knows_all(ObjectKind::Servers)
+        && knows_all(ObjectKind::Configuration)
+        && knows_all(ObjectKind::Evacuations)
+        && !follows_fewer
+    {
         knowledge.confirm_from(report, sent_at);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,11 @@
 mod era_watch;
 mod era_wire;
 mod era_worker;
+#[cfg(test)]
+mod evacuation_tests;
+#[cfg(test)]
+mod evacuation_wire_tests;
+mod evacuation_worker;
 mod feed_client;
 mod feed_replies;
 #[cfg(test)]
@@ -66,6 +71,7 @@
 mod leader_worker_tests;
 mod leadership_checks;
 mod leadership_wire;
+mod leaving_bounds;
 mod load_report_wire;
 mod local_response;
 mod metric_names;
@@ -73,6 +79,7 @@
 #[cfg(test)]
 mod mirror_era_tests;
 mod move_planner;
+mod node_evacuations;
 mod node_keys;
 mod node_servers;
 mod node_stop;
@@ -127,6 +134,7 @@
 mod request_log;
 #[cfg(test)]
 mod restored_servers_tests;
+mod revisions_wire;
 mod sent_request;
 mod server_finder;
 mod server_lookup;
@@ -147,6 +155,7 @@
 #[cfg(test)]
 mod service_choice_tests;
 mod service_state;
+mod setting_readers;
 mod stop_plan;
 #[cfg(test)]
 mod stop_plan_tests;
@@ -186,10 +195,11 @@
             idle_list::IdleList,
             instance_record::InstanceRecord,
             key_view::KeyView,
+            leaving_bounds::LeavingBounds,
             metric_names::*,
             node_servers::ServerList,
             object_client::{ObjectClient, StoreCallError},
-            object_mirror::ObjectMirror,
+            object_mirror::{KIND_COUNT, KindRevisions, ObjectMirror},
             object_watcher::StoreUpdate,
             open_calls::OpenCalls,
             peer_table::PeerTable,
--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -26,6 +26,8 @@
 pub(crate) const STORE_ERAS: &str = "geraniummast_store_eras_total";
 /// Time since what this instance knows of the store was known to be complete, in seconds.
 pub(crate) const KNOWLEDGE_AGE: &str = "geraniummast_knowledge_age_seconds";
+/// Evacuated data centres that this instance knows.
+pub(crate) const EVACUATIONS: &str = "geraniummast_evacuated_data_centres";
 /// Grants and releases sent to servers, by kind and result.
 pub(crate) const ORDERS: &str = "geraniummast_orders_total";
 /// Writes of key records, by reason and result.
--- a/crates/gateway/src/mirror_era_tests.rs
+++ b/crates/gateway/src/mirror_era_tests.rs
@@ -112,7 +112,10 @@
 
 /// Names, revisions and specs of all objects.
 fn content(mirror: &ObjectMirror) -> Vec<(String, StoreRevision, String)> {
-    let deltas = mirror.deltas([StoreRevision::ZERO; 3], [StoreRevision::ZERO; 3]);
+    let deltas = mirror.deltas(
+        [StoreRevision::ZERO; KIND_COUNT],
+        [StoreRevision::ZERO; KIND_COUNT],
+    );
     let objects = deltas.iter().flat_map(|delta| &delta.changed);
     let mut content: Vec<_> = objects
         .map(|object| {
--- a/crates/gateway/src/node_servers.rs
+++ b/crates/gateway/src/node_servers.rs
@@ -16,13 +16,15 @@
     }
 
     /// Updates the servers from the roster: adds new ones, and marks those as leaving since
-    /// `changed_at` that are draining or gone.
+    /// `changed_at` that are draining or gone, and since the evacuation of their data centre those in
+    /// evacuated ones.
     pub(crate) fn refresh_servers_changed_at(&self, changed_at: MonoTime) {
         let now = self.now();
         let entries: Vec<ServerEntry> = {
             let roster = self.roster.lock();
             roster.entries().cloned().collect()
         };
+        let evacuations = self.evacuations.lock();
         let mut servers = self.servers.lock();
         for entry in &entries {
             let known = servers.get(&entry.incarnation).filter(|server| {
@@ -61,11 +63,18 @@
                 log::info!(server = incarnation.to_string().as_str(); "server gone");
             }
         }
+        for server in servers.values() {
+            let data_centre = server.entry.data_centre.as_str();
+            server.set_evacuated(match self.takes_evacuations() {
+                true => evacuations.since(data_centre),
+                false => None,
+            });
+        }
         // A listed server stays: as a new one it would forget that it leaves.
         servers.retain(|incarnation, server| {
             is_listed(incarnation)
                 || server
-                    .leaving_since()
+                    .draining_since()
                     .is_none_or(|at| now.since(at) < Self::GONE_RETENTION)
         });
         *self.usable.lock() = group_by_service(servers.values());
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -9,7 +9,7 @@
 /// Copies of the objects of all kinds.
 #[derive(Default)]
 pub(crate) struct ObjectMirror {
-    kinds: [KindMirror; 3],
+    kinds: [KindMirror; KIND_COUNT],
     /// Number of changes of this copy. An object may come without raising any revision.
     version: u64,
 }
@@ -28,11 +28,18 @@
     removals_known_after: StoreRevision,
 }
 
+/// Number of object kinds.
+pub(crate) const KIND_COUNT: usize = 4;
+
+/// Revisions by kind, in the order of their positions.
+pub(crate) type KindRevisions = [StoreRevision; KIND_COUNT];
+
 /// All object kinds, in the order of their positions.
-pub(crate) const OBJECT_KINDS: [ObjectKind; 3] = [
+pub(crate) const OBJECT_KINDS: [ObjectKind; KIND_COUNT] = [
     ObjectKind::Servers,
     ObjectKind::Configuration,
     ObjectKind::Records,
+    ObjectKind::Evacuations,
 ];
 
 /// Position of a kind in arrays and on the wire.
@@ -41,6 +48,7 @@
         ObjectKind::Servers => 0,
         ObjectKind::Configuration => 1,
         ObjectKind::Records => 2,
+        ObjectKind::Evacuations => 3,
     }
 }
 
@@ -159,21 +167,20 @@
     }
 
     /// Highest revisions of any changes seen, by kind.
-    pub(crate) fn latest_revisions(&self) -> [StoreRevision; 3] {
-        [0, 1, 2].map(|position: usize| self.kinds[position].latest_revision)
+    pub(crate) fn latest_revisions(&self) -> KindRevisions {
+        OBJECT_KINDS.map(|kind| self.kinds[position_of(kind)].latest_revision)
     }
 
     /// Revisions up to which all changes are known, by kind; zero before the first list.
-    pub(crate) fn synced_revisions(&self) -> [StoreRevision; 3] {
-        [0, 1, 2].map(|position: usize| self.kinds[position].synced_revision.unwrap_or_default())
+    pub(crate) fn synced_revisions(&self) -> KindRevisions {
+        OBJECT_KINDS.map(|kind| {
+            let mirror = &self.kinds[position_of(kind)];
+            mirror.synced_revision.unwrap_or_default()
+        })
     }
 
     /// Differences for a receiver that knows all changes up to `synced` and has seen `latest`.
-    pub(crate) fn deltas(
-        &self,
-        synced: [StoreRevision; 3],
-        latest: [StoreRevision; 3],
-    ) -> Vec<MirrorDelta> {
+    pub(crate) fn deltas(&self, synced: KindRevisions, latest: KindRevisions) -> Vec<MirrorDelta> {
         let mut deltas = Vec::new();
         for kind in OBJECT_KINDS {
             let position = position_of(kind);
@@ -258,6 +265,13 @@
         self.kinds[position_of(kind)] = KindMirror::default();
     }
 
+    /// Names and revisions of the objects of a kind.
+    pub(crate) fn names(&self, kind: ObjectKind) -> Vec<(String, StoreRevision)> {
+        let objects = self.kinds[position_of(kind)].objects.values();
+        let names = objects.map(|object| (object.name.clone(), object.revision));
+        names.collect()
+    }
+
     /// Copy of one object.
     pub(crate) fn object(&self, kind: ObjectKind, name: &str) -> Option<PlatformObject> {
         self.kinds[position_of(kind)].objects.get(name).cloned()
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -39,7 +39,7 @@
 
 /// Names and revisions of all objects of a mirror.
 fn content(mirror: &ObjectMirror) -> Vec<(String, StoreRevision)> {
-    let deltas = mirror.deltas([0.into(); 3], [0.into(); 3]);
+    let deltas = mirror.deltas([0.into(); KIND_COUNT], [0.into(); KIND_COUNT]);
     let mut content: Vec<(String, StoreRevision)> = deltas
         .iter()
         .flat_map(|delta| &delta.changed)
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -58,7 +58,8 @@
     }
     loop {
         let known = node.mirror.lock().synced_revisions()[position_of(kind)];
-        if known > StoreRevision::ZERO && !should_watch(&node) || is_fed_by_seeds(&node) {
+        let is_fed = is_fed_by_seeds(&node) && !is_left_out_by_seeds(&node, kind);
+        if known > StoreRevision::ZERO && !should_watch(&node) || is_fed {
             Timer::after(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
@@ -86,6 +87,13 @@
     node.is_recently_started() && node.is_seed_reachable.load(Ordering::Relaxed)
 }
 
+/// Whether a seed has told of the servers but not of this kind, since it does not follow it.
+fn is_left_out_by_seeds(node: &GatewayNode, kind: ObjectKind) -> bool {
+    let synced = node.mirror.lock().synced_revisions();
+    let is_known = |kind| synced[position_of(kind)] > StoreRevision::ZERO;
+    kind == ObjectKind::Evacuations && is_known(ObjectKind::Servers) && !is_known(kind)
+}
+
 fn should_watch(node: &GatewayNode) -> bool {
     let leads = node.is_leading();
     node.peers.lock().should_watch(leads, node.now())
--- a/crates/gateway/src/peer_heartbeat.rs
+++ b/crates/gateway/src/peer_heartbeat.rs
@@ -14,7 +14,7 @@
     /// Of a leader: whether its first successor should take over although the leader is healthy.
     pub(crate) yields: bool,
     /// Latest revisions that the sender knows of servers, configuration and records.
-    pub(crate) revisions: [StoreRevision; 3],
+    pub(crate) revisions: KindRevisions,
     /// Era of the store that the sender knows; `None` if it does not tell.
     pub(crate) era: Option<StoreEra>,
     /// When the heartbeat was sent, on the sender's clock.
--- a/crates/gateway/src/peer_lag_tests.rs
+++ b/crates/gateway/src/peer_lag_tests.rs
@@ -14,7 +14,11 @@
     table.apply_heartbeat(heartbeat("p1", 15, true), at(1_500));
     table.newer_source(KNOWN, None, at(1_500));
     assert!(table.should_watch(false, at(1_700)));
-    table.newer_source([10.into(), 15.into(), 10.into()], None, at(1_800));
+    table.newer_source(
+        [10.into(), 15.into(), 10.into(), 10.into()],
+        None,
+        at(1_800),
+    );
     assert!(
         !table.should_watch(false, at(1_800)),
         "the instance has caught up"
@@ -30,7 +34,7 @@
     for step in 0..10 {
         let now = at(1_000 + step * 300);
         table.apply_heartbeat(heartbeat("p1", 11 + step, true), now);
-        table.newer_source([10, 10 + step, 10].map(StoreRevision::from), None, now);
+        table.newer_source([10, 10 + step, 10, 10].map(StoreRevision::from), None, now);
         if table.should_watch(false, now) {
             lagging.push(step);
         }
--- a/crates/gateway/src/peer_table.rs
+++ b/crates/gateway/src/peer_table.rs
@@ -31,10 +31,10 @@
 #[derive(Clone, Copy)]
 pub(crate) struct RevisionLag {
     pub(crate) since: MonoTime,
-    reported: [StoreRevision; 3],
+    reported: KindRevisions,
 }
 
-fn is_any_later(reported: [StoreRevision; 3], known: [StoreRevision; 3]) -> bool {
+fn is_any_later(reported: KindRevisions, known: KindRevisions) -> bool {
     let mut pairs = reported.iter().zip(known);
     pairs.any(|(reported, known)| *reported > known)
 }
@@ -173,7 +173,7 @@
     /// there is one. `avoided` is chosen only if no other instance qualifies.
     pub(crate) fn newer_source(
         &mut self,
-        latest: [StoreRevision; 3],
+        latest: KindRevisions,
         avoided: Option<SocketAddr>,
         now: MonoTime,
     ) -> Option<(SocketAddr, MonoTime)> {
--- a/crates/gateway/src/peer_table_tests.rs
+++ b/crates/gateway/src/peer_table_tests.rs
@@ -6,7 +6,7 @@
     prelude::*,
 };
 
-pub(crate) const KNOWN: [StoreRevision; 3] = [StoreRevision { era: 0, number: 10 }; 3];
+pub(crate) const KNOWN: KindRevisions = [StoreRevision { era: 0, number: 10 }; KIND_COUNT];
 
 pub(crate) fn table() -> PeerTable {
     let mut table = PeerTable::default();
@@ -30,7 +30,7 @@
     PeerHeartbeat {
         instance: name.into(),
         incarnation: 1,
-        revisions: [10.into(), configuration.into(), 10.into()],
+        revisions: [10.into(), configuration.into(), 10.into(), 10.into()],
         watchers: vec!["p2".into()],
         leaderships: vec![LeadershipStatus {
             service: "s".into(),
--- a/crates/gateway/src/peer_worker.rs
+++ b/crates/gateway/src/peer_worker.rs
@@ -58,6 +58,7 @@
         node.store.learn_era(era);
     }
     heartbeat.assume_era(node.store.era().number);
+    node.leave_out_unfollowed(&mut heartbeat.revisions);
     for samples in std::mem::take(&mut heartbeat.key_samples) {
         node.with_known_key_view(&samples.service, |view| {
             view.sample_window.add(&samples.keys, samples.total, now);
@@ -142,7 +143,7 @@
 /// Sends heartbeats at intervals, and early when a change is due.
 pub(crate) async fn send(node: Arc<GatewayNode>, socket: UdpSocket) {
     let mut turn = 0;
-    let mut told = [StoreRevision::ZERO; 3];
+    let mut told = [StoreRevision::ZERO; KIND_COUNT];
     loop {
         let due = node.heartbeat_due.listen();
         Timer::after(MIN_INTERVAL).await;
@@ -165,8 +166,8 @@
     node: &GatewayNode,
     socket: &UdpSocket,
     turn: usize,
-    told: [StoreRevision; 3],
-) -> [StoreRevision; 3] {
+    told: KindRevisions,
+) -> KindRevisions {
     let now = node.now();
     let mut heartbeat = PeerHeartbeat {
         instance: node.settings.name.clone(),
--- a/crates/gateway/src/server_lookup.rs
+++ b/crates/gateway/src/server_lookup.rs
@@ -212,7 +212,10 @@
             return LookupOutcome::Refuse(RefusalReason::NoKey);
         };
         let Some((server, revision)) = self.owner_of(key) else {
-            return LookupOutcome::Wait(RefusalReason::NoOwner);
+            return match self.node.is_fully_evacuated(&self.call.service) {
+                true => LookupOutcome::Refuse(RefusalReason::NoServer),
+                false => LookupOutcome::Wait(RefusalReason::NoOwner),
+            };
         };
         let centre = &server.entry.data_centre;
         if !self.history.ignores_reach && self.node.reach.lock().is_lost(centre) {
@@ -250,7 +253,7 @@
         }
         let server = self.node.server(&range.owner)?;
         server
-            .accepts_requests(self.now, self.node.drain_time())
+            .accepts_requests(self.now, self.node.leaving_bounds())
             .then_some((server, revision))
     }
 
--- a/crates/gateway/src/server_reservation.rs
+++ b/crates/gateway/src/server_reservation.rs
@@ -20,10 +20,10 @@
 
 impl ServerReservation {
     /// Whether the request may still be sent to the server, which may have begun to leave since it
-    /// was selected. The owner of a key gets requests for `drain_time` after that.
-    pub(crate) fn is_still_allowed(&self, now: MonoTime, drain_time: Duration) -> bool {
+    /// was selected. The owner of a key gets requests within `bounds` after that.
+    pub(crate) fn is_still_allowed(&self, now: MonoTime, bounds: LeavingBounds) -> bool {
         match self.key_revision {
-            Some(_) => self.server.accepts_requests(now, drain_time),
+            Some(_) => self.server.accepts_requests(now, bounds),
             None => self.server.leaving_since().is_none(),
         }
     }
--- a/crates/gateway/src/server_reservation_tests.rs
+++ b/crates/gateway/src/server_reservation_tests.rs
@@ -3,6 +3,10 @@
 use crate::{prelude::*, server_reservation::ServerReservation, test_node, test_objects};
 
 const DRAIN_TIME: Duration = Duration::from_millis(1_600);
+const BOUNDS: LeavingBounds = LeavingBounds {
+    drain_time: DRAIN_TIME,
+    evacuation_time: Duration::MAX,
+};
 
 fn reservation(node: &GatewayNode, key_revision: Option<StoreRevision>) -> ServerReservation {
     let address = test_objects::server_entry(ServerState::Ready).address;
@@ -38,9 +42,9 @@
         (Some(1), DRAIN_TIME, false),
     ] {
         let reservation = reservation(&node, key_revision.map(StoreRevision::from));
-        assert!(reservation.is_still_allowed(at, DRAIN_TIME));
+        assert!(reservation.is_still_allowed(at, BOUNDS));
         reservation.server.mark_leaving(at);
-        let result = reservation.is_still_allowed(at.after(later), DRAIN_TIME);
+        let result = reservation.is_still_allowed(at.after(later), BOUNDS);
         assert_eq!(result, is_allowed, "{key_revision:?} {later:?}");
     }
 }
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -25,6 +25,8 @@
 struct RuntimeState {
     /// Since when discovery says that the server is draining or gone.
     leaving_since: Option<MonoTime>,
+    /// Since when the server's data centre is evacuated.
+    evacuated_since: Option<MonoTime>,
     /// Since when the server says in its answers that it leaves.
     announced_at: Option<MonoTime>,
     /// Until when the planner gives the server no keys, since it wants no requests.
@@ -35,6 +37,13 @@
     handovers: LatestValues<String, { ServerRuntime::MAX_HANDOVERS }>,
 }
 
+impl RuntimeState {
+    fn draining_since(&self) -> Option<MonoTime> {
+        let both = self.leaving_since.into_iter().chain(self.announced_at);
+        both.min()
+    }
+}
+
 /// Right to send renewals to a server, until it is dropped.
 pub(crate) struct OrderLock(Arc<ServerRuntime>);
 
@@ -112,18 +121,35 @@
         self.state.lock().leaving_since = None;
     }
 
-    /// Since when the server has been leaving or gone; `None` while it is in use.
+    /// Sets since when the server's data centre is evacuated.
+    pub(crate) fn set_evacuated(&self, since: Option<MonoTime>) {
+        self.state.lock().evacuated_since = since;
+    }
+
+    /// Since when the server has been leaving or gone, or its data centre evacuated; `None` while it
+    /// is in use.
     pub(crate) fn leaving_since(&self) -> Option<MonoTime> {
         let state = self.state.lock();
-        let both = state.leaving_since.into_iter().chain(state.announced_at);
-        both.min()
+        state
+            .draining_since()
+            .into_iter()
+            .chain(state.evacuated_since)
+            .min()
     }
 
-    /// Whether callers' requests may be sent to the server: while it is in use, and for
-    /// `drain_time` after it began to leave.
-    pub(crate) fn accepts_requests(&self, now: MonoTime, drain_time: Duration) -> bool {
-        self.leaving_since()
-            .is_none_or(|at| now.since(at) < drain_time)
+    /// Since when the server has been draining or gone, whether its data centre is evacuated or not.
+    pub(crate) fn draining_since(&self) -> Option<MonoTime> {
+        self.state.lock().draining_since()
+    }
+
+    /// Whether callers' requests may be sent to the server: while it is in use, and within `bounds`
+    /// after it began to leave.
+    pub(crate) fn accepts_requests(&self, now: MonoTime, bounds: LeavingBounds) -> bool {
+        let state = self.state.lock();
+        let is_within =
+            |since: Option<MonoTime>, bound| since.is_none_or(|at| now.since(at) < bound);
+        is_within(state.draining_since(), bounds.drain_time)
+            && is_within(state.evacuated_since, bounds.evacuation_time)
     }
 
     /// Gives the server no keys until a time.
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -22,7 +22,12 @@
     node.knowledge.lock().observe(asked_at, revision);
     confirm_leadership(node, asked_at, revision);
     let mut result = Ok(());
-    for kind in [ObjectKind::Servers, ObjectKind::Configuration] {
+    let kinds = [
+        ObjectKind::Servers,
+        ObjectKind::Configuration,
+        ObjectKind::Evacuations,
+    ];
+    for kind in kinds.into_iter().filter(|kind| node.follows(*kind)) {
         let synced = node.mirror.lock().synced_revisions();
         if is_known(&node.knowledge.lock(), synced, kind, revision) {
             continue;
@@ -44,7 +49,7 @@
 /// Whether all changes of a kind up to the store's revision are known.
 pub(crate) fn is_known(
     knowledge: &KnowledgeAge,
-    synced: [StoreRevision; 3],
+    synced: KindRevisions,
     kind: ObjectKind,
     revision: StoreRevision,
 ) -> bool {
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -153,6 +153,10 @@
 #[test]
 fn server_found_to_drain_counts_as_leaving_since_the_knowledge_was_last_complete() {
     const DRAIN_TIME: Duration = Duration::from_millis(1_600);
+    const BOUNDS: LeavingBounds = LeavingBounds {
+        drain_time: DRAIN_TIME,
+        evacuation_time: Duration::MAX,
+    };
     let server = |state, revision| {
         let entry = test_objects::server_entry(state);
         test_objects::server_object(&entry, revision)
@@ -182,5 +186,5 @@
     let server = node.all_servers().remove(0);
     assert!(server.leaving_since().is_some());
     let until = confirmed_at.after(DRAIN_TIME + Duration::from_millis(50));
-    assert!(!server.accepts_requests(until, DRAIN_TIME));
+    assert!(!server.accepts_requests(until, BOUNDS));
 }
--- a/crates/gateway/src/update_router.rs
+++ b/crates/gateway/src/update_router.rs
@@ -1,6 +1,6 @@
 //! Dispatches updates of the store's objects to the workers that use them.
 
-use crate::{configuration_worker, discovery_worker, prelude::*, record_worker};
+use crate::{configuration_worker, discovery_worker, evacuation_worker, prelude::*, record_worker};
 
 /// Where an update of the store's objects came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,10 +43,9 @@
     };
     let now = node.now();
     // A change that a check finds, or that others may have learnt late, may be as old as the knowledge.
+    let age = node.knowledge.lock().age(now);
     let changed_at = match source {
-        UpdateSource::Check | UpdateSource::Peer => {
-            now.before(node.knowledge.lock().age(now).min(MAX_CHANGE_AGE))
-        }
+        UpdateSource::Check | UpdateSource::Peer => now.before(age.min(MAX_CHANGE_AGE)),
         UpdateSource::Store => now,
     };
     if source != UpdateSource::Peer {
@@ -56,6 +55,8 @@
         ObjectKind::Configuration => configuration_worker::apply(node, update, source),
         ObjectKind::Servers => discovery_worker::apply(node, update, changed_at),
         ObjectKind::Records => record_worker::apply(node, update),
+        // A list or a late answer to a watch may tell of a change that is as old as the knowledge.
+        ObjectKind::Evacuations => evacuation_worker::apply(node, &update, age),
     }
     if before != after {
         node.heartbeat_due.notify(usize::MAX);
--- a/crates/gateway/src/update_router_tests.rs
+++ b/crates/gateway/src/update_router_tests.rs
@@ -29,6 +29,10 @@
 #[test]
 fn server_that_others_say_drains_counts_as_leaving_since_the_knowledge_was_last_complete() {
     const DRAIN_TIME: Duration = Duration::from_millis(2_600);
+    const BOUNDS: LeavingBounds = LeavingBounds {
+        drain_time: DRAIN_TIME,
+        evacuation_time: Duration::MAX,
+    };
     let node = Arc::new(test_node::build());
     apply(&node, ServerState::Ready, 5, UpdateSource::Store);
     let confirmed_at = node.now().before(Duration::from_millis(1_500));
@@ -38,5 +42,5 @@
     let server = node.all_servers().remove(0);
     assert!(server.leaving_since().is_some());
     let until = confirmed_at.after(DRAIN_TIME + Duration::from_millis(50));
-    assert!(!server.accepts_requests(until, DRAIN_TIME));
+    assert!(!server.accepts_requests(until, BOUNDS));
 }
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -58,7 +58,7 @@
         incarnation: 1,
         is_stopping: false,
         yields: true,
-        revisions: [10.into(), 11.into(), 12.into()],
+        revisions: [10.into(), 11.into(), 12.into(), 13.into()],
         era: Some(StoreEra {
             number: 4,
             stated: 2,
@@ -240,7 +240,7 @@
         revision: 6.into(),
     };
     mirror.apply(ObjectKind::Servers, &StoreUpdate::List(page));
-    let reply = FeedReplyWire::from(mirror.deltas([0.into(); 3], [0.into(); 3]));
+    let reply = FeedReplyWire::from(mirror.deltas([0.into(); KIND_COUNT], [0.into(); KIND_COUNT]));
     let frame = prost::Message::encode_to_vec(&reply);
     let mut applied = 0;
     for seed in 0..CASES {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod crash_window;
 mod era_census;
 mod era_tracker;
+mod evacuation_table;
 mod former_leaders;
 mod grant_ledger;
 mod incarnation_status;
@@ -72,6 +73,7 @@
     completion_rate::CompletionRate,
     crash_window::CrashWindow,
     era_tracker::{EraNotice, EraTracker, EraVerdict, StoreEra},
+    evacuation_table::{EvacuationChange, EvacuationTable, EvacuationTimes},
     former_leaders::FormerLeaders,
     grant_ledger::GrantLedger,
     incarnation_status::IncarnationStatus,
