Move the keys with load first when many servers leave

Cause: the ranges of servers that leave moved in the order of keys, 45 in a plan; the keys of a whole data centre take several plans, and the owners of the last ones may no longer get requests by then.

Change: `evacuate` moves ranges in the order of their load. Tests of plans for evacuated data centres, and of the table of evacuations in several eras.

Before, keys_with_load_move_before_idle_ones failed.

--- a/crates/routing/src/key_planner.rs
+++ b/crates/routing/src/key_planner.rs
@@ -5,7 +5,7 @@
 //! is split while few keys move.
 
 use crate::{
-    key_span::{KeySpan, densest_span, total_weight},
+    key_span::{KeySpan, by_load, densest_span, total_weight},
     prelude::*,
     range_tidying::{mergeable_runs, reassign_cold_ranges},
     server_loads::ServerLoads,
@@ -165,8 +165,8 @@
         (!delta.is_empty()).then_some(KeyPlan::Change(delta))
     }
 
-    /// Moves the ranges whose owners may no longer own keys, up to `MAX_MOVES`; the next plan moves the
-    /// others.
+    /// Moves the ranges whose owners may no longer own keys, up to `MAX_MOVES`, those with the most load
+    /// first; the next plan moves the others.
     fn evacuate(
         &self,
         draft: &mut PlanDraft,
@@ -180,7 +180,7 @@
         let ranges = draft.record.ranges.iter();
         let leaving = ranges.filter(|range| !planned.contains(&range.owner));
         let leaving: Vec<KeyRange> = leaving.cloned().collect();
-        for range in leaving {
+        for range in by_load(leaving, weights) {
             let is_owner_free = has_no_grant(&range.owner, range.fence);
             // A moving range whose new owner is gone may be held by two servers. It waits until
             // the new owner cannot hold it any more.
--- a/crates/routing/src/key_span.rs
+++ b/crates/routing/src/key_span.rs
@@ -70,3 +70,11 @@
         .map(|(_, weight)| weight)
         .sum()
 }
+
+/// Ranges in the order of their load, the highest first. Those without requests can wait when there
+/// are more than one plan can move.
+pub(crate) fn by_load(mut ranges: Vec<KeyRange>, weights: &[(u16, f64)]) -> Vec<KeyRange> {
+    let load = |range: &KeyRange| total_weight(weights, range.first, range.last);
+    ranges.sort_by(|one, other| load(other).total_cmp(&load(one)));
+    ranges
+}
--- a/crates/routing/tests/key_planner/main.rs
+++ b/crates/routing/tests/key_planner/main.rs
@@ -1,6 +1,7 @@
 //! Plans of moves for hot spans of keys, servers of different capacity, and servers that join and
 //! leave.
 
+mod evacuated_servers;
 mod large_service;
 mod limited_servers;
 
