--- a/crates/gateway/src/feed_server_tests.rs
+++ b/crates/gateway/src/feed_server_tests.rs
@@ -71,6 +71,7 @@
     let request = FeedRequestWire::from(FeedRequest {
         synced_revisions: Default::default(),
         latest_revisions: Default::default(),
+        takes_evacuations: false,
     });
     let request = prost::Message::encode_to_vec(&request);
     let mut stream = TcpStream::connect(address).unwrap();
--- a/crates/gateway/src/gateway_settings.rs
+++ b/crates/gateway/src/gateway_settings.rs
@@ -3,7 +3,10 @@
 use crate::{
     memory_settings::MemorySettings,
     prelude::*,
-    setting_readers::{UNSPECIFIED, read_optional_address, read_optional_number, read_seconds},
+    setting_readers::{
+        UNSPECIFIED, read_optional_address, read_optional_number, read_optional_seconds,
+        read_seconds,
+    },
 };
 use geraniummast_settings::{
     SettingError, SettingSpec, SettingTable, SettingsOutcome, read_address, read_addresses,
@@ -37,6 +40,9 @@
     pub stop_timeout: Duration,
     /// Time after which a draining server is sent no new requests.
     pub drain_time: Duration,
+    /// Time after which an evacuated data centre is sent no new requests; `None` if there are no
+    /// evacuations.
+    pub evacuate_time: Option<Duration>,
     /// Maximum time for which keys may be granted to a server.
     pub max_hold: Duration,
     /// Retries that each request of a service adds to the retry budget.
@@ -153,6 +159,13 @@
         "Time after which a draining server is sent no new requests",
         |to, text| read_seconds(&mut to.drain_time, text, 0.1..=600.0),
     ),
+    SettingSpec::optional(
+        "evacuate-s",
+        "",
+        "seconds, 0.5 to 600, or nothing",
+        "Time after which an evacuated data centre is sent no new requests, if there are evacuations",
+        |to, text| read_optional_seconds(&mut to.evacuate_time, text, 0.5..=600.0),
+    ),
     SettingSpec::optional(
         "max-hold-s",
         "10",
@@ -296,6 +309,7 @@
             store_address: UNSPECIFIED,
             stop_timeout: Duration::ZERO,
             drain_time: Duration::ZERO,
+            evacuate_time: None,
             max_hold: Duration::ZERO,
             retry_ratio: 0.0,
             retry_slack: 0.0,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,11 @@
 mod era_watch;
 mod era_wire;
 mod era_worker;
+#[cfg(test)]
+mod evacuation_tests;
+#[cfg(test)]
+mod evacuation_wire_tests;
+mod evacuation_worker;
 mod feed_client;
 mod feed_codec;
 mod feed_replies;
@@ -75,6 +80,7 @@
 mod leader_worker_tests;
 mod leadership_checks;
 mod leadership_wire;
+mod leaving_bounds;
 mod limit_wire;
 mod listener_guard;
 #[cfg(test)]
@@ -89,6 +95,7 @@
 #[cfg(test)]
 mod mirror_era_tests;
 mod move_planner;
+mod node_evacuations;
 mod node_keys;
 mod node_servers;
 mod node_stop;
@@ -143,6 +150,7 @@
 mod request_log;
 #[cfg(test)]
 mod restored_servers_tests;
+mod revisions_wire;
 mod sent_request;
 mod server_finder;
 mod server_lookup;
@@ -206,10 +214,11 @@
             idle_list::IdleList,
             instance_record::InstanceRecord,
             key_view::KeyView,
+            leaving_bounds::LeavingBounds,
             metric_names::*,
             node_servers::ServerList,
             object_client::{ObjectClient, StoreCallError},
-            object_mirror::ObjectMirror,
+            object_mirror::{KIND_COUNT, KindRevisions, ObjectMirror},
             object_watcher::StoreUpdate,
             open_calls::OpenCalls,
             peer_table::PeerTable,
--- a/crates/gateway/src/node_servers.rs
+++ b/crates/gateway/src/node_servers.rs
@@ -16,7 +16,8 @@
     }
 
     /// Updates the servers from the roster: adds new ones, and marks those as leaving since
-    /// `changed_at` that are draining or gone.
+    /// `changed_at` that are draining or gone, and since the evacuation of their data centre those in
+    /// evacuated ones.
     pub(crate) fn refresh_servers_changed_at(&self, changed_at: MonoTime) {
         let now = self.now();
         let entries: Vec<(ServerEntry, StoreRevision)> = {
@@ -27,6 +28,7 @@
                 .collect()
         };
         let mut cold = Vec::new();
+        let evacuations = self.evacuations.lock();
         let mut servers = self.servers.lock();
         for (entry, revision) in &entries {
             let known = servers.get(&entry.incarnation).filter(|server| {
@@ -71,15 +73,23 @@
                 log::info!(server = incarnation.to_string().as_str(); "server gone");
             }
         }
+        for server in servers.values() {
+            let data_centre = server.entry.data_centre.as_str();
+            server.set_evacuated(match self.takes_evacuations() {
+                true => evacuations.since(data_centre),
+                false => None,
+            });
+        }
         // A listed server stays: as a new one it would forget that it leaves.
         servers.retain(|incarnation, server| {
             is_listed(incarnation)
                 || server
-                    .leaving_since()
+                    .draining_since()
                     .is_none_or(|at| now.since(at) < Self::GONE_RETENTION)
         });
         *self.usable.lock() = group_by_service(servers.values());
         drop(servers);
+        drop(evacuations);
         for (server, left) in cold {
             warmup_worker::record_cold(self, &server, left, "entry");
         }
--- a/crates/gateway/src/setting_readers.rs
+++ b/crates/gateway/src/setting_readers.rs
@@ -32,6 +32,22 @@
     is_valid
 }
 
+/// Parses fractional seconds within `bounds` into `target` unless the text is empty.
+pub(crate) fn read_optional_seconds(
+    target: &mut Option<Duration>,
+    text: &str,
+    bounds: RangeInclusive<f64>,
+) -> bool {
+    if text.is_empty() {
+        *target = None;
+        return true;
+    }
+    let mut value = Duration::ZERO;
+    let is_valid = read_seconds(&mut value, text, bounds);
+    *target = is_valid.then_some(value);
+    is_valid
+}
+
 /// Parses fractional seconds within `bounds` into `target`.
 pub(crate) fn read_seconds(target: &mut Duration, text: &str, bounds: RangeInclusive<f64>) -> bool {
     let mut value = 0.0;
--- a/crates/gateway/src/warmup_worker.rs
+++ b/crates/gateway/src/warmup_worker.rs
@@ -68,10 +68,6 @@
 
 /// Takes the servers of a data centre that was taken back at `since` for cold for as long as their
 /// services say: their entries tell of it only later. May be called again, with the same time.
-#[cfg_attr(
-    not(test),
-    expect(dead_code, reason = "called when data centres can be evacuated")
-)]
 pub(crate) fn presume_cold(node: &GatewayNode, data_centre: &str, since: MonoTime) {
     let Some(table) = node.route_table() else {
         return;
