Evacuate data centres in the soak

Change: the scenario `--evacuations` spreads the servers over three data centres and evacuates one, then two at a time, while instances are killed. EVACUATE reports requests that reach a server there later than 5 s after the write and before the removal; RECOVER reports if fewer than 0.9 of the requests of the main services are served meanwhile.

--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -80,6 +80,8 @@
     Probes(usize, usize),
     /// Restores the store from a copy of itself.
     Restore(RestoreDrill),
+    /// Evacuates a data centre for the given time.
+    Evacuate(&'static str, Duration),
     /// Publishes a configuration that moves the probed route, adds a route and removes one.
     Configure,
 }
@@ -156,6 +158,7 @@
             FaultScenario::UnlistedRestarts => {
                 Self::unlisted_restarts(&mut StdRng::seed_from_u64(plan.seed), plan)
             }
+            FaultScenario::Evacuations => Self::evacuations(plan),
             FaultScenario::LostServers => Self::cuts_in_turn(plan),
             FaultScenario::ChangesAtPausedHelpers => Self::changes_at_paused_helpers(plan),
             FaultScenario::ChangesBeside(kind) => Self::changes_beside(plan, kind),
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -1,7 +1,8 @@
 //! Injects the faults of a run: signals, broken links, and faults of the store and servers.
 
 use crate::{
-    instance_faults, poison_request, prelude::*, probe_session, server_departures, soak_routes,
+    evacuation_fault, instance_faults, poison_request, prelude::*, probe_session,
+    server_departures, soak_routes,
 };
 use rustix::process::Signal;
 
@@ -171,6 +172,9 @@
             probe_session::send_at_once(world, instance(number).number, count).await;
         }
         FaultEvent::Restore(drill) => drill.run(world).await,
+        FaultEvent::Evacuate(data_centre, duration) => {
+            evacuation_fault::evacuate(world, data_centre, duration).await;
+        }
         FaultEvent::Configure => world.publish_configuration(),
     }
     Ok(())
--- a/crates/soak/src/guarantee_checker.rs
+++ b/crates/soak/src/guarantee_checker.rs
@@ -1,8 +1,8 @@
 //! Checks the observations of callers and servers against the documented guarantees.
 
 use crate::{
-    configuration_checker, limit_checker, notice_checker, poison_checker, prelude::*,
-    reach_checker, soak_routes,
+    configuration_checker, evacuation_checker, limit_checker, notice_checker, poison_checker,
+    prelude::*, reach_checker, soak_routes,
 };
 use std::collections::HashMap;
 
@@ -39,6 +39,7 @@
         limit_checker::check(ledger, &calls, &all_executions),
         poison_checker::check(ledger, &calls, &all_executions),
         notice_checker::check(ledger, &calls, &all_executions),
+        evacuation_checker::check(ledger, &calls, &all_executions),
         reach_checker::check(ledger, &calls),
         configuration_checker::check(ledger, &calls, &checker.executions),
     ] {
--- a/crates/soak/src/instance_process.rs
+++ b/crates/soak/src/instance_process.rs
@@ -16,6 +16,8 @@
     daemon_path: PathBuf,
     log_path: PathBuf,
     stop_timeout: Duration,
+    /// Whether the simulated platform has evacuations.
+    has_evacuations: bool,
     process: Mutex<Option<RunningProcess>>,
     start_count: AtomicU64,
 }
@@ -59,6 +61,7 @@
             daemon_path: plan.daemon_path.clone(),
             log_path: plan.log_dir.join(format!("instance-{number}.log")),
             stop_timeout: plan.stop_timeout,
+            has_evacuations: plan.scenario == FaultScenario::Evacuations,
             process: Mutex::default(),
             start_count: AtomicU64::new(0),
         }))
@@ -132,6 +135,10 @@
                 seconds("drain-s", SoakPlan::DRAIN_TIME),
                 "--retry-slack=40".into(),
             ])
+            .args(
+                self.has_evacuations
+                    .then(|| seconds("evacuate-s", SoakPlan::EVACUATE_TIME)),
+            )
             .stdin(LoopbackHosts::of_process().hold()?)
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,10 @@
 #[cfg(test)]
 mod configuration_checker_tests;
 mod connection_policy;
+mod evacuation_checker;
+#[cfg(test)]
+mod evacuation_checker_tests;
+mod evacuation_fault;
 mod execution_record;
 mod fault_event;
 mod fault_injector;
--- a/crates/soak/src/simulated_backend.rs
+++ b/crates/soak/src/simulated_backend.rs
@@ -6,6 +6,7 @@
 pub(crate) struct SimulatedBackend {
     pub(crate) id: String,
     pub(crate) service: &'static str,
+    pub(crate) data_centre: &'static str,
     pub(crate) link: Arc<LinkProxy>,
     pool: Arc<WorkerPool>,
     store: Arc<SimulatedStore>,
@@ -25,6 +26,7 @@
         world: &SoakWorld,
         service: &'static str,
         id: &str,
+        data_centre: &'static str,
     ) -> eyre::Result<Arc<Self>> {
         let host = LoopbackHosts::of_process().platform(&world.plan);
         let placeholder = SocketAddr::from((host, 9));
@@ -32,6 +34,7 @@
         let server = Arc::new(Self {
             id: id.into(),
             service,
+            data_centre,
             link: LinkProxy::start_with_cuts(&world.pool, host, placeholder, cuts).await?,
             pool: world.pool.clone(),
             store: world.store.clone(),
@@ -174,7 +177,7 @@
             incarnation,
             service: self.service.into(),
             address: self.link.address,
-            data_centre: "dc1".into(),
+            data_centre: self.data_centre.into(),
             slots: BackendProcess::SLOTS as u32,
             state,
             warmup_left: Duration::ZERO,
--- a/crates/soak/src/soak_arguments.rs
+++ b/crates/soak/src/soak_arguments.rs
@@ -23,7 +23,8 @@
   geraniummast-soak [--seeds N] [--first SEED] [--seed SEED] [--instances N] [--servers N]
                     [--seconds S] [--crashes] [--quick-restarts] [--unlisted-restarts]
                     [--restores] [--beside-restores] [--changes-beside KIND]
-                    [--changes-at-paused-helpers] [--daemon PATH] [--logs FOLDER]
+                    [--changes-at-paused-helpers] [--evacuations]
+                    [--daemon PATH] [--logs FOLDER]
 
 Options:
   --seeds N       number of consecutive seeds to run, 1 by default
@@ -49,6 +50,8 @@
   --changes-at-paused-helpers
                   cut the first instance off from all servers and change the configuration
                   while two of the others are paused for a moment
+  --evacuations   evacuate data centres of the servers, one and two at a time, while instances
+                  are killed; a round takes 22 s
   --daemon PATH   path of geraniummastd, by default in the directory of this program
   --logs FOLDER   directory for the logs of the instances, target/soak by default
   -h, --help      print this help
@@ -100,6 +103,7 @@
                 Long("changes-at-paused-helpers") => {
                     arguments.scenario = FaultScenario::ChangesAtPausedHelpers;
                 }
+                Long("evacuations") => arguments.scenario = FaultScenario::Evacuations,
                 Long("daemon") => arguments.daemon_path = parser.value()?.into(),
                 Long("logs") => arguments.log_dir = parser.value()?.into(),
                 other => return Err(other.unexpected()),
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -1,7 +1,8 @@
 //! Observations of callers and servers, and the times at which faults were active.
 
 use crate::{
-    key_recovery::KeyRecovery, notice_checker::ServerNotice, prelude::*, reach_checker::CutPeriod,
+    evacuation_checker::EvacuationPeriod, key_recovery::KeyRecovery, notice_checker::ServerNotice,
+    prelude::*, reach_checker::CutPeriod,
 };
 
 /// Records of one soak run.
@@ -25,6 +26,8 @@
     pub(crate) cut_periods: Mutex<Vec<CutPeriod>>,
     /// Times during which servers with keys wanted no requests.
     pub(crate) rest_periods: Mutex<Vec<(MonoTime, MonoTime)>>,
+    /// Evacuations of data centres.
+    pub(crate) evacuations: Mutex<Vec<EvacuationPeriod>>,
     disturbances: Mutex<Vec<DisturbancePeriod>>,
     backends: Mutex<Vec<Arc<BackendProcess>>>,
     fences: Mutex<FenceHistory>,
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -76,6 +76,8 @@
     RestartsInOutages,
     /// Servers that start again at once and register late, beside outages of the store.
     UnlistedRestarts,
+    /// Operators evacuate data centres, one and two at a time, while instances are killed.
+    Evacuations,
     /// Servers with and without keys name limits on the rate of their requests.
     NamedLimits,
     /// The configuration changes again and again and servers leave, beside faults of one kind that
@@ -117,6 +119,8 @@
     pub(crate) const APPLY_TIME: Duration = Duration::from_secs(2);
     /// Time after the start of a drain from which the server must not receive new requests.
     pub(crate) const DRAIN_TIME: Duration = Duration::from_secs(2);
+    /// Time after the evacuation of a data centre from which its servers must not receive requests.
+    pub(crate) const EVACUATE_TIME: Duration = Duration::from_secs(5);
     /// Time after an instance was resumed or a link was repaired during which grants that were
     /// delayed on their way may still arrive.
     pub(crate) const DELAYED_GRANT_WINDOW: Duration = Duration::from_millis(300);
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -1,6 +1,6 @@
 //! Instances and simulated platform of one run.
 
-use crate::{prelude::*, server_cuts::ServerCuts, soak_routes};
+use crate::{evacuation_fault, prelude::*, server_cuts::ServerCuts, soak_routes};
 
 /// Instances, simulated platform, and the records of what happened to them.
 pub(crate) struct SoakWorld {
@@ -147,7 +147,8 @@
     pub(crate) async fn add_server(&self, service: &'static str) -> eyre::Result<()> {
         let number = self.servers_added.fetch_add(1, Ordering::SeqCst);
         let id = format!("{service}-{number}");
-        let server = SimulatedBackend::start(self, service, &id).await?;
+        let data_centre = evacuation_fault::data_centre_of(&self.plan, number);
+        let server = SimulatedBackend::start(self, service, &id, data_centre).await?;
         self.registered.lock().unwrap().push(server.clone());
         self.servers.lock().unwrap().push(server);
         Ok(())
