--- a/crates/gateway/src/evacuation_tests.rs
+++ b/crates/gateway/src/evacuation_tests.rs
@@ -2,9 +2,6 @@
 
 use crate::{
     attempt_history::AttemptHistory,
-    feed_replies::FeedReplies,
-    feed_wire::{FeedReplyWire, FeedRequest},
-    mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
     server_lookup::{LookupOutcome, ServerLookup},
     server_lookup_tests::late_call,
@@ -18,14 +15,14 @@
 
 /// Instance that knows all objects up to revision 10 of the first era, among them the servers `s1` and
 /// `s2` of the data centres `dc1` and `dc2`.
-fn node() -> Arc<GatewayNode> {
+pub(crate) fn node() -> Arc<GatewayNode> {
     let node = node_without_evacuations();
     list(&node, &[], revision(1, 10));
     node
 }
 
 /// The same instance before it knows whether there are evacuations.
-fn node_without_evacuations() -> Arc<GatewayNode> {
+pub(crate) fn node_without_evacuations() -> Arc<GatewayNode> {
     let mut node = test_node::build();
     node.settings.evacuate_time = Some(EVACUATE_TIME);
     let node = Arc::new(node);
@@ -56,7 +53,7 @@
     node.knowledge.lock().confirm_from(report, now);
 }
 
-fn revision(era: u64, number: u64) -> StoreRevision {
+pub(crate) fn revision(era: u64, number: u64) -> StoreRevision {
     StoreRevision::new(era, number)
 }
 
@@ -82,7 +79,12 @@
     test_objects::apply_list(node, KIND, objects, revision, UpdateSource::Store);
 }
 
-fn change(node: &Arc<GatewayNode>, data_centre: &str, is_removed: bool, revision: StoreRevision) {
+pub(crate) fn change(
+    node: &Arc<GatewayNode>,
+    data_centre: &str,
+    is_removed: bool,
+    revision: StoreRevision,
+) {
     let event = ObjectEvent {
         object: object(data_centre, revision),
         is_removed,
@@ -96,7 +98,7 @@
 }
 
 /// Servers that get new requests without a key.
-fn usable(node: &GatewayNode) -> Vec<String> {
+pub(crate) fn usable(node: &GatewayNode) -> Vec<String> {
     let servers = node.usable_servers("s");
     let mut ids: Vec<String> = servers
         .iter()
@@ -117,7 +119,8 @@
 }
 
 fn look_up(node: &Arc<GatewayNode>) -> LookupOutcome {
-    let (call, history) = (late_call(node.now()), AttemptHistory::default());
+    let (mut call, history) = (late_call(node.now()), AttemptHistory::default());
+    call.headers.key = Some(5);
     let state = node.service("s");
     ServerLookup::new(node, &call, &state, &history, None).run()
 }
@@ -180,6 +183,33 @@
     assert_eq!(usable(&node), ["s2"]);
 }
 
+// Guards against requests with keys that wait for the move of their range though there is no server to
+// which it could move.
+#[test]
+fn request_with_a_key_is_refused_at_once_when_no_server_is_left() {
+    let node = node();
+    let table = test_objects::route_table(1, &["s"]);
+    let keyed = table.services().iter().map(|(name, config)| {
+        let config = ServiceConfig {
+            keyed: true,
+            ..config.clone()
+        };
+        (name.clone(), config)
+    });
+    let table = RouteTable::new(1, IndexMap::new(), keyed.collect(), table.limits());
+    assert!(node.install_routes(table, revision(1, 5)));
+    change(&node, "dc1", false, revision(1, 11));
+    assert!(matches!(
+        look_up(&node),
+        LookupOutcome::Wait(RefusalReason::NoOwner)
+    ));
+    change(&node, "dc2", false, revision(1, 12));
+    assert!(matches!(
+        look_up(&node),
+        LookupOutcome::Refuse(RefusalReason::NoServer)
+    ));
+}
+
 // Guards against requests of an instance that starts during an evacuation: it does not know how old
 // that is, and may know servers before it.
 #[test]
@@ -248,42 +278,3 @@
     assert_eq!(usable(&node), ["s1", "s2"]);
     assert_eq!(node.evacuations.lock().count(), 1);
 }
-
-/// Deltas that `node` sends in answer to a request of `other`, as they arrive there.
-fn fed(node: &GatewayNode, other: &GatewayNode, takes_evacuations: bool) -> Vec<MirrorDelta> {
-    let known = other.mirror.lock();
-    let request = FeedRequest {
-        synced_revisions: known.synced_revisions(),
-        latest_revisions: known.latest_revisions(),
-        takes_evacuations,
-    };
-    let mirror = node.mirror.lock();
-    let (frame, _) = FeedReplies::default().encode(&mirror, request, node.now());
-    let wire = <FeedReplyWire as prost::Message>::decode(frame).unwrap();
-    wire.try_into().unwrap()
-}
-
-// Guards against instances without a watch of their own that do not learn of evacuations.
-#[test]
-fn instance_that_does_not_watch_learns_of_evacuations_by_the_feed() {
-    let (node, other) = (node(), self::node());
-    change(&node, "dc1", false, revision(1, 11));
-    for delta in fed(&node, &other, true) {
-        let outcome = other.mirror.lock().take_over(delta);
-        if let DeltaOutcome::Update(update) = outcome {
-            update_router::apply(&other, KIND, update, UpdateSource::Peer);
-        }
-    }
-    assert_eq!(usable(&other), ["s2"]);
-    assert!(fed(&node, &node_without_evacuations(), false).is_empty());
-}
-
-// Guards against endless requests for revisions that an instance without the setting never gets.
-#[test]
-fn instance_without_the_setting_ignores_revisions_of_evacuations() {
-    let node = test_node::build();
-    let mut revisions: KindRevisions = [10.into(); KIND_COUNT];
-    node.leave_out_unfollowed(&mut revisions);
-    assert_eq!(revisions, [10.into(), 10.into(), 10.into(), 0.into()]);
-    assert!(!node.follows(KIND));
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,8 @@
 mod era_wire;
 mod era_worker;
 #[cfg(test)]
+mod evacuation_feed_tests;
+#[cfg(test)]
 mod evacuation_tests;
 #[cfg(test)]
 mod evacuation_wire_tests;
