Check in the soak that cold servers stay below their bound

A plan may have servers that are cold after their start; the instances then get the bound and the checker counts the requests of each second.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -147,6 +147,20 @@
     assert_plan_passes(&plan);
 }
 
+// Guards against servers that crash after their start, since instances together send them more
+// requests than cold servers bear.
+#[test]
+fn instances_together_keep_the_bound_of_cold_servers() {
+    let plan = SoakPlan {
+        callers: 30,
+        fault_duration: Duration::from_secs(10),
+        cold_time: Duration::from_secs(8),
+        scenario: FaultScenario::NamedLimits,
+        ..plan(9, "cold")
+    };
+    assert_plan_passes(&plan);
+}
+
 // Guards against a late second copy of a rejection that is taken for the answer to the next request
 // of the connection: an order would run twice, or be reported as not run.
 #[test]
--- a/crates/soak/src/guarantee_checker.rs
+++ b/crates/soak/src/guarantee_checker.rs
@@ -1,7 +1,7 @@
 //! Checks the observations of callers and servers against the documented guarantees.
 
 use crate::{
-    configuration_checker, limit_checker, notice_checker, poison_checker, prelude::*,
+    cold_checker, configuration_checker, limit_checker, notice_checker, poison_checker, prelude::*,
     reach_checker, soak_routes,
 };
 use std::collections::HashMap;
@@ -36,6 +36,7 @@
     checker.check_drain();
     checker.check_recovery(final_window_start);
     for violations in [
+        cold_checker::check(ledger, &all_executions),
         limit_checker::check(ledger, &calls, &all_executions),
         poison_checker::check(ledger, &calls, &all_executions),
         notice_checker::check(ledger, &calls, &all_executions),
--- a/crates/soak/src/instance_process.rs
+++ b/crates/soak/src/instance_process.rs
@@ -16,6 +16,8 @@
     daemon_path: PathBuf,
     log_path: PathBuf,
     stop_timeout: Duration,
+    /// Whether the instance keeps the bound on requests to cold servers.
+    keeps_cold_bound: bool,
     process: Mutex<Option<RunningProcess>>,
     start_count: AtomicU64,
 }
@@ -59,6 +61,7 @@
             daemon_path: plan.daemon_path.clone(),
             log_path: plan.log_dir.join(format!("instance-{number}.log")),
             stop_timeout: plan.stop_timeout,
+            keeps_cold_bound: !plan.cold_time.is_zero(),
             process: Mutex::default(),
             start_count: AtomicU64::new(0),
         }))
@@ -68,6 +71,19 @@
         (self.host, port + self.port_offset).into()
     }
 
+    /// Settings for the bound on requests to cold servers, which are empty without one.
+    fn warmup_arguments(&self) -> [String; 2] {
+        let bound = self.keeps_cold_bound.then_some(SoakPlan::WARMUP_BOUND);
+        let value = |value: Option<f64>| value.map(|value| value.to_string()).unwrap_or_default();
+        [
+            format!(
+                "--warmup-overage={}",
+                value(bound.map(|bound| bound.overage))
+            ),
+            format!("--warmup-slack={}", value(bound.map(|bound| bound.slack))),
+        ]
+    }
+
     /// Address that accepts requests of callers.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         self.address(Self::CALLER_PORT)
@@ -132,6 +148,7 @@
                 seconds("drain-s", SoakPlan::DRAIN_TIME),
                 "--retry-slack=40".into(),
             ])
+            .args(self.warmup_arguments())
             .stdin(LoopbackHosts::of_process().hold()?)
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,9 @@
 mod call_record;
 mod caller_session;
 mod changes_beside;
+mod cold_checker;
+#[cfg(test)]
+mod cold_checker_tests;
 mod configuration_checker;
 #[cfg(test)]
 mod configuration_checker_tests;
@@ -97,6 +100,7 @@
             backend_keys::BackendKeys,
             backend_process::BackendProcess,
             call_record::{CallOutcome, CallRecord, RequestKind},
+            cold_checker::ColdPeriod,
             connection_policy::ConnectionPolicy,
             execution_record::{ExecutionOutcome, ExecutionRecord},
             fault_event::{FaultEvent, StoreFault},
--- a/crates/soak/src/simulated_backend.rs
+++ b/crates/soak/src/simulated_backend.rs
@@ -15,6 +15,9 @@
     pub(crate) is_departing: AtomicBool,
     /// State that the server has last written to its entry; `None` if it has none.
     written_state: Mutex<Option<ServerState>>,
+    /// Time for which each process is cold after its start.
+    cold_time: Duration,
+    cold_until: Mutex<MonoTime>,
     /// Address of the current process, behind the link.
     process_address: Mutex<Option<SocketAddr>>,
 }
@@ -39,6 +42,8 @@
             process: Mutex::default(),
             is_departing: AtomicBool::new(false),
             written_state: Mutex::default(),
+            cold_time: world.plan.cold_time,
+            cold_until: Mutex::default(),
             process_address: Mutex::default(),
         });
         server.start_process().await?;
@@ -58,6 +63,7 @@
     /// Starts a new process and routes the link to it; its entry remains that of the one before.
     pub(crate) async fn start_unlisted_process(&self) -> eyre::Result<()> {
         let incarnation = new_incarnation(&self.id)?;
+        self.begin_cold_period(&incarnation);
         let host = self.link.address.ip();
         let (process, address) =
             BackendProcess::start(&self.pool, host, &self.ledger, self.service, incarnation)
@@ -68,6 +74,17 @@
         self.link.set_target(address).await
     }
 
+    fn begin_cold_period(&self, incarnation: &ServerIncarnation) {
+        let from = SteadyClock.now();
+        let until = from.after(self.cold_time);
+        *self.cold_until.lock().unwrap() = until;
+        self.ledger.cold_periods.lock().unwrap().push(ColdPeriod {
+            server: incarnation.clone(),
+            from,
+            until,
+        });
+    }
+
     /// Ends the process abruptly; its entry in service discovery remains.
     pub(crate) fn crash(&self) {
         let process = self.process.lock().unwrap().take();
@@ -177,7 +194,7 @@
             data_centre: "dc1".into(),
             slots: BackendProcess::SLOTS as u32,
             state,
-            warmup_left: Duration::ZERO,
+            warmup_left: self.cold_until.lock().unwrap().since(SteadyClock.now()),
             sequence: None,
         }
     }
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -23,6 +23,8 @@
     pub(crate) recovery: Mutex<KeyRecovery>,
     /// Times during which instances were cut off from all servers.
     pub(crate) cut_periods: Mutex<Vec<CutPeriod>>,
+    /// Times during which servers were cold.
+    pub(crate) cold_periods: Mutex<Vec<ColdPeriod>>,
     /// Times during which servers with keys wanted no requests.
     pub(crate) rest_periods: Mutex<Vec<(MonoTime, MonoTime)>>,
     disturbances: Mutex<Vec<DisturbancePeriod>>,
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -24,6 +24,8 @@
     pub fault_duration: Duration,
     /// Longest duration of a graceful stop of an instance.
     pub stop_timeout: Duration,
+    /// Time for which servers are cold after their start; without it the instances keep no bound.
+    pub cold_time: Duration,
     /// Which faults are injected.
     pub scenario: FaultScenario,
     /// Sequence number of this plan in the process; concurrent runs use it to avoid sharing ports.
@@ -125,6 +127,15 @@
     /// `loss_slack_s` (0.2).
     pub(crate) const LOSS_SLACK: Duration = Duration::from_millis(200);
 
+    /// Requests per second that a cold server should get.
+    pub(crate) const COLD_RATE: f64 = 7.3;
+
+    /// Bound on the requests that a cold server gets.
+    pub(crate) const WARMUP_BOUND: WarmupBound = WarmupBound {
+        overage: 1.5,
+        slack: 8.0,
+    };
+
     /// Memory that an instance may use, in KB: what the platform gives it, less a reserve.
     pub(crate) const MAX_MEMORY_KB: u64 = 200 << 10;
 
@@ -139,6 +150,7 @@
             callers: Self::MIN_CALLERS,
             fault_duration: Duration::from_secs(12),
             stop_timeout: Duration::from_secs(6),
+            cold_time: Duration::ZERO,
             scenario: FaultScenario::Random,
             run_number: PLAN_COUNT.fetch_add(1, Ordering::Relaxed),
         }
--- a/crates/soak/src/soak_routes.rs
+++ b/crates/soak/src/soak_routes.rs
@@ -54,7 +54,7 @@
         keyed: name == KEYED_SERVICE,
         warmup: Duration::ZERO,
         cold_time: Duration::ZERO,
-        cold_rate: None,
+        cold_rate: Some(SoakPlan::COLD_RATE),
     };
     let names = [PLAIN_SERVICE, KEYED_SERVICE]
         .into_iter()
