--- a/crates/soak/src/instance_process.rs
+++ b/crates/soak/src/instance_process.rs
@@ -18,6 +18,8 @@
     stop_timeout: Duration,
     /// Whether the simulated platform has evacuations.
     has_evacuations: bool,
+    /// Whether the instance keeps the bound on requests to cold servers.
+    keeps_cold_bound: bool,
     process: Mutex<Option<RunningProcess>>,
     start_count: AtomicU64,
 }
@@ -62,6 +64,7 @@
             log_path: plan.log_dir.join(format!("instance-{number}.log")),
             stop_timeout: plan.stop_timeout,
             has_evacuations: plan.scenario == FaultScenario::Evacuations,
+            keeps_cold_bound: !plan.cold_time.is_zero(),
             process: Mutex::default(),
             start_count: AtomicU64::new(0),
         }))
@@ -71,6 +74,19 @@
         (self.host, port + self.port_offset).into()
     }
 
+    /// Settings for the bound on requests to cold servers, which are empty without one.
+    fn warmup_arguments(&self) -> [String; 2] {
+        let bound = self.keeps_cold_bound.then_some(SoakPlan::WARMUP_BOUND);
+        let value = |value: Option<f64>| value.map(|value| value.to_string()).unwrap_or_default();
+        [
+            format!(
+                "--warmup-overage={}",
+                value(bound.map(|bound| bound.overage))
+            ),
+            format!("--warmup-slack={}", value(bound.map(|bound| bound.slack))),
+        ]
+    }
+
     /// Address that accepts requests of callers.
     pub(crate) fn caller_address(&self) -> SocketAddr {
         self.address(Self::CALLER_PORT)
@@ -139,6 +155,7 @@
                 self.has_evacuations
                     .then(|| seconds("evacuate-s", SoakPlan::EVACUATE_TIME)),
             )
+            .args(self.warmup_arguments())
             .stdin(LoopbackHosts::of_process().hold()?)
             .stdout(log.try_clone()?)
             .stderr(log)
