Count a connection as resting only after its whole answer is sent

Callers see an answer of many blocks cut: while they read it slowly and have sent a part of their next request, the connection is closed as stalled-head after header_timeout_s and 2 s.

The HTTP server flushes whenever its buffer is full, after 64 KiB on the callers' listener. The first flush that wrote everything so far counted as the end of the answer, so the connection was idle from there on.

The HTTP server drops the body of an answer when it has taken its last bytes, before it writes them. Only a flush after that ends the answer.

--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server on one address.
 
 use crate::{
+    answer_body::AnswerBody,
     http_stream::HttpStream,
     open_connections::TrackedGuard,
     prelude::*,
@@ -209,7 +210,8 @@
                     .headers_mut()
                     .insert(http::header::CONNECTION, close);
             }
-            tracked.begin_answer();
+            let connection = guard.connection.clone();
+            let response = response.map(|body| AnswerBody::new(body, connection));
             Ok::<_, std::convert::Infallible>(response)
         }
     });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate makes no decisions about keys or requests.
 
+mod answer_body;
 mod block_list;
 #[cfg(test)]
 mod block_list_tests;
--- a/crates/net/src/tracked_connection.rs
+++ b/crates/net/src/tracked_connection.rs
@@ -18,7 +18,7 @@
 pub(crate) struct TrackedConnection {
     clock: SteadyClock,
     activity: StateMutex<ConnectionActivity>,
-    /// Whether an answer was returned that may not have been sent completely.
+    /// Whether all bytes of an answer were passed on that may not have been sent completely.
     is_answer_due: AtomicBool,
     /// Notified when the connection is to be closed.
     close_requested: Event,
@@ -61,8 +61,9 @@
         self.activity.lock().run(self.clock.now());
     }
 
-    /// Records that the answer to the request is about to be sent.
-    pub(crate) fn begin_answer(&self) {
+    /// Records that the last bytes of an answer are about to be sent. Until then, a flush says only
+    /// that earlier blocks were sent.
+    pub(crate) fn end_answer(&self) {
         self.is_answer_due.store(true, Ordering::Relaxed);
     }
 
