Refuse requests whose bodies are being read when a stop ends

Callers whose bodies were still on their way at the end of a stop saw their connections cut by the end of the process, and the stop lasted for its longest time because of them. They now get 503 with Retry-After, as complete requests do that have not run.

The stop answers pending requests by an event that only complete requests waited for.

The body reader waits for the event too. What has come already is read first, and nothing of such a request has been sent to a server, so the refusal is truthful.

--- a/crates/gateway/src/body_reader.rs
+++ b/crates/gateway/src/body_reader.rs
@@ -17,6 +17,8 @@
     NoMemory(MemoryDenial, usize),
     /// The body did not come in time. Holds the bytes that were stored.
     Late(PaceLimit, usize),
+    /// The instance is about to end.
+    Stopping,
 }
 
 /// Limits of one body.
@@ -27,6 +29,8 @@
     pub(crate) max_bytes: usize,
     /// Limits on the time that the body takes.
     pub(crate) limits: BodyLimits,
+    /// Set when a stop answers all pending requests.
+    pub(crate) stopping: &'a OneShotEvent,
     /// When the request ends.
     pub(crate) deadline: MonoTime,
     /// Priority of the route; 0 is the highest.
@@ -44,6 +48,7 @@
             Self::Late(PaceLimit::Stalled, _) => "body-stalled",
             Self::Late(PaceLimit::TooSlow, _) => "body-slow",
             Self::Late(PaceLimit::DeadlinePassed, _) => "body-late",
+            Self::Stopping => RefusalReason::Stopping.label(),
         }
     }
 }
@@ -76,13 +81,18 @@
             writer.wait_evicted().await;
             Err(BodyError::NoMemory(MemoryDenial::Evicted, received))
         };
+        let stopping = async {
+            terms.stopping.wait().await;
+            Err(BodyError::Stopping)
+        };
         let late = async {
             let (ends_at, limit) = pace.next_limit();
             Timer::after(ends_at.since(SteadyClock.now())).await;
             Err(BodyError::Late(limit, received))
         };
+        let ended = future::or(evicted, future::or(stopping, late));
         // What has come already is read first, so that no timer is set for a body that is there.
-        let Some(frame) = future::or(frame, future::or(evicted, late)).await? else {
+        let Some(frame) = future::or(frame, ended).await? else {
             break;
         };
         let frame = frame.map_err(|_| BodyError::Unreadable)?;
--- a/crates/gateway/src/body_refusal.rs
+++ b/crates/gateway/src/body_refusal.rs
@@ -4,6 +4,8 @@
     body_reader::{self, BodyError},
     local_response,
     prelude::*,
+    request_handler::STOPPING_RETRY_AFTER,
+    request_log,
 };
 use http::{HeaderValue, header};
 use hyper::body::Incoming;
@@ -43,6 +45,12 @@
             let response = respond(StatusCode::SERVICE_UNAVAILABLE);
             local_response::retried_after(response, memory_retry_after())
         }
+        BodyError::Stopping => {
+            let (headers, route) = (refused.headers, refused.route.name.as_str());
+            let stopping = RefusalReason::Stopping;
+            request_log::log_refusal(node, headers, "-", route, stopping, refused.arrived_at);
+            local_response::refusal(headers, stopping, STOPPING_RETRY_AFTER)
+        }
         BodyError::Late(_, stored) => {
             record(node, refused, stored);
             let response = respond(StatusCode::REQUEST_TIMEOUT);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod body_memory_tests;
 mod body_reader;
 mod body_refusal;
+#[cfg(test)]
+mod body_stop_tests;
 mod caller_call;
 mod caller_listeners;
 #[cfg(test)]
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -24,7 +24,7 @@
 /// can change that.
 const NO_SERVICE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` from a stopping instance: other instances can serve the caller at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Answers a caller's request.
 pub(crate) async fn handle(
@@ -106,6 +106,7 @@
         memory: &node.body_memory,
         max_bytes: table.limits().max_body_bytes,
         limits: node.settings.memory.body_limits(),
+        stopping: &node.cancel_pending,
         deadline: arrived_at.after(caller_timeout.min(route.timeout)),
         priority: route.priority,
     };
