--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod body_memory_tests;
 mod body_reader;
 mod body_refusal;
+#[cfg(test)]
+mod body_stop_tests;
 mod caller_call;
 mod caller_listeners;
 #[cfg(test)]
@@ -31,6 +33,8 @@
 mod descriptor_plan;
 #[cfg(test)]
 mod descriptor_plan_tests;
+#[cfg(test)]
+mod descriptor_use_tests;
 mod discovery_worker;
 mod end_detection;
 #[cfg(test)]
