--- /dev/null
+++ b/crates/gateway/src/descriptor_use_tests.rs
@@ -0,0 +1,83 @@
+//! Descriptors that requests in progress use together.
+
+use crate::{
+    descriptor_plan::DescriptorPlan, prelude::*, request_handler, test_http, test_node,
+    test_objects,
+};
+use std::{io::Write, net::TcpStream, time::Instant};
+
+const MAX_DESCRIPTORS: usize = 256;
+const FILES: usize = 200;
+
+// Load pattern: all callers that the listener accepts have a request at a slow server. Guards against
+// connections to servers beyond the descriptors of the machine.
+#[test]
+#[ignore = "known red"]
+fn callers_and_their_servers_stay_within_the_descriptors() {
+    let setting = format!("--max-descriptors={MAX_DESCRIPTORS}");
+    let node = Arc::new(test_node::build_with(&[&setting]));
+    let plan = DescriptorPlan::from(&node.settings);
+    let table = test_objects::route_table(1, &["s"]);
+    let route = RouteRule {
+        name: "order".into(),
+        prefix: "/order/".into(),
+        idempotent: false,
+        timeout: Duration::from_secs(20),
+        target_latency: Duration::from_secs(10),
+        priority: 1,
+        split: vec![WeightedService {
+            service: "s".into(),
+            weight: 1.0,
+        }],
+        max_attempts: 1,
+    };
+    let routes = IndexMap::from([("a.example".into(), vec![route])]);
+    let table = RouteTable::new(1, routes, table.services().clone(), table.limits());
+    assert!(node.install_routes(table, 1.into()));
+    let mut held = Vec::new();
+    let server = test_http::accept_each(move |stream| held.push(stream));
+    for number in 0..plan.callers {
+        let incarnation = ServerIncarnation {
+            id: format!("s{number}").as_str().into(),
+            born: 1,
+        };
+        let entry = ServerEntry {
+            incarnation,
+            address: server,
+            ..test_objects::server_entry(ServerState::Ready)
+        };
+        test_objects::put_server(&node, &entry, 1);
+    }
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let limits = HttpLimits {
+        max_connections: plan.callers,
+        ..HttpLimits::default()
+    };
+    let listener = future::block_on(HttpListener::bind(any, limits)).unwrap();
+    let address = listener.local_address().unwrap();
+    let connections = listener.connections();
+    let (workers, handler_node) = (node.workers.clone(), node.clone());
+    std::thread::spawn(move || {
+        let handle = move |request| request_handler::handle(handler_node.clone(), request);
+        workers.block_on(listener.serve(workers.clone(), handle));
+    });
+
+    let _callers: Vec<_> = (0..plan.callers)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).unwrap();
+            let head = "GET /order/x HTTP/1.1\r\nhost: a.example\r\n\r\n";
+            stream.write_all(head.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    let started = Instant::now();
+    let mut most = 0;
+    while started.elapsed() < Duration::from_secs(3) {
+        let servers = node.usable_servers("s");
+        let open: usize = servers.iter().map(|one| one.pool.open_count()).sum();
+        most = most.max(connections.count() + open);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let left = MAX_DESCRIPTORS - FILES;
+    assert!(most <= left, "{most} connections, {left} allowed, {plan:?}");
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,8 @@
 mod descriptor_plan;
 #[cfg(test)]
 mod descriptor_plan_tests;
+#[cfg(test)]
+mod descriptor_use_tests;
 mod discovery_worker;
 mod end_detection;
 #[cfg(test)]
