Tell other instances of removals that carry an earlier revision

The mirror recorded the removal under the event's revision, and told it only to receivers that know less than that. Those that follow the store know that revision already, and the delta raised theirs beyond the removal, so nothing asked again. The removal is now recorded under the revision of the answer that told it, if that is later, which is never before the removal. An object written again in the same answer is in the mirror, and one written again later has a later revision; both stay.

removal_with_the_revision_of_the_last_change_reaches_a_receiver_that_knows_later_ones failed before and passes.

--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -108,7 +108,9 @@
             match event.is_removed {
                 true => {
                     self.objects.shift_remove(&object.name);
-                    self.record_removal(object.revision, object.name.clone());
+                    // Others may know the revision of the object's last change, which the event may carry.
+                    let revision = object.revision.max(changes.revision);
+                    self.record_removal(revision, object.name.clone());
                 }
                 false => {
                     self.objects.insert(object.name.clone(), object.clone());
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -265,3 +265,19 @@
     take_over(&source, &mut receiver);
     assert_eq!(content(&receiver), content(&source));
 }
+
+// Guards against objects that stay for ever at instances without a watch of their own, as an evacuation
+// that has ended: the event of a removal may carry the revision of the object's last change.
+#[test]
+fn removal_with_the_revision_of_the_last_change_reaches_a_receiver_that_knows_later_ones() {
+    let (mut source, mut receiver) = (synced_mirror(10), synced_mirror(10));
+    let added = changes(11, vec![(object(2, 11), false)]);
+    let later = changes(12, vec![(object(3, 12), false)]);
+    for update in [&added, &later] {
+        source.apply(KIND, update);
+        receiver.apply(KIND, update);
+    }
+    source.apply(KIND, &changes(13, vec![(object(2, 11), true)]));
+    take_over(&source, &mut receiver);
+    assert_eq!(content(&receiver), content(&source));
+}
