Drop the bucket of a server that becomes cold

A cold server that also names a limit of its own could get far more than its bound: each instance with an unanswered ask got the tokens of the higher limit once more when it repeated the ask, now marked as for a cold server.

The holder answers a repeated ask with what it granted the first time. A grant from before the holder knew that the server is cold is ignored by instances that do; but their repeated ask tells the holder, and its second answer counts. The holder now also drops the bucket, with the recent asks, when the server becomes cold. The new bucket is empty and fills at the rate for cold servers, so a repeated ask takes its tokens from that.

repeated_ask_does_not_get_the_tokens_granted_before_the_server_became_cold failed before with 52 tokens for a limit of 1,000 per second, and passes.

--- a/crates/gateway/src/server_quota.rs
+++ b/crates/gateway/src/server_quota.rs
@@ -36,6 +36,13 @@
         limits.reduce(f64::min)
     }
 
+    /// Drops the unused tokens and the bucket of a server that has become cold: both are of a higher
+    /// limit, also the tokens that the bucket grants again when an ask is repeated.
+    pub(crate) fn drop_tokens(&mut self) {
+        self.client.drop_tokens();
+        self.bucket = None;
+    }
+
     /// Answers an ask as the holder since `held_since`, for a limit of `per_second`.
     pub(crate) fn answer(
         &mut self,
--- a/crates/gateway/src/warmup_worker.rs
+++ b/crates/gateway/src/warmup_worker.rs
@@ -96,7 +96,7 @@
     let Some(per_second) = cold_rate(node, service) else {
         return;
     };
-    server.quota.lock().client.drop_tokens();
+    server.quota.lock().drop_tokens();
     metrics::counter!(COLD_PERIODS).increment(1);
     if node.log.allow("cold", node.now()) {
         let id = server.incarnation().id.as_str();
--- a/crates/gateway/src/warmup_worker_tests.rs
+++ b/crates/gateway/src/warmup_worker_tests.rs
@@ -251,6 +251,33 @@
     }
 }
 
+// Guards against tokens of a server's own, higher limit that the holder grants once more, as for a cold
+// server, when an instance repeats its ask: each instance may have one open.
+#[test]
+fn repeated_ask_does_not_get_the_tokens_granted_before_the_server_became_cold() {
+    let (node, server) = node_with_server(Duration::ZERO);
+    let peer = InstanceIncarnation {
+        instance: "i2".into(),
+        incarnation: 1,
+    };
+    let held_since = node.now();
+    let answer = |number, per_second, at| {
+        let ask = QuotaAsk { number, wanted: 64 };
+        let mut quota = server.quota.lock();
+        let grant = quota.answer(&peer, ask, held_since, per_second, at);
+        grant.tokens
+    };
+    answer(1, 1_000.0, held_since);
+    let asked_at = held_since.after(Duration::from_secs(1));
+    assert_eq!(answer(2, 1_000.0, asked_at), 52);
+    warmup_worker::apply_answer(&node, &server, Some(LEFT));
+    let repeated_at = asked_at.after(Duration::from_millis(20));
+    assert_eq!(answer(2, 7.3, repeated_at), 0);
+    // The bucket fills at the rate for cold servers.
+    let later = repeated_at.after(Duration::from_secs(1));
+    assert_eq!(answer(3, 7.3, later), 2);
+}
+
 // Guards against full load on a data centre that is taken back: its servers may have become cold
 // shortly before, and their entries say so up to two seconds later.
 #[test]
