--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -178,6 +178,7 @@
 mod service_choice_tests;
 mod service_state;
 mod setting_readers;
+mod setting_specs;
 mod stop_plan;
 #[cfg(test)]
 mod stop_plan_tests;
--- a/crates/routing/src/key_leader.rs
+++ b/crates/routing/src/key_leader.rs
@@ -141,15 +141,6 @@
         !self.retired_fences.is_empty()
     }
 
-    /// Records that the store, asked at `asked_at`, named this instance as the leader. That says nothing
-    /// while the store lacks the record that this instance knows.
-    pub fn confirm_leadership(&mut self, asked_at: MonoTime) {
-        if self.needs_restore() {
-            return;
-        }
-        self.confirmed_at = Some(self.confirmed_at.map_or(asked_at, |at| at.max(asked_at)));
-    }
-
     /// Whether the record names this instance as the leader.
     pub fn is_leader(&self) -> bool {
         self.known
@@ -157,17 +148,6 @@
             .is_some_and(|known| known.record.leader == self.own_incarnation)
     }
 
-    /// When the store was asked that last confirmed this instance as the leader; `None` if it never did.
-    pub fn confirmed_at(&self) -> Option<MonoTime> {
-        self.confirmed_at
-    }
-
-    /// Time since the store last confirmed this instance as the leader; `Duration::MAX` if it never
-    /// did.
-    pub fn confirmation_age(&self, now: MonoTime) -> Duration {
-        self.confirmed_at.map_or(Duration::MAX, |at| now.since(at))
-    }
-
     /// Whether this instance may send orders to servers now.
     pub fn has_authority(&self, now: MonoTime) -> bool {
         let Some(known) = self.known.as_ref().filter(|_| self.is_leader()) else {
--- a/crates/routing/src/leader_support.rs
+++ b/crates/routing/src/leader_support.rs
@@ -61,3 +61,25 @@
         recent.map(|(supporter, _)| supporter).collect()
     }
 }
+
+impl KeyLeader {
+    /// Records that the store, asked at `asked_at`, named this instance as the leader. That says nothing
+    /// while the store lacks the record that this instance knows.
+    pub fn confirm_leadership(&mut self, asked_at: MonoTime) {
+        if self.needs_restore() {
+            return;
+        }
+        self.confirmed_at = Some(self.confirmed_at.map_or(asked_at, |at| at.max(asked_at)));
+    }
+
+    /// When the store was asked that last confirmed this instance as the leader; `None` if it never did.
+    pub fn confirmed_at(&self) -> Option<MonoTime> {
+        self.confirmed_at
+    }
+
+    /// Time since the store last confirmed this instance as the leader; `Duration::MAX` if it never
+    /// did.
+    pub fn confirmation_age(&self, now: MonoTime) -> Duration {
+        self.confirmed_at.map_or(Duration::MAX, |at| now.since(at))
+    }
+}
