--- a/crates/gateway/src/grant_connections.rs
+++ b/crates/gateway/src/grant_connections.rs
@@ -1,12 +1,12 @@
 //! Connections over which a server is granted keys.
 //!
-//! A grant with a fence that one life of a server has had must not reach a later life, which needs a
-//! higher fence. An address and an identifier do not tell the two apart, and neither does the store:
+//! A grant with a fence that one incarnation of a server has had must not reach a later one, which needs
+//! a higher fence. An address and an identifier do not tell the two apart, and neither does the store:
 //! a server that has started again listens before its entry is written. A connection therefore
 //! carries a fence only if
 //!
 //! - the store, asked after the connection was opened, has confirmed this instance as the leader: a new
-//!   life does not know the fences of a later leader, which it would have to refuse this one's for; and
+//!   incarnation does not know the fences of a later leader, and would accept a lower one; and
 //! - the fence was not sent before the connection was opened ([`SentFences`]). Otherwise the range is
 //!   granted under a new fence, which the leader writes into the record first.
 //!
@@ -48,7 +48,7 @@
     Unreachable(ExchangeError),
     /// The store has not confirmed the leadership since the connection was opened.
     Unconfirmed,
-    /// The fence may have been sent to an earlier life of the server.
+    /// The fence may have been sent to an earlier incarnation of the server.
     FenceUsed,
 }
 
@@ -90,7 +90,7 @@
         let http = open(node, server)
             .await
             .map_err(ConnectError::Unreachable)?;
-        // Read after the connection is open: what was sent until then may have reached an earlier life.
+        // Read after the connection is open: earlier fences may have reached an earlier incarnation.
         let floor = self.state.lock().fences.floor();
         let service = &server.entry.service;
         let checks = &node.leadership_checks;
--- a/crates/gateway/src/grant_connections_tests.rs
+++ b/crates/gateway/src/grant_connections_tests.rs
@@ -100,8 +100,8 @@
 }
 
 // Guards against grants under an old fence to a server that ended and started again between two
-// renewals: the closed connection is the only sign of it, and the store may list the life before
-// for as long as the new one has not written its entry.
+// renewals: the closed connection is the only sign of it, and the store may list the earlier
+// incarnation for as long as the new one has not written its entry.
 #[test]
 fn no_fence_is_sent_again_over_a_connection_opened_later() {
     let (process, node, server) = granted_server();
--- a/crates/gateway/src/warmup_worker.rs
+++ b/crates/gateway/src/warmup_worker.rs
@@ -66,8 +66,8 @@
     });
 }
 
-/// Takes the servers of a data centre that was taken back at `since` for cold for as long as their
-/// services say: their entries tell of it only later. May be called again, with the same time.
+/// Treats the servers of a data centre that was returned to service at `since` as cold for as long as
+/// their services say: their entries tell of it only later. May be called again, with the same time.
 pub(crate) fn presume_cold(node: &GatewayNode, data_centre: &str, since: MonoTime) {
     let Some(table) = node.route_table() else {
         return;
--- a/crates/routing/src/sent_fences.rs
+++ b/crates/routing/src/sent_fences.rs
@@ -1,10 +1,10 @@
 //! Which fences may be sent over a connection to a server.
 //!
-//! A connection leads to one life of the server's process, an address and an identifier to any of
-//! them. No sign tells in time that a server has ended and started again, so a leader sends each fence to one
-//! life only: over connections that were open when it sent the fence for the first time, or
-//! that are proved to lead to the same process as one of these. Over a later connection keys are granted under a new
-//! fence, which no earlier life can have had.
+//! A connection leads to one incarnation of a server, an address and an identifier to any of them. No
+//! sign tells in time that a server has ended and started again, so a leader sends each fence to one
+//! incarnation only: over connections that were open when it sent the fence for the first time, or that
+//! are proved to lead to the same process as one of these. Over a later connection, keys are granted
+//! under a new fence, which no earlier incarnation can have had.
 
 /// Fences that this leader has sent to one server, over all connections.
 #[derive(Clone, Copy, Debug, Default)]
@@ -15,8 +15,8 @@
     blocked: u64,
 }
 
-/// Highest fence that may have been sent to the server before a connection was opened; the connection must not
-/// carry it or a lower one.
+/// Highest fence that may have been sent to the server before a connection was opened; the connection
+/// must not carry it or a lower one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FenceFloor(u64);
 
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -198,8 +198,8 @@
 
     /// Checks a grant that a server accepted: its fencing token must be higher than those of all
     /// other servers, and none of them may be executing a request for one of the keys. Grants that
-    /// may be delayed are exempt, except for fences that an earlier life of the same server had: no
-    /// connection outlives its process.
+    /// may be delayed are exempt, except for fences that an earlier incarnation of the same server had:
+    /// no connection outlives its process.
     pub(crate) fn check_grant(
         &self,
         incarnation: &ServerIncarnation,
