Look for ranges that need new fences only when one is wanted

The leader went through all ranges of a copy of the record, and for each through all servers, in every cycle of 10 to 100 ms. Now a grant that meets a used fence sets a flag, and the plan looks at the servers of blocked ranges only.

--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -28,7 +28,7 @@
 /// Writes a key record that settles finished moves and starts those that are due.
 pub(crate) async fn plan(node: &Arc<GatewayNode>, service: &str, state: &mut LeaderLoopState) {
     let now = node.now();
-    let interval = match has_ranges_to_raise(node, service, state) {
+    let interval = match node.is_raise_due.load(Ordering::Relaxed) {
         true => RAISE_INTERVAL,
         false => PLAN_INTERVAL,
     };
@@ -44,6 +44,7 @@
         return;
     }
     state.planned_at = now;
+    node.is_raise_due.store(false, Ordering::Relaxed);
     let servers = eligible_servers(node, service, now);
     let incarnations: Vec<ServerIncarnation> = servers
         .iter()
@@ -111,13 +112,6 @@
     }
 }
 
-fn has_ranges_to_raise(node: &GatewayNode, service: &str, state: &LeaderLoopState) -> bool {
-    let record = node.with_key_view(service, |view| {
-        view.leader.record().map(|(record, _)| record.clone())
-    });
-    record.is_some_and(|record| !ranges_to_raise(node, &record, &state.planned_servers).is_empty())
-}
-
 /// First keys of the ranges that their owners can be granted again under a new fence only.
 fn ranges_to_raise(
     node: &GatewayNode,
@@ -130,8 +124,8 @@
         owner.is_some_and(|owner| owner.grants.needs_new_fence(range.fence))
     };
     ranges
-        .filter(|range| servers.contains(&range.owner))
         .filter(needs_new_fence)
+        .filter(|range| servers.contains(&range.owner))
         .map(|range| range.first)
         .collect()
 }
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -166,7 +166,10 @@
         Err(ConnectError::Unconfirmed) => {
             "leadership not confirmed since the connection was opened"
         }
-        Err(ConnectError::FenceUsed) => "fence was sent before the connection was opened",
+        Err(ConnectError::FenceUsed) => {
+            node.is_raise_due.store(true, Ordering::Relaxed);
+            "fence was sent before the connection was opened"
+        }
     };
     metrics::counter!(ORDERS, "kind" => "grant", "result" => "unproven").increment(1);
     if node.log.allow("order", node.now()) {
