Run the large-body tests on the store of the soak

The soak crate now exports that store with a method that puts an object, which its own servers and the evacuation fault use too.

--- a/crates/daemon/tests/large_bodies/main.rs
+++ b/crates/daemon/tests/large_bodies/main.rs
@@ -11,7 +11,6 @@
 mod http_server;
 mod loaded_instance;
 mod small_site;
-mod small_store;
 
 use caller_load::{
     BodyFraming, SentBody, connect, head, open_silent, read_answer_head, run_callers,
--- a/crates/daemon/tests/large_bodies/small_site.rs
+++ b/crates/daemon/tests/large_bodies/small_site.rs
@@ -1,9 +1,6 @@
 //! Store, servers and the configuration of a small site.
 
-use crate::{
-    http_server::{Reply, reply_with, serve},
-    small_store::SmallStore,
-};
+use crate::http_server::{Reply, reply_with, serve};
 use bytes::Bytes;
 use geraniummast_net::WorkerPool;
 use geraniummast_platform::{
@@ -13,7 +10,7 @@
     RequestLimits, RouteRule, RouteTable, ServerEntry, ServerIncarnation, ServerState,
     ServiceConfig, WeightedService,
 };
-use geraniummast_soak::{ConnectionEnds, SocketFinder, open_sockets};
+use geraniummast_soak::{ConnectionEnds, SimulatedStore, SocketFinder, open_sockets};
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -67,7 +64,8 @@
     pub(crate) fn start(host: Ipv4Addr, max_body_bytes: usize) -> Self {
         let pool = WorkerPool::start("small-site", 2).unwrap();
         let refused_process = Arc::new(AtomicU32::new(0));
-        let store = Arc::new(SmallStore::default());
+        let started = SimulatedStore::start(&pool, host);
+        let store = futures_lite::future::block_on(started).unwrap();
         let spec = configuration(max_body_bytes);
         let (kind, name) = (ObjectKind::Configuration, ObjectKind::CONFIGURATION_NAME);
         store.put(kind, name, spec, Value::Null);
@@ -82,10 +80,8 @@
             let (spec, status) = server_entry(number, address);
             store.put(ObjectKind::Servers, &server_id(number), spec, status);
         }
-        let handle = move |request| store.clone().handle(request);
-        let store_address = serve(&pool, host, |_| false, handle);
         Self {
-            store_address,
+            store_address: store.address,
             pool,
             refused_process,
         }
--- a/crates/soak/src/evacuation_fault.rs
+++ b/crates/soak/src/evacuation_fault.rs
@@ -16,9 +16,7 @@
 /// Writes the evacuation of a data centre into the store, and removes it after `duration`.
 pub(crate) async fn evacuate(world: &SoakWorld, data_centre: &'static str, duration: Duration) {
     let (kind, spec) = (ObjectKind::Evacuations, serde_json::Value::Null);
-    world
-        .store
-        .update(|objects| objects.put(kind, data_centre, spec.clone(), spec));
+    world.store.put(kind, data_centre, spec.clone(), spec);
     let from = SteadyClock.now();
     Timer::after(duration).await;
     let until = SteadyClock.now();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -92,6 +92,7 @@
 
 pub use {
     changes_beside::NewerKind,
+    simulated_store::SimulatedStore,
     soak_plan::{FaultScenario, SoakPlan},
     soak_run::SoakReport,
     socket_finder::{ConnectionEnds, SocketFinder, SocketNumber, open_sockets},
@@ -118,7 +119,6 @@
             signal_series::SignalSeries,
             simulated_backend::SimulatedBackend,
             simulated_balancer::SimulatedBalancer,
-            simulated_store::SimulatedStore,
             soak_ledger::{DisturbanceTarget, LimitPeriod, SoakLedger},
             soak_world::SoakWorld,
             store_objects::StoreObjects,
--- a/crates/soak/src/simulated_backend.rs
+++ b/crates/soak/src/simulated_backend.rs
@@ -205,8 +205,7 @@
     fn put_entry(&self, entry: &ServerEntry) {
         let (spec, status) = ServerBody::write(entry);
         let id = &entry.incarnation.id;
-        self.store
-            .update(|objects| objects.put(ObjectKind::Servers, id, spec, status));
+        self.store.put(ObjectKind::Servers, id, spec, status);
     }
 }
 
--- a/crates/soak/src/simulated_store.rs
+++ b/crates/soak/src/simulated_store.rs
@@ -4,8 +4,9 @@
 use hyper::body::Incoming;
 
 /// Object store that answers the HTTP interface of the platform on a loopback port.
-pub(crate) struct SimulatedStore {
-    pub(crate) address: SocketAddr,
+pub struct SimulatedStore {
+    /// Address on which it answers.
+    pub address: SocketAddr,
     pub(crate) objects: Mutex<StoreObjects>,
     fault: Mutex<StoreFault>,
     /// Whether watches that were open at a restore wait until the store has passed their revision
@@ -24,8 +25,8 @@
     /// Time after a silence at which writes that arrived during it are executed, in milliseconds.
     const LATE_WRITE_MS: std::ops::Range<u64> = 0..1_500;
 
-    /// Starts an empty store on `host`.
-    pub(crate) async fn start(pool: &Arc<WorkerPool>, host: Ipv4Addr) -> eyre::Result<Arc<Self>> {
+    /// Starts an empty store on `host`; fails if no port can be bound.
+    pub async fn start(pool: &Arc<WorkerPool>, host: Ipv4Addr) -> eyre::Result<Arc<Self>> {
         let limits = HttpLimits::default();
         let listener = HttpListener::bind((host, 0).into(), limits).await?;
         let store = Arc::new(Self {
@@ -53,6 +54,17 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Creates or overwrites an object without any check.
+    pub fn put(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        spec: serde_json::Value,
+        status: serde_json::Value,
+    ) {
+        self.update(|objects| objects.put(kind, name, spec, status));
+    }
+
     /// Applies a change to the objects and wakes up the watches.
     pub(crate) fn update<T>(&self, apply: impl FnOnce(&mut StoreObjects) -> T) -> T {
         let result = apply(&mut self.objects.lock().unwrap());
