Share the listener of the tests of full, stalled and unfinished connections

Three test files of the net crate each bound a listener on a pool of their own, collected its events and stopped the pool. They now start the listener in tests/common and differ in limits, set-up and answers only.

--- a/crates/net/tests/full_listener.rs
+++ b/crates/net/tests/full_listener.rs
@@ -1,17 +1,19 @@
 //! Tests of a listener that has as many connections as it may.
 
+mod common;
+
 use {
     bytes::Bytes,
-    geraniummast_net::{
-        ConnectionEvent, ConnectionPhase, HttpLimits, HttpListener, OneShotEvent, OpenConnections,
-        WorkerPool,
-    },
-    http::Response,
+    common::ObservedListener,
+    geraniummast_net::{ConnectionEvent, ConnectionPhase, HttpLimits, HttpListener, OneShotEvent},
+    http::{Request, Response},
     http_body_util::Full,
+    hyper::body::Incoming,
     std::{
         io::{ErrorKind, Read, Write},
-        net::{SocketAddr, TcpStream},
-        sync::{Arc, Mutex, mpsc},
+        net::TcpStream,
+        ops::Deref,
+        sync::{Arc, Mutex},
         time::Duration,
     },
 };
@@ -20,62 +22,50 @@
 
 /// Listener that replaces resting connections; requests for `/held` are answered when released.
 struct FullListener {
-    address: SocketAddr,
-    pool: Arc<WorkerPool>,
-    connections: Arc<OpenConnections>,
-    events: mpsc::Receiver<ConnectionEvent>,
+    listener: ObservedListener,
     /// Paths of the requests that were passed on.
     passed_on: Arc<Mutex<Vec<String>>>,
     /// Set when held requests are to be answered.
     release: Arc<OneShotEvent>,
 }
 
+impl Deref for FullListener {
+    type Target = ObservedListener;
+
+    fn deref(&self) -> &ObservedListener {
+        &self.listener
+    }
+}
+
 impl FullListener {
     fn start() -> Self {
-        let pool = WorkerPool::start("worker", 1).unwrap();
-        let any = "127.0.0.1:0".parse().unwrap();
         let limits = HttpLimits {
             max_connections: MAX_CONNECTIONS,
             // Longer than a test waits, so that no connection is closed for another reason.
             head_timeout: Duration::from_secs(600),
             ..HttpLimits::default()
         };
-        let (sender, events) = mpsc::channel();
-        let listener = futures_lite::future::block_on(HttpListener::bind(any, limits)).unwrap();
-        let listener = listener.replace_resting().observe(move |event| {
-            let _ = sender.send(event);
-        });
-        let started = Self {
-            address: listener.local_address().unwrap(),
-            connections: listener.connections(),
-            passed_on: Arc::default(),
-            release: Arc::default(),
-            events,
-            pool: pool.clone(),
-        };
-        let (passed_on, release) = (started.passed_on.clone(), started.release.clone());
-        pool.spawn(listener.serve(pool.clone(), move |request| {
+        let passed_on: Arc<Mutex<Vec<String>>> = Arc::default();
+        let release: Arc<OneShotEvent> = Arc::default();
+        let (paths, released) = (passed_on.clone(), release.clone());
+        let handle = move |request: Request<Incoming>| {
             let path = request.uri().path().to_string();
-            passed_on.lock().unwrap().push(path.clone());
-            let release = release.clone();
+            paths.lock().unwrap().push(path.clone());
+            let released = released.clone();
             async move {
                 // Lets a connection be chosen while it has a request in progress.
                 futures_lite::future::yield_now().await;
                 if path == "/held" {
-                    release.wait().await;
+                    released.wait().await;
                 }
                 Response::new(Full::new(Bytes::from("ok")))
             }
-        }));
-        started
-    }
-
-    fn open(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream
-            .set_read_timeout(Some(Duration::from_secs(30)))
-            .unwrap();
-        stream
+        };
+        Self {
+            listener: ObservedListener::start(limits, HttpListener::replace_resting, handle),
+            passed_on,
+            release,
+        }
     }
 
     fn open_all(&self, count: usize) -> Vec<TcpStream> {
@@ -97,10 +87,6 @@
         panic!("not reached; {} connections", self.connections.count());
     }
 
-    fn next_event(&self) -> ConnectionEvent {
-        self.events.recv_timeout(Duration::from_secs(30)).unwrap()
-    }
-
     fn wait_passed_on(&self, path: &str) {
         self.wait(|| {
             let paths = self.passed_on.lock().unwrap();
@@ -109,12 +95,6 @@
     }
 }
 
-impl Drop for FullListener {
-    fn drop(&mut self) {
-        self.pool.stop();
-    }
-}
-
 fn send(stream: &mut TcpStream, path: &str) -> std::io::Result<()> {
     stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").as_bytes())
 }
--- a/crates/net/tests/stalled_connections.rs
+++ b/crates/net/tests/stalled_connections.rs
@@ -1,17 +1,16 @@
 //! Tests of connections whose peers stop sending a request or reading an answer.
 
+mod common;
+
 use {
     bytes::Bytes,
-    geraniummast_net::{
-        ConnectionEvent, HttpLimits, HttpListener, OpenConnections, StallKind, StallLimits,
-        WorkerPool,
-    },
+    common::ObservedListener,
+    geraniummast_net::{ConnectionEvent, HttpLimits, HttpListener, StallKind, StallLimits},
     http::Response,
     http_body_util::Full,
     std::{
         io::{BufRead, BufReader, Read, Write},
-        net::{SocketAddr, TcpStream},
-        sync::{Arc, mpsc},
+        net::TcpStream,
         time::Duration,
     },
 };
@@ -22,62 +21,20 @@
 /// Longer than a test waits.
 const LONG: Duration = Duration::from_secs(600);
 
-struct StallListener {
-    address: SocketAddr,
-    connections: Arc<OpenConnections>,
-    events: mpsc::Receiver<ConnectionEvent>,
-    pool: Arc<WorkerPool>,
-}
-
-impl StallListener {
-    fn start(stall_limits: StallLimits) -> Self {
-        let pool = WorkerPool::start("worker", 1).unwrap();
-        let any = "127.0.0.1:0".parse().unwrap();
-        let limits = HttpLimits {
-            head_timeout: LONG,
-            ..HttpLimits::default()
+/// Listener that closes stalled connections.
+fn start(stall_limits: StallLimits) -> ObservedListener {
+    let limits = HttpLimits {
+        head_timeout: LONG,
+        ..HttpLimits::default()
+    };
+    let configure = |listener: HttpListener| listener.close_stalled(move || stall_limits);
+    ObservedListener::start(limits, configure, |request| async move {
+        let length = match request.uri().path() {
+            "/large" => LARGE_BODY_BYTES,
+            _ => 2,
         };
-        let (sender, events) = mpsc::channel();
-        let listener = futures_lite::future::block_on(HttpListener::bind(any, limits)).unwrap();
-        let listener = listener
-            .close_stalled(move || stall_limits)
-            .observe(move |event| {
-                let _ = sender.send(event);
-            });
-        let address = listener.local_address().unwrap();
-        let connections = listener.connections();
-        pool.spawn(listener.serve(pool.clone(), |request| async move {
-            let length = match request.uri().path() {
-                "/large" => LARGE_BODY_BYTES,
-                _ => 2,
-            };
-            Response::new(Full::new(Bytes::from(vec![b'x'; length])))
-        }));
-        Self {
-            address,
-            connections,
-            events,
-            pool,
-        }
-    }
-
-    fn open(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream
-            .set_read_timeout(Some(Duration::from_secs(30)))
-            .unwrap();
-        stream
-    }
-
-    fn next_event(&self) -> ConnectionEvent {
-        self.events.recv_timeout(Duration::from_secs(30)).unwrap()
-    }
-}
-
-impl Drop for StallListener {
-    fn drop(&mut self) {
-        self.pool.stop();
-    }
+        Response::new(Full::new(Bytes::from(vec![b'x'; length])))
+    })
 }
 
 fn exchange(stream: &mut TcpStream) -> String {
@@ -98,7 +55,7 @@
 // memory for as long as their callers keep the connection open.
 #[test]
 fn connection_whose_peer_does_not_read_is_closed() {
-    let listener = StallListener::start(StallLimits {
+    let listener = start(StallLimits {
         head: LONG,
         write: SHORT,
     });
@@ -118,7 +75,7 @@
 // their callers read them.
 #[test]
 fn answer_that_is_read_before_the_limit_is_complete() {
-    let listener = StallListener::start(StallLimits {
+    let listener = start(StallLimits {
         head: LONG,
         write: LONG,
     });
@@ -138,7 +95,7 @@
 // stalled heads that occupy connections, and against closing connections that only rest.
 #[test]
 fn connection_with_a_stalled_head_is_closed_and_resting_ones_stay() {
-    let listener = StallListener::start(StallLimits {
+    let listener = start(StallLimits {
         head: SHORT,
         write: LONG,
     });
--- a/crates/net/tests/unfinished_answers.rs
+++ b/crates/net/tests/unfinished_answers.rs
@@ -1,16 +1,19 @@
 //! Tests of connections whose peers have not yet read all blocks of an answer.
 
+mod common;
+
 use {
+    common::ObservedListener,
     geraniummast_model::MonoTime,
     geraniummast_net::{
-        BodyWriter, ConnectionEvent, HttpLimits, HttpListener, MemoryBudget, OpenConnections,
-        StallLimits, StoredBody, WorkerPool,
+        BodyWriter, ConnectionEvent, HttpLimits, HttpListener, MemoryBudget, StallLimits,
+        StoredBody,
     },
     http::Response,
     std::{
         io::{Read, Write},
-        net::{SocketAddr, TcpStream},
-        sync::{Arc, mpsc},
+        net::TcpStream,
+        sync::Arc,
         time::Duration,
     },
 };
@@ -19,68 +22,37 @@
 const BODY_BYTES: usize = 32 << 20;
 const MAX_CONNECTIONS: usize = 2;
 
-struct BlockListener {
-    address: SocketAddr,
-    connections: Arc<OpenConnections>,
-    events: mpsc::Receiver<ConnectionEvent>,
-    pool: Arc<WorkerPool>,
-}
-
-impl BlockListener {
-    fn start() -> Self {
-        let pool = WorkerPool::start("worker", 1).unwrap();
-        let any = "127.0.0.1:0".parse().unwrap();
-        let limits = HttpLimits {
-            max_connections: MAX_CONNECTIONS,
-            head_timeout: Duration::from_secs(600),
-            ..HttpLimits::default()
-        };
-        let (sender, events) = mpsc::channel();
-        let listener = futures_lite::future::block_on(HttpListener::bind(any, limits)).unwrap();
-        let listener = listener
-            .replace_resting()
-            .close_stalled(|| StallLimits {
-                head: Duration::from_millis(300),
-                write: Duration::from_secs(600),
-            })
-            .observe(move |event| {
-                let _ = sender.send(event);
-            });
-        let address = listener.local_address().unwrap();
-        let connections = listener.connections();
-        let budget = MemoryBudget::new(usize::MAX);
-        pool.spawn(listener.serve(pool.clone(), move |_| {
-            let body = body_in_blocks(&budget);
-            async move { Response::new(body) }
-        }));
-        Self {
-            address,
-            connections,
-            events,
-            pool,
-        }
-    }
-
-    /// Requests the body and reads its first byte only.
-    fn begin_answer(&self) -> TcpStream {
-        let mut stream = TcpStream::connect(self.address).unwrap();
-        let timeout = Some(Duration::from_secs(30));
-        stream.set_read_timeout(timeout).unwrap();
-        stream
-            .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
-            .unwrap();
-        let mut byte = [0];
-        stream.read_exact(&mut byte).unwrap();
-        // Lets the listener fill the buffers of both sockets.
-        std::thread::sleep(Duration::from_millis(300));
-        stream
-    }
+/// Listener that replaces resting connections and answers with a body in blocks.
+fn start() -> ObservedListener {
+    let limits = HttpLimits {
+        max_connections: MAX_CONNECTIONS,
+        head_timeout: Duration::from_secs(600),
+        ..HttpLimits::default()
+    };
+    let configure = |listener: HttpListener| {
+        listener.replace_resting().close_stalled(|| StallLimits {
+            head: Duration::from_millis(300),
+            write: Duration::from_secs(600),
+        })
+    };
+    let budget = MemoryBudget::new(usize::MAX);
+    ObservedListener::start(limits, configure, move |_| {
+        let body = body_in_blocks(&budget);
+        async move { Response::new(body) }
+    })
 }
 
-impl Drop for BlockListener {
-    fn drop(&mut self) {
-        self.pool.stop();
-    }
+/// Requests the body and reads its first byte only.
+fn begin_answer(listener: &ObservedListener) -> TcpStream {
+    let mut stream = listener.open();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .unwrap();
+    let mut byte = [0];
+    stream.read_exact(&mut byte).unwrap();
+    // Lets the listener fill the buffers of both sockets.
+    std::thread::sleep(Duration::from_millis(300));
+    stream
 }
 
 fn body_in_blocks(budget: &Arc<MemoryBudget>) -> StoredBody {
@@ -94,8 +66,8 @@
 // caller sent a part of its next request before it read the rest.
 #[test]
 fn answer_is_complete_although_the_next_head_has_begun() {
-    let listener = BlockListener::start();
-    let mut stream = listener.begin_answer();
+    let listener = start();
+    let mut stream = begin_answer(&listener);
     stream.write_all(b"GET /next").unwrap();
     // Longer than the limit of a head and the time between two checks.
     std::thread::sleep(Duration::from_millis(2_500));
@@ -115,14 +87,13 @@
 // gave way without closing, and was not counted any more.
 #[test]
 fn connection_that_sends_an_answer_does_not_give_way() {
-    let listener = BlockListener::start();
+    let listener = start();
     let _answers: Vec<_> = (0..MAX_CONNECTIONS)
-        .map(|_| listener.begin_answer())
+        .map(|_| begin_answer(&listener))
         .collect();
     assert_eq!(listener.connections.resting(), 0);
     let mut refused = TcpStream::connect(listener.address).unwrap();
     assert_eq!(refused.read(&mut [0]).unwrap_or_default(), 0);
-    let event = listener.events.recv_timeout(Duration::from_secs(30));
-    assert_eq!(event, Ok(ConnectionEvent::Refused));
+    assert_eq!(listener.next_event(), ConnectionEvent::Refused);
     assert_eq!(listener.connections.count(), MAX_CONNECTIONS);
 }
