Share route and callers' listener among the tests of bodies and descriptors

Three test modules each built the same route and configuration and served callers on a thread of their own. test_callers has both once; the tests name what differs. Assertions, settings and crowds are the same.

--- a/crates/gateway/src/body_memory_tests.rs
+++ b/crates/gateway/src/body_memory_tests.rs
@@ -1,6 +1,6 @@
 //! Request bodies over connections: memory, time limits, and what is forwarded.
 
-use crate::{prelude::*, request_handler, test_http, test_node, test_objects};
+use crate::{prelude::*, test_callers, test_http, test_node, test_objects};
 use http::HeaderMap;
 use std::{
     io::{BufReader, Read, Write},
@@ -28,28 +28,12 @@
     fn start(settings: &[&str], rejections: usize) -> Self {
         let received: Arc<ReceivedRequests> = Arc::default();
         let node = Arc::new(test_node::build_with(settings));
+        // One that may be repeated is sent again if a busy machine makes a server look lost.
         let route = RouteRule {
-            name: "order".into(),
-            prefix: "/order/".into(),
-            // One that may be repeated is sent again if a busy machine makes a server look lost.
-            idempotent: false,
-            timeout: MAX_WAIT,
-            target_latency: Duration::from_millis(500),
-            priority: 1,
-            split: vec![WeightedService {
-                service: "s".into(),
-                weight: 1.0,
-            }],
             max_attempts: 3,
+            ..test_callers::order_route(MAX_WAIT)
         };
-        let table = test_objects::route_table(1, &["s"]);
-        let table = RouteTable::new(
-            1,
-            IndexMap::from([("a.example".into(), vec![route])]),
-            table.services().clone(),
-            table.limits(),
-        );
-        assert!(node.install_routes(table, 1.into()));
+        test_callers::install_route(&node, route);
         for id in ["s1", "s2"] {
             let records = received.clone();
             let server = test_http::accept_each(move |stream| {
@@ -67,14 +51,7 @@
             };
             test_objects::put_server(&node, &entry, 1);
         }
-        let bind = HttpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)), HttpLimits::default());
-        let listener = future::block_on(bind).unwrap();
-        let address = listener.local_address().unwrap();
-        let (workers, handler_node) = (node.workers.clone(), node.clone());
-        std::thread::spawn(move || {
-            let handle = move |request| request_handler::handle(handler_node.clone(), request);
-            workers.block_on(listener.serve(workers.clone(), handle));
-        });
+        let (address, _) = test_callers::serve(&node, HttpLimits::default());
         Self {
             node,
             address,
--- a/crates/gateway/src/body_stop_tests.rs
+++ b/crates/gateway/src/body_stop_tests.rs
@@ -1,6 +1,6 @@
 //! Request bodies that are being read when a stop answers all pending requests.
 
-use crate::{prelude::*, request_handler, test_node, test_objects};
+use crate::{prelude::*, test_callers, test_node};
 use std::{
     io::{Read, Write},
     net::TcpStream,
@@ -15,31 +15,9 @@
 #[test]
 fn request_whose_body_is_being_read_is_refused_at_the_end_of_a_stop() {
     let node = Arc::new(test_node::build_with(&["--body-stall-s=3600"]));
-    let table = test_objects::route_table(1, &["s"]);
-    let route = RouteRule {
-        name: "order".into(),
-        prefix: "/order/".into(),
-        idempotent: false,
-        timeout: Duration::from_secs(600),
-        target_latency: Duration::from_millis(500),
-        priority: 1,
-        split: vec![WeightedService {
-            service: "s".into(),
-            weight: 1.0,
-        }],
-        max_attempts: 1,
-    };
-    let routes = IndexMap::from([("a.example".into(), vec![route])]);
-    let table = RouteTable::new(1, routes, table.services().clone(), table.limits());
-    assert!(node.install_routes(table, 1.into()));
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = future::block_on(HttpListener::bind(any, HttpLimits::default())).unwrap();
-    let address = listener.local_address().unwrap();
-    let (workers, handler_node) = (node.workers.clone(), node.clone());
-    std::thread::spawn(move || {
-        let handle = move |request| request_handler::handle(handler_node.clone(), request);
-        workers.block_on(listener.serve(workers.clone(), handle));
-    });
+    let route = test_callers::order_route(Duration::from_secs(600));
+    test_callers::install_route(&node, route);
+    let (address, _) = test_callers::serve(&node, HttpLimits::default());
 
     let mut stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(MAX_WAIT)).unwrap();
--- a/crates/gateway/src/descriptor_use_tests.rs
+++ b/crates/gateway/src/descriptor_use_tests.rs
@@ -1,8 +1,7 @@
 //! Descriptors that requests in progress use together.
 
 use crate::{
-    descriptor_plan::DescriptorPlan, prelude::*, request_handler, test_http, test_node,
-    test_objects,
+    descriptor_plan::DescriptorPlan, prelude::*, test_callers, test_http, test_node, test_objects,
 };
 use std::{io::Write, net::TcpStream, time::Instant};
 
@@ -17,23 +16,11 @@
     let setting = format!("--max-descriptors={MAX_DESCRIPTORS}");
     let node = Arc::new(test_node::build_with(&[&setting]));
     let plan = DescriptorPlan::from(&node.settings);
-    let table = test_objects::route_table(1, &["s"]);
     let route = RouteRule {
-        name: "order".into(),
-        prefix: "/order/".into(),
-        idempotent: false,
-        timeout: Duration::from_secs(20),
         target_latency: Duration::from_secs(10),
-        priority: 1,
-        split: vec![WeightedService {
-            service: "s".into(),
-            weight: 1.0,
-        }],
-        max_attempts: 1,
+        ..test_callers::order_route(Duration::from_secs(20))
     };
-    let routes = IndexMap::from([("a.example".into(), vec![route])]);
-    let table = RouteTable::new(1, routes, table.services().clone(), table.limits());
-    assert!(node.install_routes(table, 1.into()));
+    test_callers::install_route(&node, route);
     let mut held = Vec::new();
     let server = test_http::accept_each(move |stream| held.push(stream));
     for number in 0..plan.callers {
@@ -48,19 +35,11 @@
         };
         test_objects::put_server(&node, &entry, 1);
     }
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let limits = HttpLimits {
         max_connections: plan.callers,
         ..HttpLimits::default()
     };
-    let listener = future::block_on(HttpListener::bind(any, limits)).unwrap();
-    let address = listener.local_address().unwrap();
-    let connections = listener.connections();
-    let (workers, handler_node) = (node.workers.clone(), node.clone());
-    std::thread::spawn(move || {
-        let handle = move |request| request_handler::handle(handler_node.clone(), request);
-        workers.block_on(listener.serve(workers.clone(), handle));
-    });
+    let (address, connections) = test_callers::serve(&node, limits);
 
     let _callers: Vec<_> = (0..plan.callers)
         .map(|_| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -190,6 +190,8 @@
 mod store_health_tests;
 mod suspect_report_wire;
 #[cfg(test)]
+mod test_callers;
+#[cfg(test)]
 mod test_http;
 #[cfg(test)]
 mod test_node;
