--- a/crates/gateway/src/evacuation_tests.rs
+++ b/crates/gateway/src/evacuation_tests.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     attempt_history::AttemptHistory,
+    lookup_outcome::LookupOutcome,
     prelude::*,
-    server_lookup::{LookupOutcome, ServerLookup},
+    server_lookup::ServerLookup,
     server_lookup_tests::late_call,
     server_reservation_tests::reservation_of,
     test_node, test_objects,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -93,6 +93,7 @@
 mod listener_guard_tests;
 mod load_report_wire;
 mod local_response;
+mod lookup_outcome;
 mod memory_settings;
 #[cfg(test)]
 mod memory_settings_tests;
--- a/crates/gateway/src/server_finder.rs
+++ b/crates/gateway/src/server_finder.rs
@@ -1,10 +1,8 @@
 //! Finds a server for a request, and queues the request for a short time if no server has room.
 
 use crate::{
-    attempt_history::AttemptHistory,
-    prelude::*,
-    server_lookup::{LookupOutcome, ServerLookup},
-    server_reservation::ServerReservation,
+    attempt_history::AttemptHistory, lookup_outcome::LookupOutcome, prelude::*,
+    server_lookup::ServerLookup, server_reservation::ServerReservation,
 };
 
 /// Share of the target latency that a request may wait for room. Beyond that it is refused, so that
--- a/crates/gateway/src/server_lookup_tests.rs
+++ b/crates/gateway/src/server_lookup_tests.rs
@@ -1,10 +1,8 @@
 //! Selection of servers for single requests.
 
 use crate::{
-    attempt_history::AttemptHistory,
-    prelude::*,
-    server_lookup::{LookupOutcome, ServerLookup},
-    test_node, test_objects,
+    attempt_history::AttemptHistory, lookup_outcome::LookupOutcome, prelude::*,
+    server_lookup::ServerLookup, test_node, test_objects,
 };
 
 const SLOTS: u32 = 4;
--- a/crates/gateway/src/warmup_worker_tests.rs
+++ b/crates/gateway/src/warmup_worker_tests.rs
@@ -2,13 +2,14 @@
 
 use crate::{
     attempt_history::AttemptHistory,
+    lookup_outcome::LookupOutcome,
     move_planner,
     peer_heartbeat::PeerHeartbeat,
     peer_worker,
     prelude::*,
     quota_wire::{QuotaBody, QuotaMessage},
     quota_worker::{self, TokenOutcome},
-    server_lookup::{LookupOutcome, ServerLookup},
+    server_lookup::ServerLookup,
     server_lookup_tests, server_reservation_tests, test_node, test_objects, warmup_worker,
 };
 
