--- a/crates/gateway/src/attempt_sender.rs
+++ b/crates/gateway/src/attempt_sender.rs
@@ -6,6 +6,14 @@
     warmup_worker,
 };
 
+/// What to do with a request for which a connection is open.
+enum SendStep {
+    /// Send it with this body.
+    Send(MessageBody),
+    /// Keep the connection; the attempt has this result.
+    End(AttemptResult),
+}
+
 /// Sends one attempt to the reserved server and judges its answer.
 pub(crate) async fn send_attempt(
     node: &Arc<GatewayNode>,
@@ -35,20 +43,13 @@
         }
     };
     let sent_at = node.now();
-    if !reservation.is_still_allowed(sent_at, node.leaving_bounds()) {
-        let max = node.max_idle_connections(server);
-        server.pool.keep(connection, None, max, sent_at);
-        return AttemptResult::NotSent("server leaves".into());
-    }
-    if !warmup_worker::may_send(node, reservation, sent_at) {
-        let max = node.max_idle_connections(server);
-        server.pool.keep(connection, None, max, sent_at);
-        return AttemptResult::NotSent("server is cold".into());
-    }
-    let Some(body) = call.body.forward() else {
-        let max = node.max_idle_connections(server);
-        server.pool.keep(connection, None, max, sent_at);
-        return AttemptResult::Evicted;
+    let body = match next_step(node, call, reservation, sent_at) {
+        SendStep::Send(body) => body,
+        SendStep::End(result) => {
+            let max = node.max_idle_connections(server);
+            server.pool.keep(connection, None, max, sent_at);
+            return result;
+        }
     };
     if reservation.has_token {
         metrics::counter!(LIMITED_ATTEMPTS).increment(1);
@@ -174,6 +175,26 @@
     quota_worker::update_limit(server, "answer", |limit| limit.apply(notice, sent_at, now));
 }
 
+/// Decides what to do now that a connection is open: server and body may have changed since the
+/// reservation.
+fn next_step(
+    node: &GatewayNode,
+    call: &CallerCall,
+    reservation: &ServerReservation,
+    now: MonoTime,
+) -> SendStep {
+    if !reservation.is_still_allowed(now, node.leaving_bounds()) {
+        return SendStep::End(AttemptResult::NotSent("server leaves".into()));
+    }
+    if !warmup_worker::may_send(node, reservation, now) {
+        return SendStep::End(AttemptResult::NotSent("server is cold".into()));
+    }
+    match call.body.forward() {
+        Some(body) => SendStep::Send(body),
+        None => SendStep::End(AttemptResult::Evicted),
+    }
+}
+
 fn forwarded(
     call: &CallerCall,
     body: MessageBody,
