Use one reader of optional numbers, and one of announced lengths

memory_settings had a second form of read_optional_number for MiB, and the client of the net crate one of the gateway's announced_bytes. Accepted values and error messages are the same.

--- a/crates/gateway/src/body_reader.rs
+++ b/crates/gateway/src/body_reader.rs
@@ -53,12 +53,6 @@
     }
 }
 
-/// Length that a message announces, in bytes; `None` if it announces none.
-pub(crate) fn announced_bytes(body: &Incoming) -> Option<usize> {
-    let exact = body.size_hint().exact();
-    exact.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX))
-}
-
 /// Reads a complete body.
 pub(crate) async fn read(
     body: &mut Incoming,
--- a/crates/gateway/src/memory_settings.rs
+++ b/crates/gateway/src/memory_settings.rs
@@ -1,7 +1,8 @@
 //! Settings of the memory for requests and answers, and of the time that bodies take.
 
-use crate::prelude::*;
-use geraniummast_settings::{SettingError, read_number};
+use crate::{prelude::*, setting_readers::read_optional_number};
+use geraniummast_settings::SettingError;
+use std::ops::RangeInclusive;
 
 /// Settings of the memory for requests and answers.
 #[derive(Clone, Copy, Debug, Default)]
@@ -25,6 +26,8 @@
     /// Largest memory of all large answers together, in bytes.
     const MAX_ANSWER_BYTES: usize = 64 << 20;
     const MIB: usize = 1 << 20;
+    /// Values that the settings may have, in MiB.
+    const MIB_BOUNDS: RangeInclusive<usize> = 1..=1 << 20;
 
     /// Bounds of the memory for requests and answers.
     pub(crate) fn limits(&self) -> MemoryLimits {
@@ -49,12 +52,12 @@
 
     /// Reads the memory of the machine; returns whether the text is valid.
     pub(crate) fn read_machine(&mut self, text: &str) -> bool {
-        read_optional_mib(&mut self.machine_mib, text)
+        read_optional_number(&mut self.machine_mib, text, Self::MIB_BOUNDS)
     }
 
     /// Reads the memory for requests and answers; returns whether the text is valid.
     pub(crate) fn read_requests(&mut self, text: &str) -> bool {
-        read_optional_mib(&mut self.request_mib, text)
+        read_optional_number(&mut self.request_mib, text, Self::MIB_BOUNDS)
     }
 
     /// Finds a memory for requests that exceeds the machine's.
@@ -70,15 +73,3 @@
         })
     }
 }
-
-/// Reads a number of MiB, or `None` from an empty text; returns whether the text is valid.
-fn read_optional_mib(target: &mut Option<usize>, text: &str) -> bool {
-    if text.is_empty() {
-        *target = None;
-        return true;
-    }
-    let mut mib = 0;
-    let is_valid = read_number(&mut mib, text, 1..=1 << 20);
-    *target = is_valid.then_some(mib);
-    is_valid
-}
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -110,7 +110,7 @@
         deadline: arrived_at.after(caller_timeout.min(route.timeout)),
         priority: route.priority,
     };
-    let announced_bytes = body_reader::announced_bytes(&body);
+    let announced_bytes = announced_bytes(&body);
     let body = match body_reader::read(&mut body, terms_of_body).await {
         Ok(body) => body,
         Err(error) => {
--- a/crates/gateway/src/setting_readers.rs
+++ b/crates/gateway/src/setting_readers.rs
@@ -38,13 +38,9 @@
     text: &str,
     bounds: RangeInclusive<f64>,
 ) -> bool {
-    if text.is_empty() {
-        *target = None;
-        return true;
-    }
     let mut value = Duration::ZERO;
-    let is_valid = read_seconds(&mut value, text, bounds);
-    *target = is_valid.then_some(value);
+    let is_valid = text.is_empty() || read_seconds(&mut value, text, bounds);
+    *target = (is_valid && !text.is_empty()).then_some(value);
     is_valid
 }
 
--- a/crates/net/src/http_connection.rs
+++ b/crates/net/src/http_connection.rs
@@ -1,7 +1,6 @@
 //! Client side of one HTTP/1.1 connection.
 
 use crate::{http_stream::HttpStream, prelude::*};
-use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 
 /// Largest head of an answer, in bytes.
@@ -82,10 +81,7 @@
             }
         };
         let (head, mut body) = response.into_parts();
-        let announced = body
-            .size_hint()
-            .exact()
-            .and_then(|bytes| bytes.try_into().ok());
+        let announced = announced_bytes(&body);
         let mut writer = BodyWriter::answer(budget, announced, SteadyClock.now());
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| unanswered(&error))?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -72,7 +72,7 @@
     signal_receiver::SignalReceiver,
     state_mutex::StateMutex,
     steady_clock::SteadyClock,
-    stored_body::{BodyWriter, StoredBody},
+    stored_body::{BodyWriter, StoredBody, announced_bytes},
     tcp_dialer::{ConnectFuture, TcpDialer},
     worker_pool::WorkerPool,
 };
--- a/crates/net/src/stored_body.rs
+++ b/crates/net/src/stored_body.rs
@@ -4,6 +4,7 @@
 //! answer that it belongs to, and the connections that send it.
 
 use crate::{block_list::BlockList, memory_budget::BodyShare, prelude::*};
+use hyper::body::Body;
 
 /// Complete body.
 #[derive(Clone, Debug, Default)]
@@ -42,6 +43,12 @@
     }
 }
 
+/// Length that a message announces, in bytes; `None` if it announces none.
+pub fn announced_bytes(body: &impl Body) -> Option<usize> {
+    let exact = body.size_hint().exact();
+    exact.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
 impl BodyCell {
     /// Frees the blocks of a request that has been removed from the budget.
     pub(crate) fn evict(&self) {
