Write revisions by kind with one function for numbers and one for eras

Heartbeats and feed requests each had a function of their own for either; they differ in the kinds that they send only. The bytes on the wire are the same, which former_wire_tests and evacuation_wire_tests check.

--- a/crates/gateway/src/feed_wire.rs
+++ b/crates/gateway/src/feed_wire.rs
@@ -7,7 +7,7 @@
     object_mirror::{OBJECT_KINDS, position_of},
     prelude::*,
     revisions_wire::{
-        FORMER_KIND_COUNT, KindRevisionsWire, former_eras, former_numbers, with_eras,
+        FORMER_KIND_COUNT, KindRevisionsWire, eras, former_kinds, numbers, with_eras,
     },
 };
 
@@ -145,11 +145,13 @@
 
 impl From<FeedRequest> for FeedRequestWire {
     fn from(request: FeedRequest) -> Self {
+        let synced = former_kinds(&request.synced_revisions);
+        let latest = former_kinds(&request.latest_revisions);
         Self {
-            synced_revisions: former_numbers(request.synced_revisions),
-            latest_revisions: former_numbers(request.latest_revisions),
-            synced_eras: former_eras(request.synced_revisions),
-            latest_eras: former_eras(request.latest_revisions),
+            synced_revisions: numbers(synced),
+            latest_revisions: numbers(latest),
+            synced_eras: eras(synced),
+            latest_eras: eras(latest),
             evacuations: request.takes_evacuations.then(|| {
                 let position = position_of(ObjectKind::Evacuations);
                 KindRevisionsWire::new(
--- a/crates/gateway/src/heartbeat_wire.rs
+++ b/crates/gateway/src/heartbeat_wire.rs
@@ -11,7 +11,7 @@
     },
     prelude::*,
     record_update_wire::RecordUpdateWire,
-    revisions_wire::{eras, numbers, with_eras},
+    revisions_wire::{eras, known_kinds, numbers, with_eras},
     suspect_report_wire::SuspectReportWire,
 };
 
@@ -112,8 +112,8 @@
             incarnation: heartbeat.incarnation,
             is_stopping: heartbeat.is_stopping,
             yields: heartbeat.yields,
-            revisions: numbers(heartbeat.revisions),
-            eras: eras(heartbeat.revisions),
+            revisions: numbers(known_kinds(&heartbeat.revisions)),
+            eras: eras(known_kinds(&heartbeat.revisions)),
             era: heartbeat.era.map(EraWire::from),
             live_count: heartbeat.live_count,
             store_lost: heartbeat.store_lost,
--- a/crates/gateway/src/revisions_wire.rs
+++ b/crates/gateway/src/revisions_wire.rs
@@ -42,36 +42,27 @@
     }
 }
 
-/// Revisions as sent by builds that know of no eras. That of the evacuations is left out while there
-/// is none.
-pub(crate) fn numbers(revisions: KindRevisions) -> Vec<u64> {
-    let sent = sent_revisions(&revisions);
-    sent.iter().map(|revision| revision.number).collect()
+/// Numbers of revisions, without their eras.
+pub(crate) fn numbers(revisions: &[StoreRevision]) -> Vec<u64> {
+    revisions.iter().map(|revision| revision.number).collect()
 }
 
 /// Eras of revisions.
-pub(crate) fn eras(revisions: KindRevisions) -> Vec<u64> {
-    let sent = sent_revisions(&revisions);
-    sent.iter().map(|revision| revision.era).collect()
-}
-
-fn sent_revisions(revisions: &KindRevisions) -> &[StoreRevision] {
-    match revisions[FORMER_KIND_COUNT..] == [StoreRevision::ZERO] {
-        true => &revisions[..FORMER_KIND_COUNT],
-        false => revisions,
-    }
+pub(crate) fn eras(revisions: &[StoreRevision]) -> Vec<u64> {
+    revisions.iter().map(|revision| revision.era).collect()
 }
 
 /// Revisions of the kinds that all builds know.
-pub(crate) fn former_numbers(revisions: KindRevisions) -> Vec<u64> {
-    let former = revisions[..FORMER_KIND_COUNT].iter();
-    former.map(|revision| revision.number).collect()
+pub(crate) fn former_kinds(revisions: &KindRevisions) -> &[StoreRevision] {
+    &revisions[..FORMER_KIND_COUNT]
 }
 
-/// Eras of the revisions of the kinds that all builds know.
-pub(crate) fn former_eras(revisions: KindRevisions) -> Vec<u64> {
-    let former = revisions[..FORMER_KIND_COUNT].iter();
-    former.map(|revision| revision.era).collect()
+/// The revisions, without that of the evacuations while there is none.
+pub(crate) fn known_kinds(revisions: &KindRevisions) -> &[StoreRevision] {
+    match revisions[FORMER_KIND_COUNT..] == [StoreRevision::ZERO] {
+        true => former_kinds(revisions),
+        false => revisions,
+    }
 }
 
 /// Joins revisions and their eras; missing ones are zero.
