Look up owners of ranges before locking the keys, and ask for fences per service

The plan went through the servers under the lock of the keys, against the order of locks that gateway_node states, and locked the servers once per range. It now takes them before. The flag that asks for an early plan was one for the whole instance: the service that planned first cleared it for another one that had set it, which then waited for its ordinary plan. It is a part of what is known of the service's keys now; with one keyed service, nothing changes.

--- a/crates/gateway/src/gateway_node.rs
+++ b/crates/gateway/src/gateway_node.rs
@@ -1,7 +1,7 @@
 //! State that all workers of an instance share.
 //!
-//! Lock order: mirror, routes, roster, evacuations, servers, usable, services, keys, peers, suspects, reach, knowledge, then the
-//! locks inside a server or a service. No lock is held across an await.
+//! Lock order: mirror, routes, roster, evacuations, servers, usable, services, keys, peers, suspects,
+//! reach, knowledge, then the locks inside a server or a service. No lock is held across an await.
 
 use crate::{
     feed_replies::FeedReplies, leadership_checks::LeadershipChecks, prelude::*,
@@ -45,8 +45,6 @@
     pub(crate) reach_checked: Event,
     /// Requests under which servers crashed.
     pub(crate) suspects: StateMutex<QuarantineTable>,
-    /// Whether ranges need new fences before their owners can be granted them again.
-    pub(crate) is_raise_due: AtomicBool,
     /// Checks of leaderships that wait for the store.
     pub(crate) leadership_checks: LeadershipChecks,
     /// Notified when the store's record of quarantined requests should be updated.
@@ -138,7 +136,6 @@
             reach: StateMutex::default(),
             reach_checked: Event::new(),
             suspects: StateMutex::default(),
-            is_raise_due: AtomicBool::new(false),
             leadership_checks: LeadershipChecks::default(),
             quarantine_changed: Event::new(),
             peer_socket: OnceLock::new(),
--- a/crates/gateway/src/key_view.rs
+++ b/crates/gateway/src/key_view.rs
@@ -20,6 +20,8 @@
     /// Moving ranges that are already granted to their new owner, by first key and fence, with the
     /// time at which this instance learnt of the grant.
     pub(crate) granted_ranges: IndexMap<(u16, u64), MonoTime>,
+    /// Whether ranges need new fences before their owners can be granted them again.
+    pub(crate) is_raise_due: bool,
 }
 
 /// Change of a key record that heartbeats carry to other instances.
@@ -62,6 +64,7 @@
             recent_requests: 0,
             published_deltas: Vec::new(),
             granted_ranges: IndexMap::new(),
+            is_raise_due: false,
         }
     }
 
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -28,7 +28,10 @@
 /// Writes a key record that settles finished moves and starts those that are due.
 pub(crate) async fn plan(node: &Arc<GatewayNode>, service: &str, state: &mut LeaderLoopState) {
     let now = node.now();
-    let interval = match node.is_raise_due.load(Ordering::Relaxed) {
+    let (is_raise_due, needs_restore) = node.with_key_view(service, |view| {
+        (view.is_raise_due, view.leader.needs_restore())
+    });
+    let interval = match is_raise_due {
         true => RAISE_INTERVAL,
         false => PLAN_INTERVAL,
     };
@@ -40,11 +43,10 @@
         return;
     }
     // A plan is based on what the store has.
-    if node.with_key_view(service, |view| view.leader.needs_restore()) {
+    if needs_restore {
         return;
     }
     state.planned_at = now;
-    node.is_raise_due.store(false, Ordering::Relaxed);
     let servers = eligible_servers(node, service, now);
     let incarnations: Vec<ServerIncarnation> = servers
         .iter()
@@ -55,7 +57,13 @@
         state.servers_unchanged_since = now;
     }
     let supporters = due_supporters(node, service, now);
+    let usable = node.usable_servers(service);
+    let owners: IndexMap<&ServerIncarnation, &ServerRuntime> = usable
+        .iter()
+        .map(|server| (server.incarnation(), server.as_ref()))
+        .collect();
     let planned = node.with_key_view(service, |view| {
+        view.is_raise_due = false;
         let (record, revision) = view.leader.record()?;
         if !view.leader.has_authority(now) {
             return None;
@@ -67,7 +75,7 @@
             return None;
         }
         let mut delta = view.leader.settled_moves().unwrap_or_default();
-        delta.raises = ranges_to_raise(node, record, &state.planned_servers);
+        delta.raises = ranges_to_raise(record, &owners, &state.planned_servers);
         let settled = delta.apply(record);
         // The owner of a range that is raised now may hold it under the fence before.
         let is_free = |incarnation: &ServerIncarnation, fence| {
@@ -112,20 +120,21 @@
     }
 }
 
-/// First keys of the ranges that their owners can be granted again under a new fence only.
+/// First keys of the ranges that their owners can be granted again under a new fence only, if these are
+/// among the `planned` servers.
 fn ranges_to_raise(
-    node: &GatewayNode,
     record: &KeyRecord,
-    servers: &[ServerIncarnation],
+    owners: &IndexMap<&ServerIncarnation, &ServerRuntime>,
+    planned: &[ServerIncarnation],
 ) -> Vec<u16> {
     let ranges = record.ranges.iter();
     let needs_new_fence = |range: &&KeyRange| {
-        let owner = node.server(&range.owner);
+        let owner = owners.get(&range.owner);
         owner.is_some_and(|owner| owner.grants.needs_new_fence(range.fence))
     };
     ranges
         .filter(needs_new_fence)
-        .filter(|range| servers.contains(&range.owner))
+        .filter(|range| planned.contains(&range.owner))
         .map(|range| range.first)
         .collect()
 }
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -167,7 +167,7 @@
             "leadership not confirmed since the connection was opened"
         }
         Err(ConnectError::FenceUsed) => {
-            node.is_raise_due.store(true, Ordering::Relaxed);
+            node.with_key_view(service, |view| view.is_raise_due = true);
             "fence was sent before the connection was opened"
         }
     };
