--- a/crates/routing/src/key_record.rs
+++ b/crates/routing/src/key_record.rs
@@ -83,8 +83,8 @@
     }
 
     /// Returns the record with another leader, under the next term. The leader needs no support until
-    /// it names its supporters. All ranges get new fences, as it does not know to which
-    /// incarnations of their owners the former leader has sent the present ones; owners keep the ranges that they hold.
+    /// it names its supporters. All ranges get new fences, as it does not know to which incarnations of
+    /// their owners the former leader has sent the present ones; owners keep the ranges that they hold.
     pub fn with_leader(&self, leader: InstanceIncarnation) -> Self {
         let mut record = self.clone();
         record.term += 1;
