--- a/crates/net/src/memory_ledger.rs
+++ b/crates/net/src/memory_ledger.rs
@@ -1,8 +1,8 @@
 //! Decides which bodies may take memory from a shared budget.
 //!
 //! Bytes are counted as they come, not as a length announces them, so that a body which only
-//! announces a length takes nothing from others. While a body is read, its first 64 KiB count twice,
-//! because the connection's read buffer grows with them. Bodies of up to 64 KiB may use almost the whole
+//! announces a length takes nothing from others. While a body is read, its first 64 KiB count twice, as
+//! an allowance for the buffers of its connection. Bodies of up to 64 KiB may use almost the whole
 //! budget and larger ones all but a part of it, so that small ones find room beside large ones. The rest
 //! is for answers, which servers have given already, and for requests of the highest priority.
 //!
