--- a/crates/gateway/src/body_memory_tests.rs
+++ b/crates/gateway/src/body_memory_tests.rs
@@ -40,14 +40,9 @@
                 let records = records.clone();
                 std::thread::spawn(move || serve(stream, &records, rejections));
             });
-            let incarnation = ServerIncarnation {
-                id: id.into(),
-                born: 1,
-            };
             let entry = ServerEntry {
-                incarnation,
                 address: server,
-                ..test_objects::server_entry(ServerState::Ready)
+                ..test_objects::ready_entry(id)
             };
             test_objects::put_server(&node, &entry, 1);
         }
--- a/crates/gateway/src/descriptor_use_tests.rs
+++ b/crates/gateway/src/descriptor_use_tests.rs
@@ -24,14 +24,9 @@
     let mut held = Vec::new();
     let server = test_http::accept_each(move |stream| held.push(stream));
     for number in 0..plan.callers {
-        let incarnation = ServerIncarnation {
-            id: format!("s{number}").as_str().into(),
-            born: 1,
-        };
         let entry = ServerEntry {
-            incarnation,
             address: server,
-            ..test_objects::server_entry(ServerState::Ready)
+            ..test_objects::ready_entry(&format!("s{number}"))
         };
         test_objects::put_server(&node, &entry, 1);
     }
--- a/crates/gateway/src/evacuation_tests.rs
+++ b/crates/gateway/src/evacuation_tests.rs
@@ -37,9 +37,8 @@
 
 fn add_server(node: &GatewayNode, id: &str, data_centre: &str) {
     let entry = ServerEntry {
-        incarnation: incarnation(id),
         data_centre: data_centre.into(),
-        ..test_objects::server_entry(ServerState::Ready)
+        ..test_objects::ready_entry(id)
     };
     test_objects::put_server(node, &entry, 1);
 }
--- a/crates/gateway/src/test_objects.rs
+++ b/crates/gateway/src/test_objects.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// Entry of the first incarnation of a ready server of the service `s`.
+pub(crate) fn ready_entry(id: &str) -> ServerEntry {
+    ServerEntry {
+        incarnation: ServerIncarnation {
+            id: id.into(),
+            born: 1,
+        },
+        ..server_entry(ServerState::Ready)
+    }
+}
+
 /// The server `s1` with a service time of 0.1 s, at `address`.
 pub(crate) fn server_at(node: &GatewayNode, address: SocketAddr) -> Arc<ServerRuntime> {
     let entry = ServerEntry {
--- a/crates/gateway/src/warmup_worker_tests.rs
+++ b/crates/gateway/src/warmup_worker_tests.rs
@@ -18,12 +18,8 @@
 
 fn entry(id: &str, warmup_left: Duration) -> ServerEntry {
     ServerEntry {
-        incarnation: ServerIncarnation {
-            id: id.into(),
-            born: 1,
-        },
         warmup_left,
-        ..test_objects::server_entry(ServerState::Ready)
+        ..test_objects::ready_entry(id)
     }
 }
 
