Tell which requests for updates fail, and what configurations cost to read

A request to another instance that failed left no line and no count, and the time to read a configuration was not known.

Change: 'no updates received' and 'large reply received' with source, result, time and bytes; geraniummast_feed_requests_total, geraniummast_feed_bytes_total, geraniummast_configuration_seconds; 'configuration in force' tells how long reading took. No decision changes. The exchange moves to feed_connection.rs.

--- a/crates/gateway/src/configuration_worker.rs
+++ b/crates/gateway/src/configuration_worker.rs
@@ -21,6 +21,7 @@
 }
 
 fn apply_object(node: &Arc<GatewayNode>, object: &PlatformObject, source: UpdateSource) {
+    let started_at = node.now();
     let table = match ConfigurationBody::read(object) {
         Ok(table) => table,
         Err(error) => {
@@ -35,9 +36,12 @@
     let revision = table.revision();
     let routes = table.route_count();
     if node.install_routes(table, object.revision) {
+        let taken = node.now().since(started_at);
+        metrics::histogram!(CONFIGURATION_SECONDS).record(taken.as_secs_f64());
         log::info!(
             revision,
             routes,
+            taken_us = taken.as_micros() as u64,
             object_revision:% = object.revision,
             source = source.label();
             "configuration in force"
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -1,15 +1,13 @@
 //! Fetches the store's objects from other instances.
 
 use crate::{
-    feed_codec::FeedCodec,
-    feed_server::{FeedFrames, frame_stream},
-    feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
-    mirror_delta::{DeltaOutcome, MirrorDelta},
+    feed_connection::{self, FeedConnection, FeedExchange, FeedReply},
+    feed_wire::FeedRequest,
+    mirror_delta::DeltaOutcome,
     prelude::*,
+    transfer_progress::TransferProgress,
     update_router::{self, UpdateSource},
 };
-use futures_lite::StreamExt;
-use futures_util::SinkExt;
 
 /// Longest wait for a reply.
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
@@ -20,21 +18,40 @@
 /// Time between requests to the seeds.
 pub(crate) const SEED_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Connection to the peer that was asked last.
-pub(crate) struct FeedConnection {
-    address: SocketAddr,
-    frames: FeedFrames,
+/// Size of a reply from which on it is logged, in bytes.
+const LARGE_REPLY_BYTES: usize = 64 << 10;
+
+/// Result of a request for updates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UpdateOutcome {
+    /// Updates were received and applied.
+    Updated,
+    /// The other instance knows nothing else.
+    Unchanged,
+    /// The reply lacks an object.
+    Incomplete,
+    /// The reply was not complete in time.
+    TimedOut,
+    /// The other instance was not reached, or its reply cannot be decoded.
+    Lost,
 }
 
-/// What an instance answers to a request for updates.
-struct FeedReply {
-    deltas: Vec<MirrorDelta>,
-    /// Age of what the instance knows.
-    knowledge: Option<KnowledgeReport>,
-    /// Era of the store that the instance knows.
-    era: Option<StoreEra>,
-    /// Whether its knowledge includes the evacuations.
-    knows_evacuations: bool,
+impl UpdateOutcome {
+    /// Label in logs and metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Updated => "updated",
+            Self::Unchanged => "unchanged",
+            Self::Incomplete => "incomplete",
+            Self::TimedOut => "timed-out",
+            Self::Lost => "lost",
+        }
+    }
+
+    /// Whether the other instance has told all that it knows.
+    pub(crate) fn is_answered(self) -> bool {
+        matches!(self, Self::Updated | Self::Unchanged)
+    }
 }
 
 /// Requests updates from peers whose heartbeats report newer revisions.
@@ -58,12 +75,11 @@
             continue;
         }
         match request_updates(&node, &mut connection, address, REQUEST_TIMEOUT).await {
-            Some(changed) => {
-                if changed && is_watching {
-                    node.watch_restart_due.notify(usize::MAX);
-                }
+            UpdateOutcome::Updated if is_watching => {
+                node.watch_restart_due.notify(usize::MAX);
             }
-            None => {
+            UpdateOutcome::Updated | UpdateOutcome::Unchanged => {}
+            UpdateOutcome::Incomplete | UpdateOutcome::TimedOut | UpdateOutcome::Lost => {
                 connection = None;
                 avoided = Some(address);
                 Timer::after(RETRY_DELAY).await;
@@ -96,10 +112,9 @@
     let mut seed_index = rand::random_range(0..seeds.len());
     loop {
         let seed = seeds[seed_index % seeds.len()];
-        let answer = request_updates(&node, &mut connection, seed, REQUEST_TIMEOUT).await;
-        node.is_seed_reachable
-            .store(answer.is_some(), Ordering::Relaxed);
-        let is_answered = answer.is_some();
+        let outcome = request_updates(&node, &mut connection, seed, REQUEST_TIMEOUT).await;
+        let is_answered = outcome.is_answered();
+        node.is_seed_reachable.store(is_answered, Ordering::Relaxed);
         if !is_answered {
             // A late reply must not be taken for that to the next request.
             connection = None;
@@ -121,14 +136,15 @@
     }
 }
 
-/// Requests updates from one instance and applies them. Returns whether anything changed, or `None`
-/// if the reply was missing or incomplete.
+/// Requests updates from one instance and applies them.
 pub(crate) async fn request_updates(
     node: &Arc<GatewayNode>,
     connection: &mut Option<FeedConnection>,
     address: SocketAddr,
     timeout: Duration,
-) -> Option<bool> {
+) -> UpdateOutcome {
+    let asked_at = node.now();
+    let progress = TransferProgress::default();
     let request = {
         let mirror = node.mirror.lock();
         FeedRequest {
@@ -137,12 +153,45 @@
             takes_evacuations: node.takes_evacuations(),
         }
     };
-    let timeout = async {
-        Timer::after(timeout).await;
-        None
+    let exchange = feed_connection::exchange(connection, address, request, &progress, timeout);
+    let (outcome, received_at) = match exchange.await {
+        FeedExchange::Replied(reply) => {
+            let received_at = node.now();
+            (apply_reply(node, reply, asked_at), received_at)
+        }
+        FeedExchange::TimedOut => (UpdateOutcome::TimedOut, node.now()),
+        FeedExchange::Lost => (UpdateOutcome::Lost, node.now()),
     };
-    let asked_at = node.now();
-    let reply = future::or(exchange(connection, address, request), timeout).await?;
+    metrics::counter!(FEED_REQUESTS, "result" => outcome.label()).increment(1);
+    let waited = received_at.since(asked_at);
+    log_outcome(node, address, outcome, waited, progress.received_bytes());
+    outcome
+}
+
+/// Logs a request that failed or had a large reply.
+fn log_outcome(
+    node: &GatewayNode,
+    address: SocketAddr,
+    outcome: UpdateOutcome,
+    waited: Duration,
+    received_bytes: usize,
+) {
+    let is_large = received_bytes >= LARGE_REPLY_BYTES;
+    if outcome.is_answered() && !is_large || !node.log.allow("feed-request", node.now()) {
+        return;
+    }
+    let source = address.to_string();
+    let source = source.as_str();
+    let waited_ms = waited.as_millis() as u64;
+    let result = outcome.label();
+    match outcome.is_answered() {
+        true => log::info!(source, result, waited_ms, received_bytes; "large reply received"),
+        false => log::warn!(source, result, waited_ms, received_bytes; "no updates received"),
+    }
+}
+
+/// Applies a reply to a request that was sent at `asked_at`.
+fn apply_reply(node: &Arc<GatewayNode>, reply: FeedReply, asked_at: MonoTime) -> UpdateOutcome {
     if let Some(era) = reply.era {
         node.store.learn_era(era);
     }
@@ -163,40 +212,14 @@
     if is_incomplete {
         // The peer left out an object because it assumed that this instance has it. A later reply
         // may be complete.
-        return None;
+        return UpdateOutcome::Incomplete;
     }
     let is_complete = reply.knows_evacuations || !node.takes_evacuations();
     if let Some(report) = reply.knowledge.filter(|_| is_complete) {
         node.knowledge.lock().confirm_from(report, asked_at);
     }
-    Some(changed)
-}
-
-async fn exchange(
-    connection: &mut Option<FeedConnection>,
-    address: SocketAddr,
-    request: FeedRequest,
-) -> Option<FeedReply> {
-    if connection
-        .as_ref()
-        .is_none_or(|connection| connection.address != address)
-    {
-        let stream = async_net::TcpStream::connect(address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        *connection = Some(FeedConnection {
-            address,
-            frames: frame_stream(stream, FeedCodec::client()),
-        });
+    match changed {
+        true => UpdateOutcome::Updated,
+        false => UpdateOutcome::Unchanged,
     }
-    let frames = &mut connection.as_mut()?.frames;
-    let frame = prost::Message::encode_to_vec(&FeedRequestWire::from(request));
-    frames.send(Bytes::from(frame)).await.ok()?;
-    let reply = frames.next().await?.ok()?;
-    let wire = <FeedReplyWire as prost::Message>::decode(reply.freeze()).ok()?;
-    Some(FeedReply {
-        knowledge: wire.knowledge.map(KnowledgeReport::from),
-        era: wire.era.map(StoreEra::from),
-        knows_evacuations: wire.knows_evacuations,
-        deltas: wire.try_into().ok()?,
-    })
 }
--- a/crates/gateway/src/feed_codec.rs
+++ b/crates/gateway/src/feed_codec.rs
@@ -3,6 +3,7 @@
 //! A request is a few hundred bytes long, a reply contains objects of the store. Without a bound of
 //! their own, requests could make an instance buffer as much for each connection as replies need.
 
+use crate::transfer_progress::TransferProgress;
 use bytes::{Bytes, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -17,6 +18,7 @@
 pub(crate) struct FeedCodec {
     received: LengthDelimitedCodec,
     sent: LengthDelimitedCodec,
+    progress: TransferProgress,
 }
 
 impl FeedCodec {
@@ -39,8 +41,14 @@
         Self {
             received: codec(max_received),
             sent: codec(max_sent),
+            progress: TransferProgress::default(),
         }
     }
+
+    /// Records in `progress` how much of the next frame has arrived.
+    pub(crate) fn report_to(&mut self, progress: TransferProgress) {
+        self.progress = progress;
+    }
 }
 
 impl Decoder for FeedCodec {
@@ -48,6 +56,7 @@
     type Error = io::Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        self.progress.record(buffer.len());
         self.received.decode(buffer)
     }
 }
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -103,7 +103,9 @@
             }
             return;
         };
-        match send_within(&mut frames, reply_to(node, request), REPLY_TIMEOUT).await {
+        let reply = reply_to(node, request);
+        metrics::counter!(FEED_BYTES, "direction" => "sent").increment(reply.len() as u64);
+        match send_within(&mut frames, reply, REPLY_TIMEOUT).await {
             Some(Ok(())) => {}
             Some(Err(_)) => return,
             None => {
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -1,7 +1,8 @@
 //! Keeps what an instance knows of the store young enough.
 
 use crate::{
-    feed_client::{self, FeedConnection},
+    feed_client::{self, UpdateOutcome},
+    feed_connection::FeedConnection,
     object_mirror::position_of,
     prelude::*,
     store_check,
@@ -133,13 +134,14 @@
         return;
     };
     match feed_client::request_updates(node, connection, address, PEER_TIMEOUT).await {
-        Some(true) => node.watch_restart_due.notify(usize::MAX),
-        Some(false) => 0,
-        None => {
+        UpdateOutcome::Updated => {
+            node.watch_restart_due.notify(usize::MAX);
+        }
+        UpdateOutcome::Unchanged => {}
+        UpdateOutcome::Incomplete | UpdateOutcome::TimedOut | UpdateOutcome::Lost => {
             *connection = None;
-            0
         }
-    };
+    }
 }
 
 /// Logs when the knowledge has become too old, and when it is confirmed again.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod evacuation_worker;
 mod feed_client;
 mod feed_codec;
+mod feed_connection;
 mod feed_replies;
 #[cfg(test)]
 mod feed_replies_tests;
@@ -200,6 +201,7 @@
 mod test_objects;
 #[cfg(test)]
 mod test_store;
+mod transfer_progress;
 #[cfg(test)]
 mod unexpected_error_tests;
 mod update_router;
--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -42,3 +42,9 @@
 pub(crate) const ORDERS: &str = "geraniummast_orders_total";
 /// Writes of key records, by reason and result.
 pub(crate) const RECORD_WRITES: &str = "geraniummast_record_writes_total";
+/// Requests for updates to other instances, by result.
+pub(crate) const FEED_REQUESTS: &str = "geraniummast_feed_requests_total";
+/// Bytes of the feed's replies, by direction.
+pub(crate) const FEED_BYTES: &str = "geraniummast_feed_bytes_total";
+/// Time to read and install a configuration, in seconds.
+pub(crate) const CONFIGURATION_SECONDS: &str = "geraniummast_configuration_seconds";
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -55,6 +55,10 @@
 pub(crate) fn install_metrics() -> eyre::Result<PrometheusHandle> {
     let recorder = PrometheusBuilder::new()
         .set_buckets_for_metric(Matcher::Full(REQUEST_SECONDS.into()), &DURATION_BUCKETS_S)?
+        .set_buckets_for_metric(
+            Matcher::Full(CONFIGURATION_SECONDS.into()),
+            &DURATION_BUCKETS_S,
+        )?
         .build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder)
