--- a/crates/gateway/src/change_path_tests/change_checker.rs
+++ b/crates/gateway/src/change_path_tests/change_checker.rs
@@ -48,6 +48,8 @@
     /// When instances sent heartbeats, one for each receiver.
     heartbeats: Vec<MonoTime>,
     pub(super) largest_heartbeat: usize,
+    /// Bytes of replies that all instances have sent.
+    pub(super) sent_bytes: u64,
 }
 
 /// Largest number of times within one second, from `after` the start of the run.
@@ -200,8 +202,8 @@
             return;
         }
         let simulated = &self.instances[instance];
-        let known = simulated.mirror.object(confirmed.kind, &confirmed.name);
-        let is_known = match &known {
+        let known = simulated.mirror.get(confirmed.kind, &confirmed.name);
+        let is_known = match known {
             Some(object) => write_of(object) >= confirmed.write,
             // A later removal may be known early.
             None => confirmed.is_removed || self.checker.is_replaced(change),
@@ -220,7 +222,7 @@
                 confirmed.era,
                 known.map_or("none".into(), |object| format!(
                     "{} as of {}",
-                    write_of(&object),
+                    write_of(object),
                     object.revision
                 )),
             );
@@ -234,7 +236,7 @@
         let simulated = &mut self.instances[instance];
         self.checker.record_era(simulated, self.store.era, now);
         let name = ObjectKind::CONFIGURATION_NAME;
-        let object = simulated.mirror.object(ObjectKind::Configuration, name);
+        let object = simulated.mirror.get(ObjectKind::Configuration, name);
         // Without eras, revisions go back with the store.
         let revision = object.filter(|_| simulated.guards.has_eras());
         let revision = revision.map_or(StoreRevision::ZERO, |object| object.revision);
--- a/crates/gateway/src/change_path_tests/change_world.rs
+++ b/crates/gateway/src/change_path_tests/change_world.rs
@@ -3,6 +3,7 @@
 use super::{
     change_checker::ChangeChecker,
     heartbeat_path::ReceivedHeartbeat,
+    link_model::LinkModel,
     path_settings::PathSettings,
     simulated_instance::{SimulatedInstance, WorkerSlot, WorkerState},
     simulated_store::{SimulatedStore, StoreAnswer, StoreQuestion, StoredChange},
@@ -50,6 +51,10 @@
     Request(WorkerTurn, MonoTime, usize, Rc<FeedRequest>),
     /// A reply of another instance, as a frame; `None` if there is none.
     Reply(WorkerTurn, MonoTime, usize, Option<Rc<Vec<u8>>>),
+    /// An instance sends the next piece of its frames.
+    SendPiece(usize),
+    /// A piece of the frame for which a worker waits arrives.
+    Piece(WorkerTurn, usize),
     /// An instance receives a heartbeat; `None` if it cannot be decoded.
     Heartbeat(usize, Rc<Option<ReceivedHeartbeat>>),
     /// The store is changed.
@@ -75,6 +80,7 @@
     pub(super) open_watches: Vec<StoreCall>,
     pub(super) instances: Vec<SimulatedInstance>,
     pub(super) checker: ChangeChecker,
+    pub(super) links: LinkModel,
     /// Pairs of instances that do not reach each other, and until when.
     pub(super) peer_cuts: Vec<(usize, usize, MonoTime)>,
     pub(super) heartbeat_loss_until: MonoTime,
@@ -108,6 +114,7 @@
             open_watches: Vec::new(),
             instances: Vec::new(),
             checker: ChangeChecker::default(),
+            links: LinkModel::default(),
             peer_cuts: Vec::new(),
             heartbeat_loss_until: MonoTime::default(),
             heartbeat_delay_until: MonoTime::default(),
@@ -147,6 +154,7 @@
             self.handle(event);
         }
         self.checker.largest_heartbeat = self.largest_heartbeat;
+        self.checker.sent_bytes = self.links.sent_bytes;
         self.checker
     }
 
@@ -218,7 +226,7 @@
     fn process_of(event: &WorldEvent) -> Option<usize> {
         match event {
             WorldEvent::Wake(turn) | WorldEvent::CheckWatch(turn) => Some(turn.instance),
-            WorldEvent::Reply(turn, ..) => Some(turn.instance),
+            WorldEvent::Reply(turn, ..) | WorldEvent::Piece(turn, _) => Some(turn.instance),
             WorldEvent::Answer(call, ..) | WorldEvent::GiveUp(call) => Some(call.from.instance),
             WorldEvent::Request(_, _, instance, _) | WorldEvent::Heartbeat(instance, _) => {
                 Some(*instance)
@@ -248,6 +256,8 @@
             WorldEvent::Reply(turn, asked_at, from, frame) => {
                 self.receive_reply(turn, asked_at, from, frame.as_deref());
             }
+            WorldEvent::SendPiece(from) => self.send_piece(from),
+            WorldEvent::Piece(turn, bytes) => self.record_piece(turn, bytes),
             WorldEvent::Heartbeat(to, heartbeat) => self.receive_heartbeat(to, &heartbeat),
             WorldEvent::Change => self.change_store(),
             WorldEvent::Rewrite(write) => self.rewrite(&write),
--- a/crates/gateway/src/change_path_tests/deployment_setup.rs
+++ b/crates/gateway/src/change_path_tests/deployment_setup.rs
@@ -47,7 +47,7 @@
             self.store
                 .change(ObjectKind::Servers, &name, Some(&spec), 0, self.now);
         }
-        let spec = serde_json::json!({ "write": 0 });
+        let spec = self.configuration_spec(0);
         let name = ObjectKind::CONFIGURATION_NAME;
         self.store
             .change(ObjectKind::Configuration, name, Some(&spec), 0, self.now);
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -112,8 +112,7 @@
         reply.knowledge = Some(instance.knowledge.report(self.now).into());
         let frame = Rc::new(prost::Message::encode_to_vec(&reply));
         if !self.is_cut(turn.instance, to) {
-            let transit = self.transit();
-            self.schedule_in(transit, WorldEvent::Reply(turn, asked_at, to, Some(frame)));
+            self.send_frame(turn, asked_at, to, frame);
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/change_path_tests/link_model.rs
@@ -0,0 +1,128 @@
+//! Links of the instances, which frames share in turns, piece by piece.
+
+use super::{
+    change_world::{ChangeWorld, WorkerTurn, WorldEvent},
+    simulated_instance::WorkerSlot,
+};
+use crate::prelude::*;
+use std::{collections::VecDeque, rc::Rc};
+
+/// Reply on its way to the instance that asked.
+#[derive(Clone, Debug)]
+struct FrameTransfer {
+    turn: WorkerTurn,
+    asked_at: MonoTime,
+    frame: Rc<Vec<u8>>,
+    left_bytes: usize,
+}
+
+/// Links of all instances, of the same rate in either direction.
+#[derive(Default)]
+pub(super) struct LinkModel {
+    /// Frames that each instance sends.
+    sending: IndexMap<usize, VecDeque<FrameTransfer>>,
+    /// When the last piece on its way to an instance has arrived.
+    busy_until: IndexMap<usize, MonoTime>,
+    /// Bytes that have arrived of the frame for which a worker waits.
+    arrived: IndexMap<(usize, WorkerSlot), (u64, usize)>,
+    /// Bytes that all instances have sent.
+    pub(super) sent_bytes: u64,
+}
+
+impl LinkModel {
+    fn sending_from(&mut self, from: usize) -> &mut VecDeque<FrameTransfer> {
+        self.sending.entry(from).or_default()
+    }
+}
+
+/// Time that a link takes for some bytes.
+fn link_time(bytes: usize, rate: u64) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / rate as f64)
+}
+
+impl ChangeWorld {
+    /// Number of bytes that a link carries before it turns to the next frame.
+    const PIECE_BYTES: usize = 16 << 10;
+
+    /// Sends a reply over the links of both instances.
+    pub(super) fn send_frame(
+        &mut self,
+        turn: WorkerTurn,
+        asked_at: MonoTime,
+        from: usize,
+        frame: Rc<Vec<u8>>,
+    ) {
+        let left_bytes = frame.len();
+        self.links.sent_bytes += left_bytes as u64;
+        if self.settings.link_rate.is_none() {
+            let transit = self.transit();
+            self.schedule_in(
+                transit,
+                WorldEvent::Reply(turn, asked_at, from, Some(frame)),
+            );
+            return;
+        }
+        let frames = self.links.sending_from(from);
+        let is_idle = frames.is_empty();
+        frames.push_back(FrameTransfer {
+            turn,
+            asked_at,
+            frame,
+            left_bytes,
+        });
+        if is_idle {
+            self.schedule(self.now, WorldEvent::SendPiece(from));
+        }
+    }
+
+    /// Sends the next piece of the frame whose turn it is. The rest of a frame for which nobody waits
+    /// any more is dropped.
+    pub(super) fn send_piece(&mut self, from: usize) {
+        let Some(rate) = self.settings.link_rate else {
+            return;
+        };
+        let Some(mut transfer) = self.links.sending_from(from).pop_front() else {
+            return;
+        };
+        let mut taken = Duration::ZERO;
+        if self.is_current(transfer.turn) && !self.is_cut(transfer.turn.instance, from) {
+            let bytes = transfer.left_bytes.min(Self::PIECE_BYTES);
+            taken = link_time(bytes, rate);
+            transfer.left_bytes -= bytes;
+            let sent_at = self.now.after(taken + self.transit());
+            let arrived_at = self.receive_bytes(transfer.turn.instance, bytes, sent_at);
+            if transfer.left_bytes > 0 {
+                self.schedule(arrived_at, WorldEvent::Piece(transfer.turn, bytes));
+                self.links.sending_from(from).push_back(transfer);
+            } else {
+                let (turn, asked_at) = (transfer.turn, transfer.asked_at);
+                let reply = WorldEvent::Reply(turn, asked_at, from, Some(transfer.frame));
+                self.schedule(arrived_at, reply);
+            }
+        }
+        if !self.links.sending_from(from).is_empty() {
+            self.schedule_in(taken, WorldEvent::SendPiece(from));
+        }
+    }
+
+    /// Lets bytes that were sent at `sent_at` pass the link of their receiver. Returns when they have
+    /// arrived.
+    pub(super) fn receive_bytes(&mut self, to: usize, bytes: usize, sent_at: MonoTime) -> MonoTime {
+        let Some(rate) = self.settings.link_rate else {
+            return sent_at;
+        };
+        let busy_until = self.links.busy_until.entry(to).or_default();
+        *busy_until = sent_at.max(*busy_until).after(link_time(bytes, rate));
+        *busy_until
+    }
+
+    /// Counts a piece that has arrived.
+    pub(super) fn record_piece(&mut self, turn: WorkerTurn, bytes: usize) {
+        let key = (turn.instance, turn.slot);
+        let arrived = self.links.arrived.entry(key).or_default();
+        if arrived.0 != turn.turn {
+            *arrived = (turn.turn, 0);
+        }
+        arrived.1 += bytes;
+    }
+}
--- a/crates/gateway/src/change_path_tests/path_settings.rs
+++ b/crates/gateway/src/change_path_tests/path_settings.rs
@@ -18,6 +18,11 @@
     pub(super) script: Vec<(Duration, WorldFault)>,
     /// Shortest time that a heartbeat takes.
     pub(super) heartbeat_transit: Duration,
+    /// Routes of the configuration.
+    pub(super) routes: usize,
+    /// Rate of the link of each instance, in bytes per second; without one, only the number of messages
+    /// matters.
+    pub(super) link_rate: Option<u64>,
     pub(super) guards: PathGuards,
     /// Whether every other instance is of a build that knows of no eras.
     pub(super) has_former_builds: bool,
@@ -76,6 +81,8 @@
             changes: 4,
             script: Vec::new(),
             heartbeat_transit: Duration::from_micros(200),
+            routes: 0,
+            link_rate: None,
             guards: PathGuards::ALL,
             has_former_builds: false,
         }
--- a/crates/gateway/src/change_path_tests/simulated_instance.rs
+++ b/crates/gateway/src/change_path_tests/simulated_instance.rs
@@ -7,7 +7,7 @@
 use crate::{knowledge_worker, object_watcher, prelude::*};
 
 /// Work that an instance does in a loop of its own, one call or pause at a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum WorkerSlot {
     WatchServers,
     WatchConfiguration,
--- a/crates/gateway/src/change_path_tests/store_path.rs
+++ b/crates/gateway/src/change_path_tests/store_path.rs
@@ -97,9 +97,11 @@
 
     fn answer(&mut self, call: &StoreCall, answer: StoreAnswer) {
         if self.instances[call.from.instance].cut_until <= self.now {
-            let transit = self.transit();
+            let sent_at = self.now.after(self.transit());
+            let bytes = self.configuration_bytes(&answer);
+            let arrived_at = self.receive_bytes(call.from.instance, bytes, sent_at);
             let answer = WorldEvent::Answer(call.clone(), self.store.era, Rc::new(answer));
-            self.schedule_in(transit, answer);
+            self.schedule(arrived_at, answer);
         }
     }
 
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -208,7 +208,7 @@
     }
 
     fn configure(&mut self) {
-        let spec = serde_json::json!({ "write": self.last_write + 1 });
+        let spec = self.configuration_spec(self.last_write + 1);
         let name = ObjectKind::CONFIGURATION_NAME;
         self.write_new(ObjectKind::Configuration, name, Some(&spec));
     }
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -274,9 +274,14 @@
         names.collect()
     }
 
+    /// One object.
+    pub(crate) fn get(&self, kind: ObjectKind, name: &str) -> Option<&PlatformObject> {
+        self.kinds[position_of(kind)].objects.get(name)
+    }
+
     /// Copy of one object.
     pub(crate) fn object(&self, kind: ObjectKind, name: &str) -> Option<PlatformObject> {
-        self.kinds[position_of(kind)].objects.get(name).cloned()
+        self.get(kind, name).cloned()
     }
 
     /// Turns a delta into an update, and raises the latest revision to that of the sender unless the
