Wait for a reply of another instance as long as it arrives

Cause: the wait for a reply had a bound on the whole of it (0.6 s, 0.15 s when asking around). A transfer that took longer was thrown away and begun anew at another instance, beside what was still on the link; the more instances did so, the less arrived.

Change: the bound is on the time without a further byte (TransferProgress, which the codec feeds). An instance that is silent is given up as soon as before. The simulation waits alike.

--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -77,11 +77,7 @@
         }
         let request = Rc::new(request);
         let no_reply = WorldEvent::Reply(turn, self.now, to, None);
-        let timeout = match slot {
-            WorkerSlot::Check => knowledge_worker::PEER_TIMEOUT,
-            _ => feed_client::REQUEST_TIMEOUT,
-        };
-        self.schedule_in(timeout, no_reply.clone());
+        self.schedule_in(Self::stall_timeout(slot), no_reply.clone());
         let transit = self.transit();
         if self.instances[to].started_at > self.now {
             self.schedule_in(transit, no_reply);
@@ -91,6 +87,14 @@
         }
     }
 
+    /// Longest time without a further piece of a reply.
+    fn stall_timeout(slot: WorkerSlot) -> Duration {
+        match slot {
+            WorkerSlot::Check => knowledge_worker::PEER_TIMEOUT,
+            _ => feed_client::REQUEST_TIMEOUT,
+        }
+    }
+
     pub(super) fn serve_request(
         &mut self,
         turn: WorkerTurn,
@@ -130,6 +134,11 @@
         if !self.is_current(turn) {
             return;
         }
+        if frame.is_none() && self.has_progress(turn) {
+            let no_reply = WorldEvent::Reply(turn, asked_at, from, None);
+            self.schedule_in(Self::stall_timeout(turn.slot), no_reply);
+            return;
+        }
         let index = turn.instance;
         let changed = frame.and_then(|frame| self.apply_reply(index, frame, asked_at));
         let is_watching = self.instances[index].should_watch(self.now);
--- a/crates/gateway/src/change_path_tests/link_model.rs
+++ b/crates/gateway/src/change_path_tests/link_model.rs
@@ -25,6 +25,8 @@
     busy_until: IndexMap<usize, MonoTime>,
     /// Bytes that have arrived of the frame for which a worker waits.
     arrived: IndexMap<(usize, WorkerSlot), (u64, usize)>,
+    /// How many of them had arrived when the worker last looked.
+    seen: IndexMap<(usize, WorkerSlot), (u64, usize)>,
     /// Bytes that all instances have sent.
     pub(super) sent_bytes: u64,
 }
@@ -116,6 +118,16 @@
         *busy_until
     }
 
+    /// Whether more of the frame for which a worker waits has arrived since it last looked.
+    pub(super) fn has_progress(&mut self, turn: WorkerTurn) -> bool {
+        let key = (turn.instance, turn.slot);
+        let arrived = self.links.arrived.get(&key).copied();
+        let Some(arrived) = arrived.filter(|(number, _)| *number == turn.turn) else {
+            return false;
+        };
+        self.links.seen.insert(key, arrived) != Some(arrived)
+    }
+
     /// Counts a piece that has arrived.
     pub(super) fn record_piece(&mut self, turn: WorkerTurn, bytes: usize) {
         let key = (turn.instance, turn.slot);
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -9,7 +9,7 @@
     update_router::{self, UpdateSource},
 };
 
-/// Longest wait for a reply.
+/// Longest time without a further byte of a reply.
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay after a failed request.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -30,7 +30,7 @@
     Unchanged,
     /// The reply lacks an object.
     Incomplete,
-    /// The reply was not complete in time.
+    /// Nothing more of the reply came for some time.
     TimedOut,
     /// The other instance was not reached, or its reply cannot be decoded.
     Lost,
--- a/crates/gateway/src/feed_connection.rs
+++ b/crates/gateway/src/feed_connection.rs
@@ -32,14 +32,15 @@
 pub(crate) enum FeedExchange {
     /// The complete reply.
     Replied(FeedReply),
-    /// The reply was not complete in time.
+    /// Nothing more of the reply came for some time.
     TimedOut,
     /// The instance was not reached, the connection ended, or the reply cannot be decoded.
     Lost,
 }
 
-/// Sends a request and reads the reply within `timeout`, over the connection if it is one to
-/// `address`, and otherwise over a new one that replaces it.
+/// Sends a request and reads the reply, over the connection if it is one to `address`, and otherwise
+/// over a new one that replaces it. Gives up when nothing has arrived for `timeout`: a large reply on
+/// a narrow link takes longer, and another one would take as long.
 pub(crate) async fn exchange(
     connection: &mut Option<FeedConnection>,
     address: SocketAddr,
@@ -48,7 +49,7 @@
     timeout: Duration,
 ) -> FeedExchange {
     let timed_out = async {
-        Timer::after(timeout).await;
+        progress.stalled(timeout).await;
         FeedExchange::TimedOut
     };
     let reply = async {
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -14,7 +14,7 @@
 pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The same after several calls that did not help.
 pub(crate) const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Longest wait for the updates of another instance, which may be gone.
+/// Longest time without a further byte of the updates of another instance, which may be gone.
 pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without an answer after which another check of the store may begin.
 pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,8 @@
 mod feed_client;
 mod feed_codec;
 mod feed_connection;
+#[cfg(test)]
+mod feed_connection_tests;
 mod feed_replies;
 #[cfg(test)]
 mod feed_replies_tests;
--- a/crates/gateway/src/transfer_progress.rs
+++ b/crates/gateway/src/transfer_progress.rs
@@ -14,6 +14,22 @@
         self.received.fetch_max(bytes, Ordering::Relaxed);
     }
 
+    /// Completes when nothing has arrived for `timeout`.
+    pub(crate) async fn stalled(&self, timeout: Duration) {
+        /// Number of looks within the time.
+        const LOOKS: u32 = 4;
+        let mut received = self.received_bytes();
+        let mut quiet_looks = 0;
+        while quiet_looks < LOOKS {
+            Timer::after(timeout / LOOKS).await;
+            let before = std::mem::replace(&mut received, self.received_bytes());
+            quiet_looks = match received > before {
+                true => 0,
+                false => quiet_looks + 1,
+            };
+        }
+    }
+
     /// Number of bytes that have arrived so far.
     pub(crate) fn received_bytes(&self) -> usize {
         self.received.load(Ordering::Relaxed)
