Compress what instances send each other

Cause: replies are JSON in protobuf, sent as they are. 1,500 routes are 225 KB, 60 times on the sender's link.

Change: replies from 1 KB on are compressed (flate2, its fastest level) for requesters that say that they read it; the encoded form is kept and shared as before. What is restored is bounded by the largest reply. Requests move to feed_request.rs.

--- a/crates/gateway/src/change_path_tests/change_world.rs
+++ b/crates/gateway/src/change_path_tests/change_world.rs
@@ -9,7 +9,7 @@
     simulated_store::{SimulatedStore, StoreAnswer, StoreQuestion, StoredChange},
     world_fault::WorldFault,
 };
-use crate::{feed_wire::FeedRequest, prelude::*};
+use crate::{feed_request::FeedRequest, prelude::*};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{collections::BTreeMap, rc::Rc};
 
--- a/crates/gateway/src/change_path_tests/era_steps.rs
+++ b/crates/gateway/src/change_path_tests/era_steps.rs
@@ -7,7 +7,7 @@
     simulated_store::{StoreAnswer, StoreQuestion},
 };
 use crate::{
-    feed_wire::FeedRequest,
+    feed_request::FeedRequest,
     mirror_delta::{MirrorDelta, RemainingObjects},
     peer_heartbeat::PeerHeartbeat,
     prelude::*,
--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -7,7 +7,8 @@
 };
 use crate::{
     feed_client,
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     knowledge_worker,
     mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
@@ -71,6 +72,7 @@
             latest_revisions: mirror.latest_revisions(),
             takes_evacuations: false,
             patch_base: mirror.patch_base(),
+            reads_compressed: true,
         };
         if !self.instances[index].guards.feed_eras {
             era_steps::forget_request_eras(&mut request);
--- a/crates/gateway/src/change_path_tests/large_configuration.rs
+++ b/crates/gateway/src/change_path_tests/large_configuration.rs
@@ -99,6 +99,20 @@
     assert!(bytes[1] < bytes[0] * 2, "{bytes:?} bytes");
 }
 
+// Guards against a change that is late since it is large itself.
+#[test]
+fn many_routes_that_are_added_at_once_are_in_force_in_time_on_narrow_links() {
+    let mut settings = storm(60, 1_400, 1);
+    let add = |number: u64| {
+        let at = Duration::from_secs(4 + 3 * number);
+        (at, WorldFault::AddRoutes(1_400))
+    };
+    settings.script.extend((0..2).map(add));
+    settings.duration = Duration::from_secs(12);
+    let checker = run(settings);
+    assert!(checker.violations.is_empty(), "{:?}", checker.violations);
+}
+
 // Guards against instances that start together and get the configuration too late, each from the
 // beginning again and again.
 #[test]
--- a/crates/gateway/src/change_path_tests/world_fault.rs
+++ b/crates/gateway/src/change_path_tests/world_fault.rs
@@ -41,6 +41,8 @@
     RefuseInstances(f64, Duration),
     /// A change of the configuration, at a time that is not drawn.
     Configure,
+    /// Adds routes to the configuration by one change.
+    AddRoutes(usize),
 }
 
 impl WorldFault {
@@ -148,6 +150,10 @@
                 }
             }
             WorldFault::Configure => self.configure(),
+            WorldFault::AddRoutes(count) => {
+                self.settings.routes += count;
+                self.configure();
+            }
         }
     }
 
--- a/crates/gateway/src/evacuation_feed_tests.rs
+++ b/crates/gateway/src/evacuation_feed_tests.rs
@@ -3,7 +3,8 @@
 use crate::{
     evacuation_tests::{self, change, node_without_evacuations, revision, usable},
     feed_replies::FeedReplies,
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
     test_node,
--- a/crates/gateway/src/evacuation_wire_tests.rs
+++ b/crates/gateway/src/evacuation_wire_tests.rs
@@ -1,7 +1,8 @@
 //! Messages about evacuations, and how a build that knows of none reads them.
 
 use crate::{
-    feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
+    feed_request::{FeedRequest, FeedRequestWire},
+    feed_wire::FeedReplyWire,
     mirror_delta::{MirrorDelta, RemainingObjects},
     peer_heartbeat::PeerHeartbeat,
     prelude::*,
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     feed_connection::{self, FeedConnection, FeedExchange, FeedReply},
-    feed_wire::FeedRequest,
+    feed_request::FeedRequest,
     mirror_delta::DeltaOutcome,
     prelude::*,
     transfer_progress::TransferProgress,
@@ -152,6 +152,7 @@
             latest_revisions: mirror.latest_revisions(),
             takes_evacuations: node.takes_evacuations(),
             patch_base: mirror.patch_base(),
+            reads_compressed: true,
         }
     };
     let exchange = feed_connection::exchange(connection, address, request, &progress, timeout);
--- a/crates/gateway/src/feed_codec.rs
+++ b/crates/gateway/src/feed_codec.rs
@@ -9,7 +9,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 /// Largest reply, in bytes: enough for the configuration, which is one value of the store.
-const MAX_REPLY_BYTES: usize = 8 << 20;
+pub(crate) const MAX_REPLY_BYTES: usize = 8 << 20;
 /// Largest request, in bytes: a hundred times what this build sends, for fields of later ones.
 const MAX_REQUEST_BYTES: usize = 64 << 10;
 
--- a/crates/gateway/src/feed_connection.rs
+++ b/crates/gateway/src/feed_connection.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     feed_codec::FeedCodec,
+    feed_request::{FeedRequest, FeedRequestWire},
     feed_server::{FeedFrames, frame_stream},
-    feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
+    feed_wire::FeedReplyWire,
     mirror_delta::MirrorDelta,
     prelude::*,
     transfer_progress::TransferProgress,
--- a/crates/gateway/src/feed_connection_tests.rs
+++ b/crates/gateway/src/feed_connection_tests.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     feed_connection::{self, FeedExchange},
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     prelude::*,
     transfer_progress::TransferProgress,
 };
--- a/crates/gateway/src/feed_replies.rs
+++ b/crates/gateway/src/feed_replies.rs
@@ -5,7 +5,8 @@
 //! one kind may change while the others stay as they are.
 
 use crate::{
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     object_mirror::{OBJECT_KINDS, position_of},
     prelude::*,
 };
@@ -24,6 +25,7 @@
     synced_revision: StoreRevision,
     latest_revision: StoreRevision,
     patch_base: StoreRevision,
+    is_compressed: bool,
 }
 
 struct EncodedDelta {
@@ -45,6 +47,7 @@
                 ObjectKind::Configuration => request.patch_base,
                 _ => StoreRevision::ZERO,
             },
+            is_compressed: request.reads_compressed,
         }
     }
 }
@@ -99,7 +102,7 @@
         }
         let delta = mirror.delta(kind, request);
         let wire = FeedReplyWire::from(Vec::from_iter(delta));
-        let bytes = Bytes::from(prost::Message::encode_to_vec(&wire));
+        let bytes = wire.encode(key.is_compressed);
         deltas.retain(|delta| delta.key != key);
         deltas.push_front(EncodedDelta {
             key,
--- a/crates/gateway/src/feed_replies_tests.rs
+++ b/crates/gateway/src/feed_replies_tests.rs
@@ -1,10 +1,8 @@
 //! Replies that are encoded once for many instances.
 
 use crate::{
-    feed_replies::FeedReplies,
-    feed_wire::{FeedReplyWire, FeedRequest},
-    mirror_delta::MirrorDelta,
-    prelude::*,
+    feed_replies::FeedReplies, feed_request::FeedRequest, feed_wire::FeedReplyWire,
+    mirror_delta::MirrorDelta, prelude::*,
 };
 
 /// Request of an instance that knows nothing.
@@ -13,6 +11,7 @@
     latest_revisions: [StoreRevision::ZERO; KIND_COUNT],
     takes_evacuations: false,
     patch_base: StoreRevision::ZERO,
+    reads_compressed: false,
 };
 
 const KINDS: [ObjectKind; 3] = [
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -3,7 +3,8 @@
 use crate::{
     descriptor_plan::DescriptorPlan,
     feed_codec::FeedCodec,
-    feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
+    feed_request::{FeedRequest, FeedRequestWire},
+    feed_wire::FeedReplyWire,
     listener_guard,
     prelude::*,
 };
--- a/crates/gateway/src/feed_server_tests.rs
+++ b/crates/gateway/src/feed_server_tests.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     feed_codec::FeedCodec,
+    feed_request::{FeedRequest, FeedRequestWire},
     feed_server,
-    feed_wire::{FeedRequest, FeedRequestWire},
     prelude::*,
     test_node,
 };
--- a/crates/gateway/src/feed_wire.rs
+++ b/crates/gateway/src/feed_wire.rs
@@ -1,64 +1,17 @@
-//! Protobuf messages of the feed between instances.
+//! Replies of the feed between instances, as protobuf messages.
 
 use crate::{
     era_wire::EraWire,
+    feed_codec::MAX_REPLY_BYTES,
     knowledge_wire::KnowledgeWire,
     mirror_delta::{MirrorDelta, RemainingObjects},
     object_mirror::{OBJECT_KINDS, position_of},
     patch_history::PatchedObject,
     patch_wire::PatchedObjectWire,
     prelude::*,
-    revisions_wire::{
-        FORMER_KIND_COUNT, KindRevisionsWire, eras, former_kinds, numbers, with_eras,
-    },
+    reply_compression,
 };
-
-/// Request for the objects that changed after the requester's revisions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct FeedRequest {
-    /// Revisions up to which the requester knows all changes, by kind.
-    pub(crate) synced_revisions: KindRevisions,
-    /// Highest revisions that the requester has seen, by kind.
-    pub(crate) latest_revisions: KindRevisions,
-    /// Whether the requester takes evacuations.
-    pub(crate) takes_evacuations: bool,
-    /// Revision of the requester's configuration, to which differences may be applied; zero if it
-    /// wants the whole.
-    pub(crate) patch_base: StoreRevision,
-}
-
-impl FeedRequest {
-    /// Takes revisions that were sent without an era to be of the given one.
-    pub(crate) fn assume_era(self, era: u64) -> Self {
-        Self {
-            synced_revisions: self.synced_revisions.map(|revision| revision.or_era(era)),
-            latest_revisions: self.latest_revisions.map(|revision| revision.or_era(era)),
-            ..self
-        }
-    }
-}
-
-#[derive(prost::Message)]
-pub(crate) struct FeedRequestWire {
-    #[prost(uint64, repeated, tag = "1")]
-    synced_revisions: Vec<u64>,
-    #[prost(uint64, repeated, tag = "2")]
-    latest_revisions: Vec<u64>,
-    /// Eras of the revisions; missing from builds that know of none.
-    #[prost(uint64, repeated, tag = "3")]
-    synced_eras: Vec<u64>,
-    #[prost(uint64, repeated, tag = "4")]
-    latest_eras: Vec<u64>,
-    /// Revisions of the evacuations; missing if the requester takes none. Builds that know of none
-    /// reject a request with more than three entries in the fields above.
-    #[prost(message, optional, tag = "5")]
-    evacuations: Option<KindRevisionsWire>,
-    /// Missing from builds that take no differences.
-    #[prost(uint64, tag = "6")]
-    patch_base: u64,
-    #[prost(uint64, tag = "7")]
-    patch_base_era: u64,
-}
+use std::io;
 
 #[derive(prost::Message)]
 pub(crate) struct FeedReplyWire {
@@ -73,6 +26,9 @@
     /// the objects' text, so that fewer damaged frames are rejected as a whole.
     #[prost(bool, tag = "16")]
     pub(crate) knows_evacuations: bool,
+    /// Compressed messages of this type, whose fields belong to this one.
+    #[prost(bytes = "bytes", repeated, tag = "17")]
+    pub(crate) compressed: Vec<Bytes>,
 }
 
 #[derive(prost::Message)]
@@ -155,49 +111,6 @@
     era: u64,
 }
 
-impl From<FeedRequest> for FeedRequestWire {
-    fn from(request: FeedRequest) -> Self {
-        let synced = former_kinds(&request.synced_revisions);
-        let latest = former_kinds(&request.latest_revisions);
-        Self {
-            synced_revisions: numbers(synced),
-            latest_revisions: numbers(latest),
-            synced_eras: eras(synced),
-            latest_eras: eras(latest),
-            patch_base: request.patch_base.number,
-            patch_base_era: request.patch_base.era,
-            evacuations: request.takes_evacuations.then(|| {
-                let position = position_of(ObjectKind::Evacuations);
-                KindRevisionsWire::new(
-                    request.synced_revisions[position],
-                    request.latest_revisions[position],
-                )
-            }),
-        }
-    }
-}
-
-impl TryFrom<FeedRequestWire> for FeedRequest {
-    type Error = Vec<u64>;
-
-    fn try_from(wire: FeedRequestWire) -> Result<Self, Vec<u64>> {
-        let synced: [u64; FORMER_KIND_COUNT] = wire.synced_revisions.try_into()?;
-        let latest: [u64; FORMER_KIND_COUNT] = wire.latest_revisions.try_into()?;
-        let mut request = Self {
-            synced_revisions: with_eras(&synced, &wire.synced_eras),
-            latest_revisions: with_eras(&latest, &wire.latest_eras),
-            takes_evacuations: wire.evacuations.is_some(),
-            patch_base: StoreRevision::new(wire.patch_base_era, wire.patch_base),
-        };
-        if let Some(known) = wire.evacuations {
-            let position = position_of(ObjectKind::Evacuations);
-            request.synced_revisions[position] = known.synced();
-            request.latest_revisions[position] = known.latest();
-        }
-        Ok(request)
-    }
-}
-
 impl From<Vec<MirrorDelta>> for FeedReplyWire {
     fn from(deltas: Vec<MirrorDelta>) -> Self {
         let object = |object: PlatformObject| ObjectWire {
@@ -228,16 +141,49 @@
             knowledge: None,
             era: None,
             knows_evacuations: false,
+            compressed: Vec::new(),
         }
     }
 }
 
+impl FeedReplyWire {
+    /// Encodes the message, compressed if the receiver reads that and it is worth it.
+    pub(crate) fn encode(&self, is_compressed: bool) -> Bytes {
+        let message = prost::Message::encode_to_vec(self);
+        let compressed = is_compressed.then(|| reply_compression::compress(&message));
+        match compressed.flatten() {
+            Some(compressed) => {
+                let wire = Self {
+                    compressed: vec![compressed],
+                    ..Self::from(Vec::new())
+                };
+                prost::Message::encode_to_vec(&wire).into()
+            }
+            None => message.into(),
+        }
+    }
+
+    /// Deltas of this message, those of compressed ones included.
+    fn all_deltas(self) -> io::Result<Vec<MirrorDeltaWire>> {
+        let mut deltas = self.deltas;
+        let mut left_bytes = MAX_REPLY_BYTES;
+        for compressed in &self.compressed {
+            let message = reply_compression::decompress(compressed, left_bytes)?;
+            left_bytes -= message.len();
+            let wire = <Self as prost::Message>::decode(&message[..])?;
+            deltas.extend(wire.deltas);
+        }
+        Ok(deltas)
+    }
+}
+
 impl TryFrom<FeedReplyWire> for Vec<MirrorDelta> {
-    type Error = serde_json::Error;
+    type Error = io::Error;
 
-    fn try_from(wire: FeedReplyWire) -> Result<Self, serde_json::Error> {
-        let mut deltas = Vec::with_capacity(wire.deltas.len());
-        for mut delta in wire.deltas {
+    fn try_from(wire: FeedReplyWire) -> io::Result<Self> {
+        let wires = wire.all_deltas()?;
+        let mut deltas = Vec::with_capacity(wires.len());
+        for mut delta in wires {
             let Some(kind) = OBJECT_KINDS.get(delta.kind as usize) else {
                 continue;
             };
--- a/crates/gateway/src/former_wire_tests.rs
+++ b/crates/gateway/src/former_wire_tests.rs
@@ -1,7 +1,8 @@
 //! Frames of a build that knows of no eras, and frames of this build as that one reads them.
 
 use crate::{
-    feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
+    feed_request::{FeedRequest, FeedRequestWire},
+    feed_wire::FeedReplyWire,
     knowledge_wire::KnowledgeWire,
     mirror_delta::{MirrorDelta, RemainingObjects},
     peer_heartbeat::{PeerHeartbeat, RecordUpdate},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 mod feed_replies;
 #[cfg(test)]
 mod feed_replies_tests;
+mod feed_request;
 mod feed_server;
 #[cfg(test)]
 mod feed_server_tests;
@@ -160,6 +161,9 @@
 mod relay_terms;
 #[cfg(test)]
 mod relay_terms_tests;
+mod reply_compression;
+#[cfg(test)]
+mod reply_compression_tests;
 mod request_dispatch;
 mod request_handler;
 mod request_log;
--- a/crates/gateway/src/mirror_era_tests.rs
+++ b/crates/gateway/src/mirror_era_tests.rs
@@ -2,7 +2,8 @@
 //! end with the store's objects.
 
 use crate::{
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
     test_objects,
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -1,7 +1,7 @@
 //! Local copy of the store's objects, from which other instances are updated.
 
 use crate::{
-    feed_wire::FeedRequest,
+    feed_request::FeedRequest,
     kind_mirror::KindMirror,
     mirror_delta::{DeltaOutcome, MirrorDelta, RemainingObjects, changes_from},
     prelude::*,
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -1,7 +1,8 @@
 //! Deltas between mirrors: applied by the receiver, they give it the same objects as the sender.
 
 use crate::{
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     mirror_delta::{DeltaOutcome, MirrorDelta, RemainingObjects},
     prelude::*,
     test_objects,
--- a/crates/gateway/src/patch_history_tests.rs
+++ b/crates/gateway/src/patch_history_tests.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     feed_replies::FeedReplies,
-    feed_wire::{FeedReplyWire, FeedRequest},
+    feed_request::FeedRequest,
+    feed_wire::FeedReplyWire,
     mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
     test_objects,
@@ -163,10 +164,11 @@
 
 // Guards against an instance of a build that takes no differences and is sent some.
 #[test]
-fn request_without_a_base_gets_the_whole() {
+fn request_of_a_former_build_gets_the_whole() {
     let [source, mut receiver] = behind_by_one();
     let request = FeedRequest {
         patch_base: StoreRevision::ZERO,
+        reads_compressed: false,
         ..test_objects::request_of(&receiver)
     };
     let (length, is_complete) = ask(&source, &mut receiver, request);
--- a/crates/gateway/src/test_objects.rs
+++ b/crates/gateway/src/test_objects.rs
@@ -1,7 +1,7 @@
 //! Objects and updates of the store for tests.
 
 use crate::{
-    feed_wire::FeedRequest,
+    feed_request::FeedRequest,
     mirror_delta::MirrorDelta,
     object_mirror::OBJECT_KINDS,
     prelude::*,
@@ -15,6 +15,7 @@
         latest_revisions: mirror.latest_revisions(),
         takes_evacuations: true,
         patch_base: mirror.patch_base(),
+        reads_compressed: true,
     }
 }
 
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -2,7 +2,8 @@
 //! and a decoded one leaves the tables valid.
 
 use crate::{
-    feed_wire::{FeedReplyWire, FeedRequest, FeedRequestWire},
+    feed_request::{FeedRequest, FeedRequestWire},
+    feed_wire::FeedReplyWire,
     mirror_delta::{DeltaOutcome, MirrorDelta},
     peer_heartbeat::{
         ColdServer, GrantedRange, KeySamples, KnownLimit, KnownRest, LeadershipStatus,
