Read answers of the store as long as they arrive

Suspected: instances that fall back on the store, as they lag, do not get a large configuration from it either.

A read had to be complete within 1 s, and within 0.3 s on a kept connection; 450 KB take 0.36 s at 10 Mbit/s, beside other traffic longer. Such a call counted as a failure of the store.

Change: once the body of an answer has begun, the bound is 0.6 s without a further piece of it (ExchangeLimits::stall_timeout). Only the store's client uses it; requests of callers keep their bounds. The simulated store's answers pass the links too, and are waited for alike.

Result: answer_that_takes_longer_than_the_timeout_is_read_while_it_goes_on failed before ('no complete answer within the timeout') and passes.

--- a/crates/daemon/src/server_session.rs
+++ b/crates/daemon/src/server_session.rs
@@ -60,6 +60,7 @@
         let limits = ExchangeLimits {
             timeout: options.remaining,
             reused_timeout: options.reused_timeout,
+            stall_timeout: None,
             max_answer_bytes: options.max_answer_bytes,
         };
         let answer = self.http.exchange_within(message, limits).await;
--- a/crates/gateway/src/change_path_tests/link_model.rs
+++ b/crates/gateway/src/change_path_tests/link_model.rs
@@ -27,6 +27,8 @@
     arrived: IndexMap<(usize, WorkerSlot), (u64, usize)>,
     /// How many of them had arrived when the worker last looked.
     seen: IndexMap<(usize, WorkerSlot), (u64, usize)>,
+    /// When the answer of the store on its way to a worker has arrived.
+    answered_at: IndexMap<(usize, WorkerSlot), (u64, MonoTime)>,
     /// Bytes that all instances have sent.
     pub(super) sent_bytes: u64,
 }
@@ -118,6 +120,18 @@
         *busy_until
     }
 
+    /// Records when an answer of the store has arrived over the link of its receiver.
+    pub(super) fn record_answer(&mut self, turn: WorkerTurn, arrived_at: MonoTime) {
+        let key = (turn.instance, turn.slot);
+        self.links.answered_at.insert(key, (turn.turn, arrived_at));
+    }
+
+    /// When the answer of the store arrives that is on its way to a worker.
+    pub(super) fn arriving_answer(&self, turn: WorkerTurn) -> Option<MonoTime> {
+        let (number, arrived_at) = self.links.answered_at.get(&(turn.instance, turn.slot))?;
+        (*number == turn.turn && *arrived_at > self.now).then_some(*arrived_at)
+    }
+
     /// Whether more of the frame for which a worker waits has arrived since it last looked.
     pub(super) fn has_progress(&mut self, turn: WorkerTurn) -> bool {
         let key = (turn.instance, turn.slot);
--- a/crates/gateway/src/change_path_tests/store_path.rs
+++ b/crates/gateway/src/change_path_tests/store_path.rs
@@ -100,6 +100,9 @@
             let sent_at = self.now.after(self.transit());
             let bytes = self.configuration_bytes(&answer);
             let arrived_at = self.receive_bytes(call.from.instance, bytes, sent_at);
+            if bytes > 0 {
+                self.record_answer(call.from, arrived_at);
+            }
             let answer = WorldEvent::Answer(call.clone(), self.store.era, Rc::new(answer));
             self.schedule(arrived_at, answer);
         }
@@ -155,6 +158,10 @@
         if !self.is_current(call.from) {
             return;
         }
+        if let Some(arrived_at) = self.arriving_answer(call.from) {
+            self.schedule(arrived_at, WorldEvent::GiveUp(call.clone()));
+            return;
+        }
         let now = self.now;
         let instance = &mut self.instances[call.from.instance];
         instance.idle.clear();
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -5,7 +5,6 @@
     feed_request::FeedRequest,
     mirror_delta::DeltaOutcome,
     prelude::*,
-    transfer_progress::TransferProgress,
     update_router::{self, UpdateSource},
 };
 
--- a/crates/gateway/src/feed_codec.rs
+++ b/crates/gateway/src/feed_codec.rs
@@ -3,8 +3,8 @@
 //! A request is a few hundred bytes long, a reply contains objects of the store. Without a bound of
 //! their own, requests could make an instance buffer as much for each connection as replies need.
 
-use crate::transfer_progress::TransferProgress;
 use bytes::{Bytes, BytesMut};
+use geraniummast_net::TransferProgress;
 use std::io;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
--- a/crates/gateway/src/feed_connection.rs
+++ b/crates/gateway/src/feed_connection.rs
@@ -7,7 +7,6 @@
     feed_wire::FeedReplyWire,
     mirror_delta::MirrorDelta,
     prelude::*,
-    transfer_progress::TransferProgress,
 };
 use futures_lite::StreamExt;
 use futures_util::SinkExt;
--- a/crates/gateway/src/feed_connection_tests.rs
+++ b/crates/gateway/src/feed_connection_tests.rs
@@ -5,7 +5,6 @@
     feed_request::FeedRequest,
     feed_wire::FeedReplyWire,
     prelude::*,
-    transfer_progress::TransferProgress,
 };
 use std::{
     io::{Read, Write},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -212,7 +212,6 @@
 mod test_objects;
 #[cfg(test)]
 mod test_store;
-mod transfer_progress;
 #[cfg(test)]
 mod unexpected_error_tests;
 mod update_router;
--- a/crates/gateway/src/object_client.rs
+++ b/crates/gateway/src/object_client.rs
@@ -29,6 +29,9 @@
     /// new one.
     pub(crate) const REUSED_TIMEOUT: Duration = Duration::from_millis(300);
 
+    /// Time without a further piece of an answer after which it counts as lost.
+    const STALL_TIMEOUT: Duration = Duration::from_millis(600);
+
     /// Creates a client of the store at `address`.
     pub(crate) fn new(pool: Arc<WorkerPool>, address: SocketAddr) -> Self {
         Self {
@@ -169,6 +172,7 @@
         ExchangeLimits {
             timeout,
             reused_timeout,
+            stall_timeout: Some(Self::STALL_TIMEOUT),
             max_answer_bytes: HttpClient::MAX_ANSWER_BYTES,
         }
     }
--- a/crates/gateway/src/object_client_tests.rs
+++ b/crates/gateway/src/object_client_tests.rs
@@ -1,6 +1,8 @@
 //! Calls to a store that comes back from an older copy.
 
-use crate::{prelude::*, test_node, test_store};
+use crate::{prelude::*, test_http, test_node, test_store};
+use http::HeaderMap;
+use std::io::{BufReader, Write};
 
 const KIND: ObjectKind = ObjectKind::Servers;
 
@@ -113,3 +115,32 @@
         "{overtaken:?}"
     );
 }
+
+// Guards against a large configuration that a narrow link never delivers, since each call for it is
+// given up before the answer is complete.
+#[test]
+fn answer_that_takes_longer_than_the_timeout_is_read_while_it_goes_on() {
+    /// Time between two pieces, which are as many as make the answer late.
+    const INTERVAL: Duration = Duration::from_millis(100);
+    let (_, body) = page(100, false);
+    let answer = test_http::answer(200, &HeaderMap::new(), &body.to_string());
+    let address = test_http::accept_each(move |mut stream| {
+        let answer = answer.clone();
+        std::thread::spawn(move || {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            if test_http::read_head(&mut reader).is_none() {
+                return;
+            }
+            let pieces = answer.len() as u32;
+            let late = (ObjectClient::TIMEOUT + INTERVAL * 5).as_millis() / INTERVAL.as_millis();
+            for piece in answer.as_bytes().chunks((pieces / late as u32) as usize) {
+                std::thread::sleep(INTERVAL);
+                if stream.write_all(piece).is_err() {
+                    return;
+                }
+            }
+        });
+    });
+    let node = test_node::build_with_store(address);
+    assert_eq!(list(&node).unwrap().number, 100);
+}
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -17,6 +17,7 @@
 const RELEASE_LIMITS: ExchangeLimits = ExchangeLimits {
     timeout: RELEASE_TIMEOUT,
     reused_timeout: RELEASE_TIMEOUT,
+    stall_timeout: None,
     max_answer_bytes: MAX_ANSWER_BYTES,
 };
 /// Delay after which a failed renewal is sent again.
--- a/crates/gateway/src/relay_client.rs
+++ b/crates/gateway/src/relay_client.rs
@@ -155,6 +155,7 @@
     let limits = ExchangeLimits {
         timeout: left,
         reused_timeout: left,
+        stall_timeout: None,
         max_answer_bytes: MAX_ANSWER_BYTES,
     };
     let guard = HelperUse::start(helper, sent_at);
--- a/crates/net/src/http_client.rs
+++ b/crates/net/src/http_client.rs
@@ -24,10 +24,14 @@
 /// Limits of one exchange.
 #[derive(Clone, Copy, Debug)]
 pub struct ExchangeLimits {
-    /// Longest time until the complete answer has been read.
+    /// Longest time until the complete answer has been read, or until its body begins if there is a
+    /// `stall_timeout`.
     pub timeout: Duration,
     /// Longest time on a reused connection, whose peer may have stopped answering.
     pub reused_timeout: Duration,
+    /// Longest time without a further piece of the body once it has begun, for answers whose length
+    /// says how long they take; `None` if the times above hold for the whole answer.
+    pub stall_timeout: Option<Duration>,
     /// Largest accepted body of the answer, in bytes.
     pub max_answer_bytes: usize,
 }
@@ -74,6 +78,7 @@
         let limits = ExchangeLimits {
             timeout,
             reused_timeout: timeout,
+            stall_timeout: None,
             max_answer_bytes: Self::MAX_ANSWER_BYTES,
         };
         self.exchange_within(request, limits).await
@@ -105,8 +110,14 @@
             None => limits.timeout,
         };
         let deadline = started + timeout;
+        let progress = TransferProgress::default();
         let timed_out = async {
             async_io::Timer::at(deadline).await;
+            if let Some(stall_timeout) = limits.stall_timeout
+                && progress.received_bytes() > 0
+            {
+                progress.stalled(stall_timeout).await;
+            }
             None
         };
         let mut connection = match reused {
@@ -119,7 +130,8 @@
         };
         let exchange = async {
             let max_bytes = limits.max_answer_bytes;
-            let exchange = connection.exchange_within_budget(request, max_bytes, &self.budget);
+            let budget = &self.budget;
+            let exchange = connection.exchange_tracked(request, max_bytes, budget, &progress);
             Some(exchange.await)
         };
         let response = match future::or(exchange, timed_out).await {
--- a/crates/net/src/http_connection.rs
+++ b/crates/net/src/http_connection.rs
@@ -64,6 +64,20 @@
         request: Request<impl Into<MessageBody>>,
         max_answer_bytes: usize,
         budget: &Arc<MemoryBudget>,
+    ) -> Result<Response<StoredBody>, ExchangeError> {
+        let progress = TransferProgress::default();
+        self.exchange_tracked(request, max_answer_bytes, budget, &progress)
+            .await
+    }
+
+    /// Like [`Self::exchange_within_budget`], and records in `progress` how much of the answer's body
+    /// has arrived.
+    pub async fn exchange_tracked(
+        &mut self,
+        request: Request<impl Into<MessageBody>>,
+        max_answer_bytes: usize,
+        budget: &Arc<MemoryBudget>,
+        progress: &TransferProgress,
     ) -> Result<Response<StoredBody>, ExchangeError> {
         let request = request.map(Into::into);
         if let Err(error) = self.sender.ready().await {
@@ -92,6 +106,7 @@
             if is_too_long || writer.push(piece, SteadyClock.now()).is_err() {
                 return Err(ExchangeError::AnswerTooLarge(head.headers.into()));
             }
+            progress.record(writer.stored_bytes());
         }
         match writer.finish() {
             Ok(body) => Ok(Response::from_parts(head, body)),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -49,6 +49,7 @@
 mod tracked_stream;
 #[cfg(test)]
 mod tracked_stream_tests;
+mod transfer_progress;
 mod worker_pool;
 
 pub use {
@@ -74,6 +75,7 @@
     steady_clock::SteadyClock,
     stored_body::{BodyWriter, StoredBody, announced_bytes},
     tcp_dialer::{ConnectFuture, TcpDialer},
+    transfer_progress::TransferProgress,
     worker_pool::WorkerPool,
 };
 
--- a/crates/net/tests/silent_connection.rs
+++ b/crates/net/tests/silent_connection.rs
@@ -52,6 +52,7 @@
     let limits = ExchangeLimits {
         timeout: Duration::from_secs(60),
         reused_timeout: Duration::from_millis(20),
+        stall_timeout: None,
         max_answer_bytes: 16,
     };
     futures_lite::future::block_on(async {
