--- a/crates/gateway/src/configuration_worker.rs
+++ b/crates/gateway/src/configuration_worker.rs
@@ -41,8 +41,8 @@
         log::info!(
             revision,
             routes,
-            taken_us = taken.as_micros() as u64,
             object_revision:% = object.revision,
+            taken_us = taken.as_micros() as u64,
             source = source.label();
             "configuration in force"
         );
