--- a/crates/daemon/tests/soak_changes.rs
+++ b/crates/daemon/tests/soak_changes.rs
@@ -66,6 +66,17 @@
     });
 }
 
+// Guards against a large configuration that instances build differently or too late from what others
+// send them, while they start again and the store is silent.
+#[test]
+fn changes_of_a_large_configuration_beside_silences_take_effect_in_time() {
+    assert_plan_passes(&SoakPlan {
+        instances: 6,
+        idle_routes: 600,
+        ..plan(65, FaultScenario::ChangesBeside(NewerKind::Silences))
+    });
+}
+
 // Guards against another instance that runs a request for one which is cut off from the servers, by an
 // older configuration than the one that the latter has shown before.
 #[test]
--- a/crates/soak/src/restore_drill_tests.rs
+++ b/crates/soak/src/restore_drill_tests.rs
@@ -44,7 +44,7 @@
     assert_eq!(names(&world, ObjectKind::Records), [""; 0]);
     let objects = world.store.objects.lock().unwrap();
     let main = objects.get(ObjectKind::Configuration, ObjectKind::CONFIGURATION_NAME);
-    let newest = ConfigurationBody::write(&soak_routes::build_table(3)).unwrap();
+    let newest = ConfigurationBody::write(&soak_routes::build_table(3, 0)).unwrap();
     assert_eq!(main.unwrap().spec, newest);
     assert!(objects.era() > 1);
     drop(objects);
--- a/crates/soak/src/soak_arguments.rs
+++ b/crates/soak/src/soak_arguments.rs
@@ -10,6 +10,7 @@
     pub(crate) log_dir: PathBuf,
     pub(crate) instances: usize,
     pub(crate) servers: usize,
+    pub(crate) idle_routes: usize,
     pub(crate) fault_seconds: u64,
     pub(crate) scenario: FaultScenario,
 }
@@ -21,7 +22,7 @@
 
 Usage:
   geraniummast-soak [--seeds N] [--first SEED] [--seed SEED] [--instances N] [--servers N]
-                    [--seconds S] [--crashes] [--quick-restarts] [--unlisted-restarts]
+                    [--idle-routes N] [--seconds S] [--crashes] [--quick-restarts] [--unlisted-restarts]
                     [--restores] [--beside-restores] [--changes-beside KIND]
                     [--changes-at-paused-helpers] [--evacuations]
                     [--daemon PATH] [--logs FOLDER]
@@ -33,6 +34,8 @@
   --instances N   number of instances, 4 by default, at most 100; a run has two callers
                   per instance, but at least 24
   --servers N     servers in each of the two main services, 6 by default
+  --idle-routes N routes that nobody sends requests for, 0 by default, to make the
+                  configuration large
   --seconds S     duration of the fault injection in seconds, 12 by default
   --crashes       crash servers only, to measure when their keys are granted again
   --quick-restarts
@@ -73,6 +76,7 @@
             log_dir: PathBuf::from("target/soak"),
             instances: 4,
             servers: 6,
+            idle_routes: 0,
             fault_seconds: 12,
             scenario: FaultScenario::Random,
         };
@@ -84,6 +88,7 @@
                 Long("seed") => (first, count) = (parser.value()?.parse()?, 1),
                 Long("instances") => arguments.instances = parser.value()?.parse()?,
                 Long("servers") => arguments.servers = parser.value()?.parse()?,
+                Long("idle-routes") => arguments.idle_routes = parser.value()?.parse()?,
                 Long("seconds") => arguments.fault_seconds = parser.value()?.parse()?,
                 Long("crashes") => arguments.scenario = FaultScenario::ServerCrashes,
                 Long("quick-restarts") => {
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -18,6 +18,8 @@
     pub instances: usize,
     /// Number of servers in each of the two main services.
     pub servers: usize,
+    /// Number of routes that nobody sends requests for, to make the configuration large.
+    pub idle_routes: usize,
     /// Number of concurrent callers.
     pub callers: usize,
     /// Duration of the fault injection.
@@ -151,6 +153,7 @@
             log_dir: log_dir.into(),
             instances: 4,
             servers: 6,
+            idle_routes: 0,
             callers: Self::MIN_CALLERS,
             fault_duration: Duration::from_secs(12),
             stop_timeout: Duration::from_secs(6),
--- a/crates/soak/src/soak_routes.rs
+++ b/crates/soak/src/soak_routes.rs
@@ -22,9 +22,12 @@
 /// Timeout of all routes.
 pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// First revision that has the idle routes, so that one change adds them all.
+const FIRST_IDLE_REVISION: u64 = 3;
+
 /// Builds the configuration of a revision; each revision moves the probed route to the next service,
-/// adds a passing route and removes another.
-pub(crate) fn build_table(revision: u64) -> RouteTable {
+/// adds a passing route and removes another. Nobody sends requests for the idle routes.
+pub(crate) fn build_table(revision: u64, idle_routes: usize) -> RouteTable {
     let route = |name: &str, service: &str, idempotent: bool| RouteRule {
         name: name.into(),
         prefix: format!("/{name}/"),
@@ -45,6 +48,18 @@
         route("keyed-order", KEYED_SERVICE, false),
         route("probe", probed_service(revision), true),
     ];
+    let idle_routes = match revision < FIRST_IDLE_REVISION {
+        true => 0,
+        false => idle_routes,
+    };
+    rules.extend((0..idle_routes).map(|number| {
+        // Idle routes with names alike would be compressed to almost nothing.
+        let name = format!(
+            "idle-{:016x}",
+            xxhash_rust::xxh3::xxh3_64(&number.to_be_bytes())
+        );
+        route(&name, PLAIN_SERVICE, true)
+    }));
     let passing = (1..=revision).filter(|added| has_passing(revision, *added));
     rules.extend(passing.map(|added| route(&format!("passing-{added}"), PLAIN_SERVICE, true)));
     let service = |name: &str| ServiceConfig {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -43,6 +43,7 @@
             instances: arguments.instances,
             callers: SoakPlan::callers_for(arguments.instances),
             servers: arguments.servers,
+            idle_routes: arguments.idle_routes,
             fault_duration: Duration::from_secs(arguments.fault_seconds),
             scenario: arguments.scenario,
             ..SoakPlan::new(*seed, &arguments.daemon_path, &log_dir)
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -114,7 +114,8 @@
 
     fn write_revision(&self, objects: &mut StoreObjects, revision: u64) -> Result<(), BodyError> {
         let (kind, name) = (ObjectKind::Configuration, ObjectKind::CONFIGURATION_NAME);
-        let spec = ConfigurationBody::write(&soak_routes::build_table(revision))?;
+        let spec =
+            ConfigurationBody::write(&soak_routes::build_table(revision, self.plan.idle_routes))?;
         objects.put(kind, name, spec, serde_json::Value::Null);
         self.stored_revision.store(revision, Ordering::SeqCst);
         Ok(())
