--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -16,8 +16,7 @@
 pub(crate) const OWN_WATCH_GRACE: Duration = Duration::from_millis(200);
 /// Time between requests to the seeds.
 pub(crate) const SEED_POLL_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Size of a reply from which on it is logged, in bytes.
+/// Smallest reply that is logged, in bytes.
 const LARGE_REPLY_BYTES: usize = 64 << 10;
 
 /// Result of a request for updates.
--- a/crates/gateway/src/kind_mirror.rs
+++ b/crates/gateway/src/kind_mirror.rs
@@ -19,10 +19,11 @@
     removed: VecDeque<(StoreRevision, String)>,
     /// Revision after which `removed` holds all removals.
     removals_known_after: StoreRevision,
-    /// Latest changes of the object that is sent by its differences.
+    /// Latest changes of the configuration, which other instances get by its differences; empty for
+    /// other kinds.
     pub(crate) patches: PatchHistory,
-    /// Whether differences that another instance has sent did not fit what is known.
-    pub(crate) is_whole_wanted: bool,
+    /// Whether to ask for the whole configuration, since differences from another instance did not fit.
+    pub(crate) wants_whole: bool,
     /// Number of changes of this copy. An object may come without raising any revision.
     pub(crate) version: u64,
 }
@@ -126,7 +127,7 @@
         RemainingObjects::AllExcept(later.cloned().collect())
     }
 
-    /// Records how an update changes the object that is sent by its differences.
+    /// Records how an update changes the configuration.
     pub(crate) fn record_patch(&mut self, update: &StoreUpdate) {
         let name = ObjectKind::CONFIGURATION_NAME;
         let next = match update {
@@ -141,20 +142,20 @@
         if let Some((known, next)) = self.objects.get(name).zip(next)
             && known.revision < next.revision
         {
-            self.is_whole_wanted = false;
+            self.wants_whole = false;
             self.patches.record(known, next);
         }
     }
 
-    /// Revision of the object to which differences may be applied; zero if the whole is wanted.
+    /// Revision of the configuration to which differences may be applied; zero if the whole is wanted.
     pub(crate) fn patch_base(&self) -> StoreRevision {
         let known = self.objects.get(ObjectKind::CONFIGURATION_NAME);
-        let known = known.filter(|_| !self.is_whole_wanted);
+        let known = known.filter(|_| !self.wants_whole);
         known.map_or(StoreRevision::ZERO, |object| object.revision)
     }
 
     /// What a receiver lacks that knows all changes up to `synced`, has seen `latest`, and has the
-    /// object that is sent by its differences as of `patch_base`. `None` if it lacks nothing.
+    /// configuration as of `patch_base`. `None` if it lacks nothing.
     pub(crate) fn delta(
         &self,
         kind: ObjectKind,
@@ -200,7 +201,7 @@
                 continue;
             }
             let Some(object) = known.and_then(|known| patched.apply(known)) else {
-                self.is_whole_wanted = true;
+                self.wants_whole = true;
                 return false;
             };
             self.patches.extend(patched.steps);
--- a/crates/gateway/src/patch_history.rs
+++ b/crates/gateway/src/patch_history.rs
@@ -17,7 +17,7 @@
     pub(crate) revision: StoreRevision,
     /// Digest of the specification that it leads to.
     pub(crate) digest: u64,
-    /// Encoded [`ValuePatchWire`].
+    /// Encoded [`ValuePatchWire`]; empty if the specification stays as it is.
     pub(crate) patch: Bytes,
 }
 
@@ -52,7 +52,7 @@
 impl TextDigest {
     fn of(value: &Value) -> Self {
         let mut digest = Self::default();
-        // Neither the value nor the writer can fail; without its text, the digest fits no other.
+        // The hasher takes all bytes, and the keys of JSON objects are strings: this cannot fail.
         let _ = serde_json::to_writer(&mut digest, value);
         digest
     }
--- a/crates/net/src/transfer_progress.rs
+++ b/crates/net/src/transfer_progress.rs
@@ -10,7 +10,7 @@
 }
 
 impl TransferProgress {
-    /// Records how many bytes have arrived so far.
+    /// Records how many bytes have arrived so far. A smaller number than before is left out.
     pub fn record(&self, bytes: usize) {
         self.received.fetch_max(bytes, Ordering::Relaxed);
     }
