Use no names of the platform in the tests of large configurations

Besides, a simulated link that had just sent its last piece took the next frame at once; it now waits until the piece has left. All tests of large_configuration pass as before.

--- a/crates/gateway/src/change_path_tests/large_configuration.rs
+++ b/crates/gateway/src/change_path_tests/large_configuration.rs
@@ -23,12 +23,12 @@
             let is_moved = number as u64 <= write;
             json!({
                 "name": format!("r-{:07x}", number * 7_919),
-                "path_prefix": format!("/{:06x}/", number * 104_729),
+                "prefix": format!("/{:06x}/", number * 104_729),
                 "service": if is_moved { "records" } else { "viewer" },
-                "timeout_s": 2.5,
-                "max_attempts": 2,
-                "priority": number % 3,
-                "type": "safe",
+                "timeout": 2.5,
+                "attempts": 2,
+                "rank": number % 3,
+                "idempotent": true,
             })
         };
         match self.settings.routes {
--- a/crates/gateway/src/change_path_tests/link_model.rs
+++ b/crates/gateway/src/change_path_tests/link_model.rs
@@ -21,6 +21,8 @@
 pub(super) struct LinkModel {
     /// Frames that each instance sends.
     sending: IndexMap<usize, VecDeque<FrameTransfer>>,
+    /// When the last piece that each instance sends has left.
+    sent_until: IndexMap<usize, MonoTime>,
     /// When the last piece on its way to an instance has arrived.
     busy_until: IndexMap<usize, MonoTime>,
     /// Bytes that have arrived of the frame for which a worker waits.
@@ -75,7 +77,9 @@
             left_bytes,
         });
         if is_idle {
-            self.schedule(self.now, WorldEvent::SendPiece(from));
+            let sent_until = self.links.sent_until.get(&from).copied();
+            let at = sent_until.unwrap_or_default().max(self.now);
+            self.schedule(at, WorldEvent::SendPiece(from));
         }
     }
 
@@ -92,6 +96,7 @@
         if self.is_current(transfer.turn) && !self.is_cut(transfer.turn.instance, from) {
             let bytes = transfer.left_bytes.min(Self::PIECE_BYTES);
             taken = link_time(bytes, rate);
+            self.links.sent_until.insert(from, self.now.after(taken));
             transfer.left_bytes -= bytes;
             let sent_at = self.now.after(taken + self.transit());
             let arrived_at = self.receive_bytes(transfer.turn.instance, bytes, sent_at);
--- a/crates/gateway/src/patch_history_tests.rs
+++ b/crates/gateway/src/patch_history_tests.rs
@@ -50,7 +50,7 @@
             true => format!("s{version}"),
             false => "viewer".into(),
         };
-        json!({ "name": format!("r{number}"), "service": service, "timeout_s": 0.1 })
+        json!({ "name": format!("r{number}"), "service": service, "timeout": 0.1 })
     };
     let routes: Vec<Value> = (version % 7..routes).map(route).collect();
     json!({ "version": version, "hosts": [{ "host": "h", "paths": routes }] })
