Build feed requests from a mirror in one place

The client, the simulation and four test files each put the same fields together, so that a new field had to be added to each. FeedRequest::of_mirror does it now.

--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -67,13 +67,7 @@
     fn request(&mut self, index: usize, slot: WorkerSlot, to: usize) {
         let turn = self.next_turn(index, slot, WorkerState::Asking);
         let mirror = &self.instances[index].mirror;
-        let mut request = FeedRequest {
-            synced_revisions: mirror.synced_revisions(),
-            latest_revisions: mirror.latest_revisions(),
-            takes_evacuations: false,
-            patch_base: mirror.patch_base(),
-            reads_compressed: true,
-        };
+        let mut request = FeedRequest::of_mirror(mirror, false);
         if !self.instances[index].guards.feed_eras {
             era_steps::forget_request_eras(&mut request);
         }
--- a/crates/gateway/src/evacuation_feed_tests.rs
+++ b/crates/gateway/src/evacuation_feed_tests.rs
@@ -16,12 +16,7 @@
 /// Deltas that `node` sends in answer to a request of `other`, as they arrive there.
 fn fed(node: &GatewayNode, other: &GatewayNode, takes_evacuations: bool) -> Vec<MirrorDelta> {
     let known = other.mirror.lock();
-    let request = FeedRequest {
-        synced_revisions: known.synced_revisions(),
-        latest_revisions: known.latest_revisions(),
-        takes_evacuations,
-        ..FeedRequest::default()
-    };
+    let request = FeedRequest::of_mirror(&known, takes_evacuations);
     let mirror = node.mirror.lock();
     let (frame, _) = FeedReplies::default().encode(&mirror, request, node.now());
     let wire = <FeedReplyWire as prost::Message>::decode(frame).unwrap();
--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -143,16 +143,7 @@
 ) -> UpdateOutcome {
     let asked_at = node.now();
     let progress = TransferProgress::default();
-    let request = {
-        let mirror = node.mirror.lock();
-        FeedRequest {
-            synced_revisions: mirror.synced_revisions(),
-            latest_revisions: mirror.latest_revisions(),
-            takes_evacuations: node.takes_evacuations(),
-            patch_base: mirror.patch_base(),
-            reads_compressed: true,
-        }
-    };
+    let request = FeedRequest::of_mirror(&node.mirror.lock(), node.takes_evacuations());
     let exchange = feed_connection::exchange(connection, address, request, &progress, timeout);
     let (outcome, received_at) = match exchange.await {
         FeedExchange::Replied(reply) => {
--- a/crates/gateway/src/feed_request.rs
+++ b/crates/gateway/src/feed_request.rs
@@ -25,6 +25,17 @@
 }
 
 impl FeedRequest {
+    /// Request for what is missing in a mirror.
+    pub(crate) fn of_mirror(mirror: &ObjectMirror, takes_evacuations: bool) -> Self {
+        Self {
+            synced_revisions: mirror.synced_revisions(),
+            latest_revisions: mirror.latest_revisions(),
+            takes_evacuations,
+            patch_base: mirror.patch_base(),
+            reads_compressed: true,
+        }
+    }
+
     /// Takes revisions that were sent without an era to be of the given one.
     pub(crate) fn assume_era(self, era: u64) -> Self {
         Self {
--- a/crates/gateway/src/mirror_era_tests.rs
+++ b/crates/gateway/src/mirror_era_tests.rs
@@ -93,7 +93,7 @@
 
 /// Deltas of a mirror for another one, encoded and decoded as on the wire.
 fn deltas(from: &ObjectMirror, to: &ObjectMirror) -> LateAnswer {
-    let deltas = test_objects::deltas(from, &test_objects::request_of(to));
+    let deltas = test_objects::deltas(from, &FeedRequest::of_mirror(to, true));
     let frame = prost::Message::encode_to_vec(&FeedReplyWire::from(deltas));
     let wire = <FeedReplyWire as prost::Message>::decode(frame.as_slice()).unwrap();
     LateAnswer::Deltas(wire.try_into().unwrap())
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -33,7 +33,7 @@
 
 /// Deltas from `from` for `to`, encoded and decoded as on the wire.
 fn decoded_deltas(from: &ObjectMirror, to: &ObjectMirror) -> Vec<MirrorDelta> {
-    let deltas = test_objects::deltas(from, &test_objects::request_of(to));
+    let deltas = test_objects::deltas(from, &FeedRequest::of_mirror(to, true));
     let frame = prost::Message::encode_to_vec(&FeedReplyWire::from(deltas));
     let wire = <FeedReplyWire as prost::Message>::decode(frame.as_slice()).unwrap();
     wire.try_into().unwrap()
--- a/crates/gateway/src/patch_history_tests.rs
+++ b/crates/gateway/src/patch_history_tests.rs
@@ -6,7 +6,6 @@
     feed_wire::FeedReplyWire,
     mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
-    test_objects,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
@@ -97,7 +96,7 @@
                     continue;
                 }
                 let mut receiver = std::mem::take(&mut mirrors[to]);
-                let request = test_objects::request_of(&receiver);
+                let request = FeedRequest::of_mirror(&receiver, true);
                 let (_, is_complete) = ask(&mirrors[from], &mut receiver, request);
                 assert!(is_complete, "seed {seed}");
                 let asked = known(&mirrors[from]);
@@ -107,7 +106,7 @@
         }
         for to in 1..4 {
             let mut receiver = std::mem::take(&mut mirrors[to]);
-            let request = test_objects::request_of(&receiver);
+            let request = FeedRequest::of_mirror(&receiver, true);
             ask(&mirrors[0], &mut receiver, request);
             assert_eq!(known(&receiver), known(&mirrors[0]), "seed {seed}");
             mirrors[to] = receiver;
@@ -133,10 +132,10 @@
 fn change_is_passed_on_twice_by_its_difference() {
     let [source, mut first] = behind_by_one();
     let [_, mut second] = behind_by_one();
-    let request = test_objects::request_of(&first);
+    let request = FeedRequest::of_mirror(&first, true);
     let (length, is_complete) = ask(&source, &mut first, request);
     assert!(is_complete && length < 500, "{length} bytes");
-    let request = test_objects::request_of(&second);
+    let request = FeedRequest::of_mirror(&second, true);
     let (length, is_complete) = ask(&first, &mut second, request);
     assert!(is_complete && length < 500, "{length} bytes");
     assert_eq!(known(&second), known(&source));
@@ -150,11 +149,11 @@
     let other = spec(&mut StdRng::seed_from_u64(2), 1_000, 7);
     configure(&mut receiver, 10, &other);
     let before = known(&receiver);
-    let request = test_objects::request_of(&receiver);
+    let request = FeedRequest::of_mirror(&receiver, true);
     let (_, is_complete) = ask(&source, &mut receiver, request);
     assert!(!is_complete);
     assert_eq!(known(&receiver), before);
-    let request = test_objects::request_of(&receiver);
+    let request = FeedRequest::of_mirror(&receiver, true);
     assert_eq!(request.patch_base, StoreRevision::ZERO);
     let (_, is_complete) = ask(&source, &mut receiver, request);
     assert!(is_complete);
@@ -169,7 +168,7 @@
     let request = FeedRequest {
         patch_base: StoreRevision::ZERO,
         reads_compressed: false,
-        ..test_objects::request_of(&receiver)
+        ..FeedRequest::of_mirror(&receiver, true)
     };
     let (length, is_complete) = ask(&source, &mut receiver, request);
     assert!(is_complete && length > 10_000, "{length} bytes");
--- a/crates/gateway/src/test_objects.rs
+++ b/crates/gateway/src/test_objects.rs
@@ -8,17 +8,6 @@
     update_router::{self, UpdateSource},
 };
 
-/// Request of an instance with a mirror.
-pub(crate) fn request_of(mirror: &ObjectMirror) -> FeedRequest {
-    FeedRequest {
-        synced_revisions: mirror.synced_revisions(),
-        latest_revisions: mirror.latest_revisions(),
-        takes_evacuations: true,
-        patch_base: mirror.patch_base(),
-        reads_compressed: true,
-    }
-}
-
 /// What the sender of a request lacks of a mirror.
 pub(crate) fn deltas(mirror: &ObjectMirror, request: &FeedRequest) -> Vec<MirrorDelta> {
     let deltas = OBJECT_KINDS.map(|kind| mirror.delta(kind, request));
