Put a feed reply together in one function, for instances and their simulation

FeedReplyWire::append_to joins encoded deltas and the state of the sender; empty messages are the derived default. The bytes on the wire are the same. No behaviour changes.

--- a/crates/gateway/src/change_path_tests/feed_path.rs
+++ b/crates/gateway/src/change_path_tests/feed_path.rs
@@ -107,14 +107,10 @@
         }
         let request = request.assume_era(era.number);
         let (deltas, is_current) = instance.replies.encode(&instance.mirror, request, now);
-        let mut tail = FeedReplyWire::from(Vec::new());
-        tail.era = Some(era.into());
-        if is_current {
-            tail.knowledge = Some(instance.knowledge.report(now).into());
-        }
-        let mut frame = deltas.to_vec();
-        frame.extend(prost::Message::encode_to_vec(&tail));
-        let frame = Rc::new(frame);
+        let mut state = FeedReplyWire::default();
+        state.era = Some(era.into());
+        state.knowledge = is_current.then(|| instance.knowledge.report(now).into());
+        let frame = Rc::new(state.append_to(&deltas).to_vec());
         if !self.is_cut(turn.instance, to) {
             self.send_frame(turn, asked_at, to, frame);
         }
--- a/crates/gateway/src/feed_connection_tests.rs
+++ b/crates/gateway/src/feed_connection_tests.rs
@@ -25,7 +25,7 @@
     let server = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         let _ = stream.read(&mut [0; 1_000]).unwrap();
-        let reply = prost::Message::encode_to_vec(&FeedReplyWire::from(Vec::new()));
+        let reply = prost::Message::encode_to_vec(&FeedReplyWire::default());
         // The unknown field 100 makes the reply longer.
         let padding = [&[0xa2, 0x06, 0x80, 0x08][..], &[b' '; 1_024]].concat();
         let reply = [reply, padding].concat();
--- a/crates/gateway/src/feed_server.rs
+++ b/crates/gateway/src/feed_server.rs
@@ -57,16 +57,11 @@
     let mirror = node.mirror.lock();
     let (objects, is_current) = node.feed_replies.lock().encode(&mirror, request, now);
     drop(mirror);
-    let mut tail = FeedReplyWire::from(Vec::new());
-    tail.era = Some(era.into());
-    tail.knows_evacuations = node.takes_evacuations() && node.knows_evacuations();
-    if is_current {
-        let report = node.knowledge.lock().report(now);
-        tail.knowledge = Some(report.into());
-    }
-    // Encoded messages one after the other are one message with the fields of both.
-    let mut reply = objects.to_vec();
-    prost::Message::encode(&tail, &mut reply).map_or(objects, |()| Bytes::from(reply))
+    let mut state = FeedReplyWire::default();
+    state.era = Some(era.into());
+    state.knows_evacuations = node.takes_evacuations() && node.knows_evacuations();
+    state.knowledge = is_current.then(|| node.knowledge.lock().report(now).into());
+    state.append_to(&objects)
 }
 
 /// Sends a reply; returns `None` if the peer has not read it within `timeout`.
--- a/crates/gateway/src/feed_wire.rs
+++ b/crates/gateway/src/feed_wire.rs
@@ -138,10 +138,7 @@
                     wire
                 })
                 .collect(),
-            knowledge: None,
-            era: None,
-            knows_evacuations: false,
-            compressed: Vec::new(),
+            ..Self::default()
         }
     }
 }
@@ -155,7 +152,7 @@
             Some(compressed) => {
                 let wire = Self {
                     compressed: vec![compressed],
-                    ..Self::from(Vec::new())
+                    ..Self::default()
                 };
                 prost::Message::encode_to_vec(&wire).into()
             }
@@ -163,6 +160,14 @@
         }
     }
 
+    /// Adds this message to encoded ones: one after the other, they are one message with the fields of
+    /// all.
+    pub(crate) fn append_to(&self, encoded: &[u8]) -> Bytes {
+        [encoded, &prost::Message::encode_to_vec(self)]
+            .concat()
+            .into()
+    }
+
     /// Deltas of this message, those of compressed ones included.
     fn all_deltas(self) -> io::Result<Vec<MirrorDeltaWire>> {
         let mut deltas = self.deltas;
