Shorten how patches are applied and what follows a request for updates

The last step of a patched object is known without being carried along; the time of a reply is taken once; three results that mean 'not answered' are asked for as one where they lead to the same. Fields that only KindMirror uses are private. No behaviour changes.

--- a/crates/gateway/src/feed_client.rs
+++ b/crates/gateway/src/feed_client.rs
@@ -72,17 +72,15 @@
             Timer::after(OWN_WATCH_GRACE / 4).await;
             continue;
         }
-        match request_updates(&node, &mut connection, address, REQUEST_TIMEOUT).await {
-            UpdateOutcome::Updated if is_watching => {
-                node.watch_restart_due.notify(usize::MAX);
-            }
-            UpdateOutcome::Updated | UpdateOutcome::Unchanged => {}
-            UpdateOutcome::Incomplete | UpdateOutcome::TimedOut | UpdateOutcome::Lost => {
-                connection = None;
-                avoided = Some(address);
-                Timer::after(RETRY_DELAY).await;
-                ask_other(&node).await;
-            }
+        let outcome = request_updates(&node, &mut connection, address, REQUEST_TIMEOUT).await;
+        if outcome == UpdateOutcome::Updated && is_watching {
+            node.watch_restart_due.notify(usize::MAX);
+        }
+        if !outcome.is_answered() {
+            connection = None;
+            avoided = Some(address);
+            Timer::after(RETRY_DELAY).await;
+            ask_other(&node).await;
         }
     }
 }
@@ -145,16 +143,14 @@
     let progress = TransferProgress::default();
     let request = FeedRequest::of_mirror(&node.mirror.lock(), node.takes_evacuations());
     let exchange = feed_connection::exchange(connection, address, request, &progress, timeout);
-    let (outcome, received_at) = match exchange.await {
-        FeedExchange::Replied(reply) => {
-            let received_at = node.now();
-            (apply_reply(node, reply, asked_at), received_at)
-        }
-        FeedExchange::TimedOut => (UpdateOutcome::TimedOut, node.now()),
-        FeedExchange::Lost => (UpdateOutcome::Lost, node.now()),
+    let exchange = exchange.await;
+    let waited = node.now().since(asked_at);
+    let outcome = match exchange {
+        FeedExchange::Replied(reply) => apply_reply(node, reply, asked_at),
+        FeedExchange::TimedOut => UpdateOutcome::TimedOut,
+        FeedExchange::Lost => UpdateOutcome::Lost,
     };
     metrics::counter!(FEED_REQUESTS, "result" => outcome.label()).increment(1);
-    let waited = received_at.since(asked_at);
     log_outcome(node, address, outcome, waited, progress.received_bytes());
     outcome
 }
--- a/crates/gateway/src/kind_mirror.rs
+++ b/crates/gateway/src/kind_mirror.rs
@@ -21,9 +21,9 @@
     removals_known_after: StoreRevision,
     /// Latest changes of the configuration, which other instances get by its differences; empty for
     /// other kinds.
-    pub(crate) patches: PatchHistory,
+    patches: PatchHistory,
     /// Whether to ask for the whole configuration, since differences from another instance did not fit.
-    pub(crate) wants_whole: bool,
+    wants_whole: bool,
     /// Number of changes of this copy. An object may come without raising any revision.
     pub(crate) version: u64,
 }
@@ -116,7 +116,7 @@
     }
 
     /// Which objects still exist, for a receiver that knows all changes up to `known`.
-    pub(crate) fn remaining_since(&self, known: StoreRevision) -> RemainingObjects {
+    fn remaining_since(&self, known: StoreRevision) -> RemainingObjects {
         if known == StoreRevision::ZERO || known < self.removals_known_after {
             return RemainingObjects::Listed(self.objects.keys().cloned().collect());
         }
--- a/crates/gateway/src/knowledge_worker.rs
+++ b/crates/gateway/src/knowledge_worker.rs
@@ -133,14 +133,12 @@
     else {
         return;
     };
-    match feed_client::request_updates(node, connection, address, PEER_TIMEOUT).await {
-        UpdateOutcome::Updated => {
-            node.watch_restart_due.notify(usize::MAX);
-        }
-        UpdateOutcome::Unchanged => {}
-        UpdateOutcome::Incomplete | UpdateOutcome::TimedOut | UpdateOutcome::Lost => {
-            *connection = None;
-        }
+    let outcome = feed_client::request_updates(node, connection, address, PEER_TIMEOUT).await;
+    if outcome == UpdateOutcome::Updated {
+        node.watch_restart_due.notify(usize::MAX);
+    }
+    if !outcome.is_answered() {
+        *connection = None;
     }
 }
 
--- a/crates/gateway/src/patch_history.rs
+++ b/crates/gateway/src/patch_history.rs
@@ -5,7 +5,7 @@
 
 use crate::{prelude::*, value_patch::ValuePatch, value_patch_wire::ValuePatchWire};
 use serde_json::Value;
-use std::{collections::VecDeque, io};
+use std::{borrow::Cow, collections::VecDeque, io};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Difference between two revisions of an object's specification.
@@ -92,14 +92,16 @@
     /// Builds the object from an earlier state; `None` if the differences do not lead from there to
     /// what the sender has.
     pub(crate) fn apply(&self, known: &PlatformObject) -> Option<PlatformObject> {
-        let mut steps = self.steps.iter();
-        let first = steps.position(|step| step.base == known.revision)?;
-        let (first, later) = self.steps[first..].split_first()?;
-        let (mut spec, mut last) = (first.apply(&known.spec)?, first);
-        for step in later {
-            spec = step.apply(&spec)?;
-            last = step;
+        let first = self
+            .steps
+            .iter()
+            .position(|step| step.base == known.revision)?;
+        let mut spec = Cow::Borrowed(&known.spec);
+        for step in &self.steps[first..] {
+            spec = Cow::Owned(step.apply(&spec)?);
         }
+        let spec = spec.into_owned();
+        let last = self.steps.last()?;
         let is_same = TextDigest::of(&spec).hasher.digest() == last.digest;
         is_same.then(|| PlatformObject {
             name: self.name.clone(),
