--- a/crates/gateway/src/patch_history_tests.rs
+++ b/crates/gateway/src/patch_history_tests.rs
@@ -7,6 +7,7 @@
     mirror_delta::{DeltaOutcome, MirrorDelta},
     prelude::*,
     test_objects,
+    wire_decoding_tests::{CASES, corrupt},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
@@ -117,8 +118,13 @@
 
 /// Two mirrors with one configuration of 1,000 routes, of which the first knows the next one too.
 fn behind_by_one() -> [ObjectMirror; 2] {
+    behind_by_one_of(1_000)
+}
+
+/// The same with a number of routes.
+fn behind_by_one_of(routes: u64) -> [ObjectMirror; 2] {
     let rng = &mut StdRng::seed_from_u64(1);
-    let (first, second) = (spec(rng, 1_000, 7), spec(rng, 1_000, 14));
+    let (first, second) = (spec(rng, routes, 7), spec(rng, routes, 14));
     let mut mirrors = [ObjectMirror::default(), ObjectMirror::default()];
     mirrors
         .iter_mut()
@@ -205,3 +211,35 @@
     assert_eq!(revision, StoreRevision::new(3, 12));
     assert_eq!(text, known(&source).unwrap().1);
 }
+
+// Guards against a panic, and against a configuration that nobody wrote, after damaged patches.
+#[test]
+fn corrupt_patch_leaves_a_configuration_of_the_store() {
+    let [source, receiver] = behind_by_one_of(20);
+    let request = FeedRequest::of_mirror(&receiver, true);
+    let deltas = test_objects::deltas(&source, &request);
+    assert!(deltas[0].changed.is_empty() && deltas[0].patched.len() == 1);
+    let frame = prost::Message::encode_to_vec(&FeedReplyWire::from(deltas));
+    let written = [&receiver, &source].map(|mirror| known(mirror).map(|(_, text)| text));
+    let mut patched = 0;
+    for seed in 0..CASES {
+        let bytes = corrupt(&frame, &mut StdRng::seed_from_u64(seed));
+        let Ok(wire) = <FeedReplyWire as prost::Message>::decode(bytes.as_slice()) else {
+            continue;
+        };
+        let [_, mut receiver] = behind_by_one_of(20);
+        for delta in <Vec<MirrorDelta>>::try_from(wire).unwrap_or_default() {
+            if let DeltaOutcome::Update(update) = receiver.take_over(delta) {
+                receiver.apply(KIND, &update);
+            }
+        }
+        if let Some((_, text)) = known(&receiver) {
+            let position = written
+                .iter()
+                .position(|known| known.as_ref() == Some(&text));
+            assert!(position.is_some(), "seed {seed}: {text}");
+            patched += u64::from(position == Some(1));
+        }
+    }
+    assert!(patched > 0, "no patch fits");
+}
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -16,7 +16,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 /// Number of corrupt frames of each kind.
-const CASES: u64 = 4_000;
+pub(crate) const CASES: u64 = 4_000;
 
 fn incarnation(id: &str) -> ServerIncarnation {
     ServerIncarnation {
@@ -150,7 +150,7 @@
 }
 
 /// Copy of the frame with some bytes changed, truncated, inserted or repeated.
-fn corrupt(frame: &[u8], rng: &mut StdRng) -> Vec<u8> {
+pub(crate) fn corrupt(frame: &[u8], rng: &mut StdRng) -> Vec<u8> {
     let mut bytes = frame.to_vec();
     for _ in 0..rng.random_range(1..4) {
         let at = rng.random_range(0..bytes.len().max(1));
