--- a/review/standins-2/clients.rs
+++ b/review/standins-2/clients.rs
@@ -46,6 +46,7 @@
                 Some(reader) => reader,
                 None => {
                     let Ok(stream) = TcpStream::connect(&address) else {
+                        record.answered("a request without a connection", 0, &address);
                         continue;
                     };
                     let _ = stream.set_nodelay(true);
--- a/review/standins-2/forged.rs
+++ b/review/standins-2/forged.rs
@@ -161,9 +161,10 @@
         ));
         store.put("servers", "i-other", spec, status);
     }
-    thread::sleep(Duration::from_secs(4));
+    // The platform removes an entry after three heartbeat intervals of silence.
+    thread::sleep(Duration::from_millis(2_610));
     store.remove("servers", "i-other");
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(Duration::from_secs(7));
     stop.store(true, Ordering::SeqCst);
     callers
         .into_iter()
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -11,6 +11,8 @@
     Text(String),
     List(Vec<Json>),
     Table(Vec<(String, Json)>),
+    /// JSON text that is handed on as it was written.
+    Raw(String),
 }
 
 impl Json {
@@ -69,6 +71,7 @@
             Json::Int(value) => write!(out, "{value}").unwrap(),
             Json::Float(value) => write!(out, "{value:?}").unwrap(),
             Json::Text(value) => write_text(out, value),
+            Json::Raw(value) => out.push_str(value),
             Json::List(items) => {
                 out.push('[');
                 for (position, item) in items.iter().enumerate() {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod servers;
 mod store;
+mod unreadable;
 
 use std::process::ExitCode;
 
@@ -20,6 +21,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match case.as_str() {
         "forged" => forged::run(program, record, folder, trouble),
+        "unreadable" => unreadable::run(program, record, folder, trouble),
         _ => None,
     };
     match outcome {
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -20,6 +20,8 @@
     violations: HashMap<&'static str, usize>,
     runs: HashMap<String, usize>,
     statuses: HashMap<u16, usize>,
+    /// Answers since the count began, and the successes among them.
+    counted: (usize, usize),
 }
 
 impl Record {
@@ -30,6 +32,7 @@
             violations: HashMap::new(),
             runs: HashMap::new(),
             statuses: HashMap::new(),
+            counted: (0, 0),
         };
         Self {
             start: Instant::now(),
@@ -53,6 +56,18 @@
         self.line(&format!("answer to {attempt} from {by}: {status}"));
         let mut state = self.state.lock().unwrap();
         *state.statuses.entry(status).or_default() += 1;
+        state.counted.0 += 1;
+        state.counted.1 += usize::from((200..300).contains(&status));
+    }
+
+    pub fn begin_count(&self) {
+        self.state.lock().unwrap().counted = (0, 0);
+    }
+
+    /// Share of the requests since the count began that were served.
+    pub fn served_share(&self) -> f64 {
+        let (answers, successes) = self.state.lock().unwrap().counted;
+        successes as f64 / answers.max(1) as f64
     }
 
     pub fn violation(&self, kind: &'static str, text: &str) {
