--- a/review/standins-2/forged.rs
+++ b/review/standins-2/forged.rs
@@ -23,12 +23,17 @@
 static BUSY: AtomicU16 = AtomicU16::new(60_000);
 
 /// A quarter of the requests are for 400 busy keys, the others for any.
-fn draw_key(number: u64) -> Option<u16> {
+pub fn draw_key(number: u64) -> Option<u16> {
     let any = number.wrapping_mul(40_503) % 65_536;
     let busy = u64::from(BUSY.load(Ordering::SeqCst)) + number.wrapping_mul(7_919) % 400;
     Some(if number % 4 != 0 { any } else { busy % 65_536 } as u16)
 }
 
+/// Changes which keys are busy: `first` and the next ones.
+pub fn move_busy_keys(first: u16) {
+    BUSY.store(first, Ordering::SeqCst);
+}
+
 /// The operator's configuration: one service with keys and one without.
 pub fn configuration(version: i128) -> Json {
     let service = |name: &str, sharded: bool| {
@@ -129,16 +134,14 @@
     thread::sleep(Duration::from_secs(8));
     // The busy keys change to some of one server.
     let holder = &servers[1];
-    let held = holder.longest_held_range();
+    let ranges = holder.held_ranges();
+    let longest = ranges.iter().max_by_key(|(first, last)| last - first);
     record.line(&format!(
-        "{} holds {held:?}; busy keys from now on are in its middle",
+        "{} holds {ranges:?}; the busy keys are in the longest range now",
         holder.id
     ));
-    if let Some((first, last)) = held {
-        BUSY.store(
-            ((u32::from(first) + u32::from(last)) / 2) as u16,
-            Ordering::SeqCst,
-        );
+    if let Some((first, last)) = longest {
+        move_busy_keys(((u32::from(*first) + u32::from(*last)) / 2) as u16);
     }
     if trouble {
         // `version` is missing, and `sequence` is of another type.
--- a/review/standins-2/instances.rs
+++ b/review/standins-2/instances.rs
@@ -9,6 +9,7 @@
 };
 
 pub struct Instance {
+    pub name: String,
     pub host: String,
     pub ports: Ports,
     settings: Vec<String>,
@@ -81,6 +82,7 @@
                 seeds.join(","),
             );
             Self {
+                name: name.clone(),
                 log: format!("{folder}/{name}.log"),
                 host: host.clone(),
                 ports,
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod instances;
 mod json;
 mod record;
+mod restarts;
 mod servers;
 mod store;
 mod unreadable;
@@ -21,6 +22,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match case.as_str() {
         "forged" => forged::run(program, record, folder, trouble),
+        "restarts" => restarts::run(program, record, folder, trouble),
         "unreadable" => unreadable::run(program, record, folder, trouble),
         _ => None,
     };
--- a/review/standins-2/servers.rs
+++ b/review/standins-2/servers.rs
@@ -8,11 +8,11 @@
 };
 use std::{
     collections::HashMap,
-    io::{BufReader, Read},
-    net::{SocketAddr, TcpListener, TcpStream},
+    io::{BufReader, ErrorKind, Read},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -191,6 +191,9 @@
             );
             self.record.violation("fence", &line);
         }
+        self.record.line(&format!(
+            "life {life} is granted {first}-{last} under {fence}"
+        ));
         Some(200)
     }
 }
@@ -201,12 +204,17 @@
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
-    pub born: u64,
+    born: AtomicU64,
     pub work: Duration,
     keyed: bool,
     store: Arc<Store>,
     ledger: Arc<Ledger>,
-    life: usize,
+    life: AtomicUsize,
+    /// Connections of the present life.
+    streams: Mutex<Vec<TcpStream>>,
+    /// Whether no life runs now, and whether the present one writes no entry yet.
+    is_down: AtomicBool,
+    is_unlisted: AtomicBool,
     running: AtomicUsize,
     runs: AtomicUsize,
 }
@@ -229,18 +237,22 @@
             service: service.into(),
             zone: zone.into(),
             address: listener.local_addr().unwrap(),
-            born: now_ms(),
+            born: AtomicU64::new(now_ms()),
             work,
             keyed,
             store: store.clone(),
             ledger: ledger.clone(),
-            life: ledger.new_life(),
+            life: AtomicUsize::new(ledger.new_life()),
+            streams: Mutex::default(),
+            is_down: AtomicBool::new(false),
+            is_unlisted: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             runs: AtomicUsize::new(0),
         });
+        let life = server.life.load(Ordering::SeqCst);
         let line = format!(
-            "server {id} of {service} at {}: life {}, born {}",
-            server.address, server.life, server.born
+            "server {id} of {service} at {}: life {life}",
+            server.address
         );
         ledger.record.line(&line);
         let accepting = server.clone();
@@ -254,31 +266,35 @@
         let beating = server.clone();
         thread::spawn(move || {
             for sequence in 1.. {
-                let (spec, status) = beating.entry(sequence);
-                beating.store.put("servers", &beating.id, spec, status);
+                if !beating.is_unlisted.load(Ordering::SeqCst) {
+                    let (spec, status) = beating.entry(sequence);
+                    beating.store.put("servers", &beating.id, spec, status);
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
         server
     }
 
-    /// Longest range of keys that the server holds now.
-    pub fn longest_held_range(&self) -> Option<(u16, u16)> {
+    /// Ranges of neighbouring keys that the server holds now under one fence.
+    pub fn held_ranges(&self) -> Vec<(u16, u16)> {
+        let life = self.life.load(Ordering::SeqCst);
         let now = Instant::now();
         let lives = self.ledger.lives.lock().unwrap();
-        let until = &lives[&self.life].until;
-        let mut best: Option<(usize, usize)> = None;
-        let mut first = 0;
-        for key in 0..=KEYS {
-            if key < KEYS && until[key] > now {
-                continue;
-            }
-            if key > first && best.is_none_or(|(from, to)| key - first > to - from + 1) {
-                best = Some((first, key - 1));
+        let keys = &lives[&life];
+        let mut ranges: Vec<(u16, u16)> = Vec::new();
+        for key in (0..KEYS).filter(|key| keys.until[*key] > now) {
+            match ranges.last_mut() {
+                Some((_, last))
+                    if usize::from(*last) + 1 == key
+                        && keys.max_fence[key - 1] == keys.max_fence[key] =>
+                {
+                    *last = key as u16;
+                }
+                _ => ranges.push((key as u16, key as u16)),
             }
-            first = key + 1;
         }
-        best.map(|(first, last)| (first as u16, last as u16))
+        ranges
     }
 
     fn entry(&self, sequence: i128) -> (Json, Json) {
@@ -295,26 +311,38 @@
         ]);
         let spec = table([
             ("address", text(&self.address.to_string())),
-            ("born", Json::Int(self.born.into())),
+            ("born", Json::Int(self.born.load(Ordering::SeqCst).into())),
             ("info", info),
         ]);
         (spec, status)
     }
 
     fn serve(&self, stream: TcpStream) {
+        if self.is_down.load(Ordering::SeqCst) {
+            return;
+        }
+        let life = self.life.load(Ordering::SeqCst);
+        if let Ok(copy) = stream.try_clone() {
+            self.streams.lock().unwrap().push(copy);
+        }
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
-            if !request.is_whole || self.handle(&request, &mut writer).is_err() {
+            if !request.is_whole || self.handle(life, &request, &mut writer).is_err() {
                 return;
             }
         }
         let _ = reader.read(&mut [0; 1]);
     }
 
-    fn handle(&self, request: &http::Message, writer: &mut TcpStream) -> std::io::Result<()> {
+    fn handle(
+        &self,
+        life: usize,
+        request: &http::Message,
+        writer: &mut TcpStream,
+    ) -> std::io::Result<()> {
         let expected = request.header("X-Geraniummast-Expected-Instance");
         let attempt = request
             .header("X-Geraniummast-Request-Attempt-Id")
@@ -345,7 +373,7 @@
             }
             "/grant" => {
                 let status = body()
-                    .and_then(|order| self.ledger.grant(self.life, &order))
+                    .and_then(|order| self.ledger.grant(life, &order))
                     .unwrap_or(400);
                 http::answer(writer, status, &[], b"")
             }
@@ -359,39 +387,70 @@
                 }) else {
                     return http::answer(writer, 400, &[], b"");
                 };
-                self.release(first, last, fence);
+                if !self.release(life, first, last, fence) {
+                    return Err(ErrorKind::ConnectionReset.into());
+                }
                 let handover = format!("{}-{}", self.id, self.runs.fetch_add(1, Ordering::SeqCst));
                 http::answer(writer, 200, &[("X-Geraniummast-Handover", &handover)], b"")
             }
-            _ => self.run(request, writer, attempt),
+            _ => self.run(life, request, writer, attempt),
         }
     }
 
-    fn release(&self, first: usize, last: usize, fence: u64) {
+    /// Releases keys and waits for the work on them; false if the life ends meanwhile.
+    fn release(&self, life: usize, first: usize, last: usize, fence: u64) -> bool {
         let now = Instant::now();
-        {
-            let mut lives = self.ledger.lives.lock().unwrap();
-            let keys = lives.get_mut(&self.life).unwrap();
+        if let Some(keys) = self.ledger.lives.lock().unwrap().get_mut(&life) {
             for key in first..=last {
                 keys.max_fence[key] = keys.max_fence[key].max(fence);
                 keys.until[key] = keys.until[key].min(now);
             }
         }
         loop {
-            let is_idle = {
-                let lives = self.ledger.lives.lock().unwrap();
-                let keys = &lives[&self.life];
-                (first..=last).all(|key| keys.running[key] == 0)
+            let lives = self.ledger.lives.lock().unwrap();
+            let Some(keys) = lives.get(&life) else {
+                return false;
             };
-            if is_idle {
-                return;
+            if (first..=last).all(|key| keys.running[key] == 0) {
+                return true;
             }
+            drop(lives);
             thread::sleep(Duration::from_millis(2));
         }
     }
 
+    /// Ends the present life and starts the next one after `pause`, which writes its entry `unlisted`
+    /// after its start.
+    pub fn restart(&self, pause: Duration, unlisted: Duration) {
+        self.is_down.store(true, Ordering::SeqCst);
+        self.is_unlisted.store(true, Ordering::SeqCst);
+        let ended = self.life.load(Ordering::SeqCst);
+        self.ledger.lives.lock().unwrap().remove(&ended);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        thread::sleep(pause);
+        let life = self.ledger.new_life();
+        self.life.store(life, Ordering::SeqCst);
+        self.born.store(now_ms(), Ordering::SeqCst);
+        self.is_down.store(false, Ordering::SeqCst);
+        let line = format!(
+            "server {} has crashed (life {ended}) and started again: life {life}",
+            self.id
+        );
+        self.ledger.record.line(&line);
+        thread::sleep(unlisted);
+        self.is_unlisted.store(false, Ordering::SeqCst);
+        let (spec, status) = self.entry(0);
+        self.store.put("servers", &self.id, spec, status);
+        self.ledger
+            .record
+            .line(&format!("server {} has written its entry", self.id));
+    }
+
     fn run(
         &self,
+        life: usize,
         request: &http::Message,
         writer: &mut TcpStream,
         attempt: &str,
@@ -415,7 +474,9 @@
         if let Some(key) = key {
             let now = Instant::now();
             let mut lives = self.ledger.lives.lock().unwrap();
-            let keys = lives.get_mut(&self.life).unwrap();
+            let Some(keys) = lives.get_mut(&life) else {
+                return Err(ErrorKind::ConnectionReset.into());
+            };
             if keys.until[key] <= now {
                 drop(lives);
                 self.running.fetch_sub(1, Ordering::SeqCst);
@@ -428,7 +489,9 @@
         thread::sleep(self.work);
         if let Some(key) = key {
             let mut lives = self.ledger.lives.lock().unwrap();
-            lives.get_mut(&self.life).unwrap().running[key] -= 1;
+            if let Some(keys) = lives.get_mut(&life) {
+                keys.running[key] -= 1;
+            }
         }
         let load = format!(
             "{},0,{}",
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -86,6 +86,19 @@
         self.change(kind, name, None);
     }
 
+    /// Leader of a service's keys, as the system's own record names it.
+    pub fn leader(&self, service: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let key = ("geraniummast".to_string(), format!("keys.{service}"));
+        match state.objects.get(&key)?.spec.get("leader")? {
+            Json::List(items) => match items.first()? {
+                Json::Text(name) => Some(name.clone()),
+                _ => None,
+            },
+            _ => None,
+        }
+    }
+
     fn change(&self, kind: &str, name: &str, value: Option<(Json, Json)>) {
         let mut state = self.state.lock().unwrap();
         Self::change_locked(&mut state, kind, name, value);
