--- a/crates/gateway/src/change_path_tests/simulated_store.rs
+++ b/crates/gateway/src/change_path_tests/simulated_store.rs
@@ -95,7 +95,7 @@
         match self {
             Self::List(page) => Self::List(ObjectPage {
                 objects: page.objects.iter().map(object).collect(),
-                has_more: page.has_more,
+                next: page.next.clone(),
                 revision: place(page.revision),
             }),
             Self::Changes(changes) => {
@@ -253,7 +253,7 @@
     fn page(&self, kind: ObjectKind) -> ObjectPage {
         ObjectPage {
             objects: self.kinds[position_of(kind)].values().cloned().collect(),
-            has_more: false,
+            next: None,
             revision: self.revision,
         }
     }
--- a/crates/gateway/src/feed_replies_tests.rs
+++ b/crates/gateway/src/feed_replies_tests.rs
@@ -34,7 +34,7 @@
     });
     let page = ObjectPage {
         objects: objects.collect(),
-        has_more: false,
+        next: None,
         revision: revision.into(),
     };
     mirror.apply(kind, &StoreUpdate::List(page));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -114,6 +114,8 @@
 mod object_client;
 #[cfg(test)]
 mod object_client_tests;
+#[cfg(test)]
+mod object_list_tests;
 mod object_mirror;
 #[cfg(test)]
 mod object_mirror_tests;
--- a/crates/gateway/src/mirror_era_tests.rs
+++ b/crates/gateway/src/mirror_era_tests.rs
@@ -73,7 +73,7 @@
         }
         StoreUpdate::List(ObjectPage {
             objects: objects.into_values().collect(),
-            has_more: false,
+            next: None,
             revision: self.revision(),
         })
     }
--- a/crates/gateway/src/object_client.rs
+++ b/crates/gateway/src/object_client.rs
@@ -44,32 +44,32 @@
 
     /// Lists all objects of a kind, page by page.
     pub(crate) async fn list(&self, kind: ObjectKind) -> Result<ObjectPage, StoreCallError> {
-        let mut listed: Option<ObjectPage> = None;
-        loop {
-            let after = listed
-                .as_ref()
-                .and_then(|page| page.objects.last())
-                .map(|object| object.name.as_str());
-            let request = StoreRequest::list(kind, after);
-            let page: ObjectPage = self.read_body("list", request, Duration::ZERO).await?;
-            let has_more = page.has_more && !page.objects.is_empty();
-            listed = Some(match listed {
-                None => page,
-                Some(listed) if listed.revision.era != page.revision.era => {
-                    let cause = "store was restored between two pages".into();
-                    return Err(StoreCallError::Unavailable(cause));
-                }
-                Some(mut listed) => {
-                    listed.objects.extend(page.objects);
-                    // A watch from the first page's revision reports changes between the pages.
-                    listed.revision = listed.revision.min(page.revision);
-                    listed
-                }
-            });
-            if let (false, Some(listed)) = (has_more, listed.as_ref()) {
-                return Ok(listed.clone());
+        let mut listed: ObjectPage = self.list_page(kind, None).await?;
+        while let Some(after) = listed.next.take() {
+            let page = self.list_page(kind, Some(&after)).await?;
+            if page.revision.era != listed.revision.era {
+                let cause = "store was restored between two pages".into();
+                return Err(StoreCallError::Unavailable(cause));
             }
+            if page.next.as_ref() == Some(&after) {
+                let cause = format!("next page begins after {after:?} again");
+                return Err(StoreCallError::Unavailable(cause));
+            }
+            listed.objects.extend(page.objects);
+            listed.next = page.next;
+            // A watch from the first page's revision reports changes between the pages.
+            listed.revision = listed.revision.min(page.revision);
         }
+        Ok(listed)
+    }
+
+    async fn list_page(
+        &self,
+        kind: ObjectKind,
+        after: Option<&str>,
+    ) -> Result<ObjectPage, StoreCallError> {
+        let request = StoreRequest::list(kind, after);
+        self.read_body("list", request, Duration::ZERO).await
     }
 
     /// Waits up to `wait` for changes of a kind after the revision `after`. Of what comes after a
--- a/crates/gateway/src/object_client_tests.rs
+++ b/crates/gateway/src/object_client_tests.rs
@@ -17,7 +17,7 @@
 fn page(number: u64, has_more: bool) -> (u16, serde_json::Value) {
     let page = ObjectPage {
         objects: vec![object(number)],
-        has_more,
+        next: has_more.then(|| "s1".into()),
         revision: number.into(),
     };
     (200, page.to_value())
--- a/crates/gateway/src/object_mirror.rs
+++ b/crates/gateway/src/object_mirror.rs
@@ -114,7 +114,7 @@
         }
         DeltaOutcome::Update(StoreUpdate::List(ObjectPage {
             objects,
-            has_more: false,
+            next: None,
             revision: delta.synced_revision,
         }))
     }
--- a/crates/gateway/src/object_mirror_tests.rs
+++ b/crates/gateway/src/object_mirror_tests.rs
@@ -62,7 +62,7 @@
             KIND,
             &StoreUpdate::List(ObjectPage {
                 objects: first,
-                has_more: false,
+                next: None,
                 revision: revision.into(),
             }),
         );
@@ -97,7 +97,7 @@
             KIND,
             &StoreUpdate::List(ObjectPage {
                 objects: (0..500).map(|name| object(name, 10)).collect(),
-                has_more: false,
+                next: None,
                 revision: 10.into(),
             }),
         );
@@ -115,7 +115,7 @@
     let list = |revision| {
         StoreUpdate::List(ObjectPage {
             objects: vec![object(1, 5)],
-            has_more: false,
+            next: None,
             revision,
         })
     };
@@ -134,7 +134,7 @@
         KIND,
         &StoreUpdate::List(ObjectPage {
             objects: vec![object(1, revision)],
-            has_more: false,
+            next: None,
             revision: revision.into(),
         }),
     );
@@ -198,7 +198,7 @@
         KIND,
         &StoreUpdate::List(ObjectPage {
             objects: vec![object(1, 10)],
-            has_more: false,
+            next: None,
             revision: 11.into(),
         }),
     );
@@ -214,7 +214,7 @@
     let list = |objects: Vec<PlatformObject>, revision| {
         StoreUpdate::List(ObjectPage {
             objects,
-            has_more: false,
+            next: None,
             revision,
         })
     };
@@ -246,7 +246,7 @@
         KIND,
         &StoreUpdate::List(ObjectPage {
             objects: vec![object(1, 10)],
-            has_more: false,
+            next: None,
             revision: 14.into(),
         }),
     );
--- a/crates/gateway/src/patch_history_tests.rs
+++ b/crates/gateway/src/patch_history_tests.rs
@@ -29,7 +29,7 @@
     let update = match mirror.patch_base() == StoreRevision::ZERO {
         true => StoreUpdate::List(ObjectPage {
             objects: vec![object],
-            has_more: false,
+            next: None,
             revision: revision.into(),
         }),
         false => StoreUpdate::Changes(ObjectChanges {
@@ -196,7 +196,7 @@
     let page = ObjectPage {
         revision: object.revision,
         objects: vec![object],
-        has_more: false,
+        next: None,
     };
     in_era.apply(KIND, &StoreUpdate::List(page));
     for mut delta in test_objects::deltas(&source, &request) {
--- a/crates/gateway/src/reply_compression_tests.rs
+++ b/crates/gateway/src/reply_compression_tests.rs
@@ -16,7 +16,7 @@
     let mut mirror = ObjectMirror::default();
     let page = ObjectPage {
         objects: (1..=200).map(object).collect(),
-        has_more: false,
+        next: None,
         revision: 200.into(),
     };
     mirror.apply(ObjectKind::Servers, &StoreUpdate::List(page));
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -35,7 +35,7 @@
         };
         let page = ObjectPage {
             objects,
-            has_more: false,
+            next: None,
             revision: REVISION.into(),
         };
         update_router::apply(&node, kind, StoreUpdate::List(page), UpdateSource::Store);
--- a/crates/gateway/src/test_objects.rs
+++ b/crates/gateway/src/test_objects.rs
@@ -102,7 +102,7 @@
 ) {
     let page = ObjectPage {
         objects,
-        has_more: false,
+        next: None,
         revision,
     };
     update_router::apply(node, kind, StoreUpdate::List(page), source);
--- a/crates/gateway/src/wire_decoding_tests.rs
+++ b/crates/gateway/src/wire_decoding_tests.rs
@@ -243,7 +243,7 @@
     };
     let page = ObjectPage {
         objects: vec![object("a", 3.into()), object("b", 5.into())],
-        has_more: false,
+        next: None,
         revision: 6.into(),
     };
     mirror.apply(ObjectKind::Servers, &StoreUpdate::List(page));
--- a/crates/soak/src/store_objects.rs
+++ b/crates/soak/src/store_objects.rs
@@ -52,7 +52,7 @@
         };
         ObjectPage {
             objects: self.objects.iter().filter_map(matching).collect(),
-            has_more: false,
+            next: None,
             revision: self.revision.into(),
         }
     }
