Ask a restarted server for a release if its earlier life is not known

Cause: a server starts again and is granted its keys before its entry says so, under the name of its earlier incarnation in the record. A new process takes over the keys, reads the new entry, and has never known the address of the earlier incarnation. The missing address differed from that of the entry, which counted as a proof that nothing is in its place.

Change: without a known address, a later incarnation of the same server counts as replaced, and the release goes to that one. Before, a holder that was never known got no release at all.

Evidence: "server has ended ... end=died proof=discovery" right after the take-over, and no release. Ruled out: late grants, no order was unanswered.

--- a/crates/gateway/src/node_servers.rs
+++ b/crates/gateway/src/node_servers.rs
@@ -100,6 +100,26 @@
         self.servers.lock().get(incarnation).cloned()
     }
 
+    /// Finds who answers for a server incarnation: itself, or a later one of the same server if this
+    /// instance has never known it.
+    pub(crate) fn server_in_place_of(
+        &self,
+        service: &str,
+        incarnation: &ServerIncarnation,
+    ) -> Option<Arc<ServerRuntime>> {
+        let servers = self.servers.lock();
+        let later = || {
+            let servers = servers.values().filter(|server| {
+                let (entry, found) = (&server.entry, &server.entry.incarnation);
+                entry.service == service
+                    && found.id == incarnation.id
+                    && found.born > incarnation.born
+            });
+            servers.max_by_key(|server| server.entry.incarnation.born)
+        };
+        servers.get(incarnation).or_else(later).cloned()
+    }
+
     /// Servers of a service that accept new requests, in ring order.
     pub(crate) fn usable_servers(&self, service: &str) -> ServerList {
         let lists = self.usable.lock();
--- a/crates/gateway/src/order_sender.rs
+++ b/crates/gateway/src/order_sender.rs
@@ -94,7 +94,7 @@
 pub(crate) async fn run_move_step(node: Arc<GatewayNode>, service: String, step: MoveStep) {
     match step {
         MoveStep::Release { range, holder } => {
-            let handover = match node.server(&holder) {
+            let handover = match node.server_in_place_of(&service, &holder) {
                 Some(server) => release_range(&node, &service, &server, &range).await,
                 None => None,
             };
--- a/crates/routing/src/incarnation_status.rs
+++ b/crates/routing/src/incarnation_status.rs
@@ -5,9 +5,9 @@
 pub enum IncarnationStatus {
     /// No sign that the incarnation has ended.
     Alive,
-    /// The incarnation has ended, and a later one of the same server answers at the same address.
+    /// The incarnation has ended, and a later one of the same server may answer in its place.
     Replaced,
-    /// The incarnation has ended, and no later one of the same server answers at its address.
+    /// The incarnation has ended, and no later one of the same server answers in its place.
     Dead,
 }
 
--- a/crates/routing/src/server_roster.rs
+++ b/crates/routing/src/server_roster.rs
@@ -117,8 +117,9 @@
         has_changed || !expired_ids.is_empty()
     }
 
-    /// Determines from the entries whether a server incarnation that was known at `address`
-    /// has ended. An entry whose service `is_named` rejects names no server and proves nothing.
+    /// Determines from the entries whether a server incarnation that was known at `address`, if it was
+    /// known at all, has ended. An entry whose service `is_named` rejects names no server and proves
+    /// nothing.
     pub fn incarnation_status(
         &self,
         incarnation: &ServerIncarnation,
@@ -135,7 +136,10 @@
             .iter()
             .find(|entry| entry.incarnation.id == incarnation.id)
         {
-            Some(entry) if is_same_address(entry) => IncarnationStatus::Replaced,
+            // Without its address, the orders to it may have reached the later one.
+            Some(entry) if address.is_none() || is_same_address(entry) => {
+                IncarnationStatus::Replaced
+            }
             Some(_) => IncarnationStatus::Dead,
             None if later_entries.iter().any(is_same_address) => IncarnationStatus::Dead,
             None => IncarnationStatus::Alive,
--- a/crates/routing/tests/server_roster.rs
+++ b/crates/routing/tests/server_roster.rs
@@ -140,3 +140,22 @@
         IncarnationStatus::Alive
     );
 }
+
+// Guards against two holders of the same keys: a leader that has never known the address of an
+// incarnation takes a later one for a proof that none is in its place.
+#[test]
+fn later_incarnation_of_one_without_a_known_address_may_be_in_its_place() {
+    let mut roster = ServerRoster::default();
+    let change = RosterChange::Updated(Box::new(entry("s1", 5, ServerState::Ready)), 3.into());
+    roster.apply(change, MonoTime(0), Duration::ZERO);
+    let status = |id: &str, born| {
+        let incarnation = ServerIncarnation {
+            id: id.into(),
+            born,
+        };
+        roster.incarnation_status(&incarnation, None, |_| true)
+    };
+    assert_eq!(status("s1", 4), IncarnationStatus::Replaced);
+    assert_eq!(status("s1", 5), IncarnationStatus::Alive);
+    assert_eq!(status("s2", 4), IncarnationStatus::Alive);
+}
