Deliver no answer whose status is none of a final answer

Callers saw: a signed answer of a server with status 101 or 600 to 999 was delivered.

Cause: the verdict on an answer listed single statuses, delivered all others below 500, and took all from 500 on for failures to deliver.

Change: a status outside 200 to 599 leaves it open whether the request has run, like an answer without the request's identifier.

Measured: answer_status_tests sends twelve texts in the place of the status to the gateway's HTTP client; before, it fails at 101 (000, 001 and 099 are rejected), now it passes. answer_verdict covers all statuses outside the range.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,8 @@
 mod announcement_worker;
 #[cfg(test)]
 mod announcement_worker_tests;
+#[cfg(test)]
+mod answer_status_tests;
 mod attempt_history;
 mod attempt_result;
 mod attempt_sender;
--- a/crates/routing/src/answer_verdict.rs
+++ b/crates/routing/src/answer_verdict.rs
@@ -1,5 +1,7 @@
 //! Classifies a server's answer.
 
+use std::ops::RangeInclusive;
+
 /// Properties of a server's answer that decide on its verdict.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerFacts {
@@ -30,11 +32,15 @@
     Unverified,
 }
 
+/// Statuses of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 impl AnswerFacts {
     /// Classifies the answer.
     pub fn verdict(self) -> AnswerVerdict {
-        // A late second copy of another request's answer says nothing about this request.
-        if !self.has_request_id {
+        // A late second copy of another request's answer says nothing about this request, and a
+        // status that no final answer has says nothing at all.
+        if !self.has_request_id || !FINAL_STATUSES.contains(&self.status) {
             return AnswerVerdict::Unverified;
         }
         if self.status == 421 {
--- a/crates/routing/tests/answer_verdict.rs
+++ b/crates/routing/tests/answer_verdict.rs
@@ -76,3 +76,23 @@
         assert_eq!(facts.verdict(), AnswerVerdict::Unverified, "{status}");
     }
 }
+
+// Guards against an answer with a status such as 000 or 101 that goes to the caller, or that says of its
+// request that it has not run.
+#[test]
+fn status_that_no_final_answer_has_is_unverified() {
+    for status in (0..=199).chain(600..=u16::MAX) {
+        for not_executed in [false, true] {
+            let facts = AnswerFacts {
+                status,
+                not_executed,
+                ..VALID
+            };
+            assert_eq!(facts.verdict(), AnswerVerdict::Unverified, "{status}");
+        }
+    }
+    for status in [200, 599] {
+        let facts = AnswerFacts { status, ..VALID };
+        assert_ne!(facts.verdict(), AnswerVerdict::Unverified, "{status}");
+    }
+}
