--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -150,6 +150,18 @@
     assert_plan_passes(&plan);
 }
 
+// Guards against entries of another writer that keep instances from starting again, or from learning
+// of changes: they cannot be read, lack fields, or have names that end a page of the list.
+#[test]
+fn entries_that_name_no_server_stop_no_instance_from_starting() {
+    let plan = SoakPlan {
+        fault_duration: Duration::from_secs(8),
+        scenario: FaultScenario::RandomBesideForeignEntries,
+        ..plan(17, "unreadable-entries")
+    };
+    assert_plan_passes(&plan);
+}
+
 // Guards against a refused connection that is taken for the end of its server: its keys would be
 // granted to another one while it holds them.
 #[test]
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -58,6 +58,8 @@
     /// Has another writer register a service that is not named at a server's address, for the given
     /// time.
     ForeignEntry(usize, Duration),
+    /// Has another writer keep these entries, which name no server, up to the end of the run.
+    KeepForeignEntries(Vec<ForeignEntry>, Duration),
     /// Has a server of the main services leave for good and adds a new one.
     Depart(usize, Departure),
     /// Has a server of the probed services leave for good and adds a new one.
@@ -98,6 +100,7 @@
                 events.sort_by_key(|(at, _)| *at);
                 events
             }
+            FaultScenario::RandomBesideForeignEntries => Self::beside_foreign_entries(plan),
             FaultScenario::StoreRestores => {
                 let mut rng = StdRng::seed_from_u64(plan.seed);
                 Self::restores(&mut rng, plan, Self::LONG_RESTORE_PAUSE_MS)
@@ -218,6 +221,26 @@
         events
     }
 
+    /// Keeps entries of another writer beside random faults, and kills all instances several times.
+    fn beside_foreign_entries(plan: &SoakPlan) -> Vec<(Duration, Self)> {
+        /// Largest number of times that all instances are killed.
+        const MAX_KILLS: usize = 3;
+        /// Time until they are started again, in milliseconds.
+        const DOWNTIME_MS: std::ops::Range<u64> = 100..900;
+        let mut rng = StdRng::seed_from_u64(plan.seed.rotate_left(16));
+        let mut events = Self::random_faults(plan);
+        let entries = ForeignEntry::draw(&mut rng);
+        let kept = Self::KeepForeignEntries(entries, plan.fault_duration);
+        events.push((Duration::ZERO, kept));
+        for _ in 0..rng.random_range(1..=MAX_KILLS) {
+            let at = plan.fault_duration.mul_f64(rng.random_range(0.2..1.0));
+            let downtime = Duration::from_millis(rng.random_range(DOWNTIME_MS));
+            events.push((at, Self::KillAll(downtime)));
+        }
+        events.sort_by_key(|(at, _)| *at);
+        events
+    }
+
     /// Cuts instances off from the servers in each way: each alone at first, then all but one.
     fn cuts_in_turn(plan: &SoakPlan) -> Vec<(Duration, Self)> {
         const CUT_TIME: Duration = Duration::from_secs(8);
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -104,6 +104,9 @@
                 .write_foreign_entry(duration)
                 .await?;
         }
+        FaultEvent::KeepForeignEntries(entries, duration) => {
+            ForeignEntry::write_repeatedly(&entries, world, duration).await?;
+        }
         FaultEvent::Depart(number, departure) => {
             server_departures::depart(world, world.main_server(number), departure).await?;
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -31,6 +31,9 @@
 mod fault_event;
 mod fault_injector;
 mod fault_schedule;
+mod foreign_entry;
+#[cfg(test)]
+mod foreign_entry_tests;
 mod guarantee_checker;
 #[cfg(test)]
 mod guarantee_checker_tests;
@@ -110,6 +113,7 @@
             connection_policy::ConnectionPolicy,
             execution_record::{ExecutionOutcome, ExecutionRecord},
             fault_event::{FaultEvent, StoreFault},
+            foreign_entry::ForeignEntry,
             instance_process::InstanceProcess,
             link_proxy::{LinkProxy, ProxyMode},
             loopback_hosts::LoopbackHosts,
--- a/crates/soak/src/restore_drill_tests.rs
+++ b/crates/soak/src/restore_drill_tests.rs
@@ -14,10 +14,16 @@
 
 /// Names of the objects of a kind that the store contains.
 fn names(world: &SoakWorld, kind: ObjectKind) -> Vec<String> {
-    let page = world.store.objects.lock().unwrap().list(kind);
-    let mut names: Vec<String> = page.objects.into_iter().map(|known| known.name).collect();
-    names.sort();
-    names
+    let objects = world.store.objects.lock().unwrap();
+    let mut page = objects.list(kind, None);
+    let mut names = Vec::new();
+    loop {
+        names.extend(page.objects.into_iter().map(|known| known.name));
+        match page.next {
+            Some(after) => page = objects.list(kind, Some(&after)),
+            None => return names,
+        }
+    }
 }
 
 #[test]
--- a/crates/soak/src/simulated_backend.rs
+++ b/crates/soak/src/simulated_backend.rs
@@ -183,6 +183,11 @@
         Ok(())
     }
 
+    /// Entry of a server that starts now in the place of this one, under an identifier.
+    pub(crate) fn next_entry(&self, id: &str) -> eyre::Result<ServerEntry> {
+        Ok(self.entry(new_incarnation(id)?, ServerState::Ready))
+    }
+
     fn write_entry(&self, state: ServerState) {
         if let Some(process) = self.process() {
             self.put_entry(&self.entry(process.incarnation.clone(), state));
--- a/crates/soak/src/simulated_store.rs
+++ b/crates/soak/src/simulated_store.rs
@@ -1,6 +1,6 @@
 //! Simulation of the platform's object store.
 
-use crate::{prelude::*, store_objects::WriteError};
+use crate::{foreign_entry, prelude::*, store_objects::WriteError};
 use hyper::body::Incoming;
 
 /// Object store that answers the HTTP interface of the platform on a loopback port.
@@ -113,8 +113,8 @@
             return self.reject(StatusCode::NOT_FOUND);
         };
         match operation {
-            StoreOperation::List(kind, _) => self.answer(|objects| {
-                let page = objects.list(kind);
+            StoreOperation::List(kind, after) => self.answer(|objects| {
+                let page = objects.list(kind, after.as_deref());
                 build_reply(StatusCode::OK, Some(&page.to_value()))
             }),
             StoreOperation::Read(kind, name) => self.answer(|objects| {
@@ -229,6 +229,7 @@
 
 fn build_reply(status: StatusCode, body: Option<&serde_json::Value>) -> Response<Full<Bytes>> {
     let text = body.map(ToString::to_string).unwrap_or_default();
+    let text = foreign_entry::fill_in(&text);
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
     response
--- a/crates/soak/src/soak_arguments.rs
+++ b/crates/soak/src/soak_arguments.rs
@@ -23,7 +23,8 @@
 Usage:
   geraniummast-soak [--seeds N] [--first SEED] [--seed SEED] [--instances N] [--servers N]
                     [--idle-routes N] [--seconds S] [--crashes] [--quick-restarts] [--unlisted-restarts]
-                    [--restores] [--beside-restores] [--changes-beside KIND]
+                    [--restores] [--beside-restores] [--beside-foreign-entries]
+                    [--changes-beside KIND]
                     [--changes-at-paused-helpers] [--evacuations]
                     [--daemon PATH] [--logs FOLDER]
 
@@ -46,6 +47,9 @@
                   without a holder
   --beside-restores
                   random faults beside restores of the store from older copies
+  --beside-foreign-entries
+                  random faults and kills of all instances beside entries of another writer that
+                  name no server or cannot be read
   --changes-beside KIND
                   change the configuration and have servers leave all through the run, beside
                   faults of one kind: limits, poison, cuts, notices, restored (the store
@@ -101,6 +105,9 @@
                 Long("beside-restores") => {
                     arguments.scenario = FaultScenario::RandomBesideRestores;
                 }
+                Long("beside-foreign-entries") => {
+                    arguments.scenario = FaultScenario::RandomBesideForeignEntries;
+                }
                 Long("changes-beside") => {
                     let kind = parser.value()?.parse_with(NewerKind::with_label)?;
                     arguments.scenario = FaultScenario::ChangesBeside(kind);
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -41,6 +41,9 @@
     Random,
     /// The same, beside restores of the store from older copies.
     RandomBesideRestores,
+    /// The same, beside entries of another writer that name no server, up to the end of the run, and
+    /// kills of all instances at once.
+    RandomBesideForeignEntries,
     /// The store is restored from older copies, and nothing else happens.
     StoreRestores,
     /// All instances are stopped in turn while servers leave requests unanswered.
--- a/crates/soak/src/store_objects.rs
+++ b/crates/soak/src/store_objects.rs
@@ -23,6 +23,8 @@
 }
 
 impl StoreObjects {
+    /// Largest number of objects on a page.
+    const PAGE_LENGTH: usize = 10;
     /// Largest number of changes in the history.
     const MAX_HISTORY: usize = 4_096;
 
@@ -45,14 +47,20 @@
         revision > self.revision
     }
 
-    /// Returns all objects of a kind, on one page.
-    pub(crate) fn list(&self, kind: ObjectKind) -> ObjectPage {
-        let matching = |((label, _), object): (&(&str, String), &PlatformObject)| {
-            (*label == kind.label()).then(|| object.clone())
+    /// Returns a page of the objects of a kind, in the order of their names, from the first one
+    /// after `after` on.
+    pub(crate) fn list(&self, kind: ObjectKind, after: Option<&str>) -> ObjectPage {
+        let matching = |((label, name), object): (&(&'static str, String), _)| {
+            (*label == kind.label() && Some(name.as_str()) > after).then_some(object)
         };
+        let mut matching: Vec<&PlatformObject> = self.objects.iter().filter_map(matching).collect();
+        matching.sort_by(|one, other| one.name.cmp(&other.name));
+        let has_more = matching.len() > Self::PAGE_LENGTH;
+        matching.truncate(Self::PAGE_LENGTH);
+        let last = matching.last().filter(|_| has_more);
         ObjectPage {
-            objects: self.objects.iter().filter_map(matching).collect(),
-            next: None,
+            next: last.map(|object| object.name.clone()),
+            objects: matching.into_iter().cloned().collect(),
             revision: self.revision.into(),
         }
     }
