List again when the answer to a watch is too large

Cause: an answer beyond the bound was a failed call like any other, so the watcher backed off and asked for the same again, for as long as the store keeps that history.

Change: it lists instead, page by page, as it does when the history is gone. The check of the store does the same. The line about an entry that cannot be read is bounded, as its writer may write it with every heartbeat.

--- a/crates/gateway/src/discovery_worker.rs
+++ b/crates/gateway/src/discovery_worker.rs
@@ -13,7 +13,7 @@
     match update {
         StoreUpdate::List(page) => {
             let entries = page.objects.iter().filter_map(|object| {
-                let entry = read_entry(object)?;
+                let entry = read_entry(node, object)?;
                 Some((entry, object.revision))
             });
             roster.replace_all(entries.collect(), page.revision, now, grace);
@@ -24,7 +24,7 @@
                 let entry = if event.is_removed {
                     None
                 } else {
-                    read_entry(object)
+                    read_entry(node, object)
                 };
                 let change = match entry {
                     Some(entry) => RosterChange::Updated(Box::new(entry), object.revision),
@@ -76,17 +76,19 @@
     }
 }
 
-fn read_entry(object: &PlatformObject) -> Option<ServerEntry> {
-    match ServerBody::read(object) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            log::warn!(
-                server = object.name.as_str(),
-                object_revision:% = object.revision,
-                cause = error.to_string().as_str();
-                "entry of a server cannot be read and is left out"
-            );
-            None
-        }
+fn read_entry(node: &GatewayNode, object: &PlatformObject) -> Option<ServerEntry> {
+    let error = match ServerBody::read(object) {
+        Ok(entry) => return Some(entry),
+        Err(error) => error,
+    };
+    // Another writer may write its entry as often as servers do.
+    if node.log.allow("entry", node.now()) {
+        log::warn!(
+            server = object.name.as_str(),
+            object_revision:% = object.revision,
+            cause = error.to_string().as_str();
+            "entry of a server cannot be read and is left out"
+        );
     }
+    None
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -122,6 +122,8 @@
 #[cfg(test)]
 mod object_mirror_tests;
 mod object_watcher;
+#[cfg(test)]
+mod object_watcher_tests;
 mod open_calls;
 mod operator_page;
 mod order_results;
--- a/crates/gateway/src/object_client.rs
+++ b/crates/gateway/src/object_client.rs
@@ -19,6 +19,8 @@
     Unclear(String),
     /// The store no longer has the history after the revision.
     Compacted,
+    /// The answer is larger than any that is read.
+    TooLarge,
 }
 
 impl ObjectClient {
@@ -218,6 +220,7 @@
             Err(error @ (ExchangeError::ConnectionRefused(_) | ExchangeError::NotSent(_))) => {
                 Err(StoreCallError::Unavailable(error.to_string()))
             }
+            Err(ExchangeError::AnswerTooLarge(_)) => Err(StoreCallError::TooLarge),
             Err(error) => Err(StoreCallError::Unclear(error.to_string())),
         }
     }
@@ -247,6 +250,7 @@
             Self::Unavailable(cause) => write!(f, "store unavailable: {cause}"),
             Self::Unclear(cause) => write!(f, "store gave no answer: {cause}"),
             Self::Compacted => write!(f, "store no longer has the history after the revision"),
+            Self::TooLarge => write!(f, "answer of the store is too large"),
         }
     }
 }
--- a/crates/gateway/src/object_watcher.rs
+++ b/crates/gateway/src/object_watcher.rs
@@ -43,7 +43,7 @@
 enum NextWatch {
     /// Watch from the known revision.
     Continue,
-    /// List all objects, since the store no longer has the history.
+    /// List all objects, since the store no longer has the history, or it is too large.
     Relist,
     /// Wait before the next call, since the store did not answer.
     BackOff,
@@ -153,6 +153,11 @@
             log::info!(kind = kind.label(), after:%; "history is gone, listing again");
             NextWatch::Relist
         }
+        // The same watch would fail for as long as the store has this history.
+        Some(Err(StoreCallError::TooLarge)) => {
+            log::warn!(kind = kind.label(), after:%; "history is too large, listing again");
+            NextWatch::Relist
+        }
         Some(Err(error)) => {
             let now = node.now();
             if node.log.allow("watch", now) {
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -66,7 +66,9 @@
         StoreRevision::ZERO => StoreUpdate::List(node.store.list(kind).await?),
         _ => match node.store.watch(kind, known, WAIT).await {
             Ok(changes) => StoreUpdate::Changes(changes),
-            Err(StoreCallError::Compacted) => StoreUpdate::List(node.store.list(kind).await?),
+            Err(StoreCallError::Compacted | StoreCallError::TooLarge) => {
+                StoreUpdate::List(node.store.list(kind).await?)
+            }
             Err(error) => return Err(error),
         },
     };
--- a/crates/gateway/src/store_check_tests.rs
+++ b/crates/gateway/src/store_check_tests.rs
@@ -22,7 +22,7 @@
 
 /// An instance that leads the service and knows all changes up to `REVISION`, of a store that gives
 /// these answers.
-fn leading_node(answers: Vec<(u16, serde_json::Value)>) -> Arc<GatewayNode> {
+pub(crate) fn leading_node(answers: Vec<(u16, serde_json::Value)>) -> Arc<GatewayNode> {
     let node = Arc::new(test_node::build_with_store(test_store::start(answers)));
     for kind in [
         ObjectKind::Servers,
