--- a/crates/gateway/src/answer_status_tests.rs
+++ b/crates/gateway/src/answer_status_tests.rs
@@ -1,9 +1,6 @@
 //! Attempts of requests at a server that answers with statuses which no final answer has.
 
-use crate::{
-    attempt_sender, prelude::*, server_lookup_tests, server_reservation_tests, test_http,
-    test_node, test_objects,
-};
+use crate::{attempt_sender_tests, prelude::*, test_http, test_node, test_objects};
 use http::{HeaderMap, HeaderValue};
 use std::io::{BufReader, Write};
 
@@ -39,17 +36,8 @@
 fn send_to_server_with(status: &'static str) -> AttemptResult {
     let node = Arc::new(test_node::build());
     let runtime = test_objects::server_at(&node, start_server(status));
-    let mut call = server_lookup_tests::late_call(node.now());
-    let headers = RequestHeaders {
-        request_id: Some(HeaderValue::from_static(REQUEST_ID)),
-        ..RequestHeaders::default()
-    };
-    headers.set(&mut call.parts.headers);
-    call.headers = headers;
-    let state = node.service("s");
-    let reservation = server_reservation_tests::reservation_of(&node, &runtime, None);
-    let sent = attempt_sender::send_attempt(&node, &call, &state, &reservation);
-    node.workers.block_on(sent)
+    let call = attempt_sender_tests::call(&node, REQUEST_ID);
+    attempt_sender_tests::send(&node, &runtime, &call)
 }
 
 // Guards against an answer with a status such as 000 that a caller gets as an answer: the server is in
--- a/crates/gateway/src/attempt_sender_tests.rs
+++ b/crates/gateway/src/attempt_sender_tests.rs
@@ -70,7 +70,8 @@
     test_http::answer(status, &headers, "")
 }
 
-fn call(node: &GatewayNode, id: &'static str) -> CallerCall {
+/// A request with this identifier.
+pub(crate) fn call(node: &GatewayNode, id: &'static str) -> CallerCall {
     let mut call = server_lookup_tests::late_call(node.now());
     let headers = RequestHeaders {
         request_id: Some(HeaderValue::from_static(id)),
@@ -81,7 +82,12 @@
     call
 }
 
-fn send(node: &Arc<GatewayNode>, server: &Arc<ServerRuntime>, call: &CallerCall) -> AttemptResult {
+/// Result of one attempt of a request at a server.
+pub(crate) fn send(
+    node: &Arc<GatewayNode>,
+    server: &Arc<ServerRuntime>,
+    call: &CallerCall,
+) -> AttemptResult {
     let state = node.service("s");
     let reservation = server_reservation_tests::reservation_of(node, server, None);
     let sent = attempt_sender::send_attempt(node, call, &state, &reservation);
