--- a/crates/routing/src/server_roster.rs
+++ b/crates/routing/src/server_roster.rs
@@ -117,9 +117,8 @@
         has_changed || !expired_ids.is_empty()
     }
 
-    /// Determines from the entries whether a server incarnation that was known at `address`, if it was
-    /// known at all, has ended. An entry whose service `is_named` rejects names no server and proves
-    /// nothing.
+    /// Determines from the entries whether a server incarnation has ended that was known at `address`,
+    /// if at all. An entry whose service `is_named` rejects names no server and proves nothing.
     pub fn incarnation_status(
         &self,
         incarnation: &ServerIncarnation,
@@ -132,10 +131,8 @@
             .filter(|entry| is_named(&entry.service))
             .collect();
         let is_same_address = |entry: &&ServerEntry| Some(entry.address) == address;
-        match later_entries
-            .iter()
-            .find(|entry| entry.incarnation.id == incarnation.id)
-        {
+        let mut entries = later_entries.iter();
+        match entries.find(|entry| entry.incarnation.id == incarnation.id) {
             // Without its address, the orders to it may have reached the later one.
             Some(entry) if address.is_none() || is_same_address(entry) => {
                 IncarnationStatus::Replaced
