--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -7,7 +7,10 @@
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -468,21 +471,35 @@
     relay: u16,
 }
 
+/// First and last port that instances get: below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 12_000..30_000;
+/// Next port to try, counted from one that differs between processes.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+fn free_port() -> u16 {
+    let count = u32::from(PORTS.end - PORTS.start);
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let offset = (std::process::id().wrapping_mul(61) + number) % count;
+        let port = PORTS.start + offset as u16;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
+            return port;
+        }
+    }
+}
+
 impl Ports {
-    /// Ports that were free a moment ago.
+    /// Ports that are free now.
     pub fn free() -> Self {
-        let listeners: Vec<TcpListener> = (0..5)
-            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-            .collect();
-        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-        let port = |index: usize| listeners[index].local_addr().unwrap().port();
         Self {
-            caller: port(0),
-            readiness: port(1),
-            operator: port(2),
-            feed: port(3),
-            relay: port(4),
-            peer: socket.local_addr().unwrap().port(),
+            caller: free_port(),
+            readiness: free_port(),
+            operator: free_port(),
+            peer: free_port(),
+            feed: free_port(),
+            relay: free_port(),
         }
     }
 }
