--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,5 +1,6 @@
 //! Cases of the review that are no days of the bench: `harness CASE FOLDER`.
 
+mod lost_orders;
 mod pipelining;
 mod small_socket;
 mod world;
@@ -16,6 +17,7 @@
     match case.as_str() {
         "stop-behind-pipelined" => pipelining::stop(folder, has_trouble),
         "leave-behind-pipelined" => pipelining::leave(folder, has_trouble),
+        "unanswered-orders" => lost_orders::unanswered(folder, has_trouble),
         other => {
             eprintln!("unknown case {other}");
             ExitCode::from(2)
--- a/review/harness-3/pipelining.rs
+++ b/review/harness-3/pipelining.rs
@@ -75,7 +75,7 @@
 
 /// An instance is stopped while callers wait for answers, with requests behind the ones in progress.
 pub fn stop(folder: &str, has_trouble: bool) -> ExitCode {
-    let Some(world) = World::start(folder, 3, 2) else {
+    let Some(world) = World::start(folder, &["files"; 3], 2) else {
         return ExitCode::from(2);
     };
     let gateway = world.gateways[0].caller;
@@ -130,7 +130,7 @@
     const SLACK_MS: u64 = 500;
     /// Number of late requests that are allowed.
     const FEW: usize = 5;
-    let Some(world) = World::start(folder, 3, 2) else {
+    let Some(world) = World::start(folder, &["files"; 3], 2) else {
         return ExitCode::from(2);
     };
     let world = Arc::new(world);
--- a/review/harness-3/world.rs
+++ b/review/harness-3/world.rs
@@ -9,7 +9,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -359,35 +359,160 @@
     pub at_ms: u64,
 }
 
-/// A server of a service without keys: runs each request for the time in its query (`work`, in
-/// milliseconds) and answers with a body of `size` bytes.
+/// A server: runs each request for the time in its query (`work`, in milliseconds) and answers with a
+/// body of `size` bytes; one of a service with keys only if it holds the request's key.
 pub struct Server {
     pub id: String,
+    pub service: &'static str,
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<Run>>>,
+    pub keys: Arc<Keys>,
+}
+
+/// Keys that a server holds, and the orders about them.
+#[derive(Default)]
+pub struct Keys {
+    pub is_keyed: bool,
+    held: Mutex<Vec<Grant>>,
+    /// Highest fences seen, each with its first and last key.
+    seen: Mutex<Vec<(u64, u64, u64)>>,
+    handovers: AtomicU32,
+    /// Whether two of seven orders get no answer and are carried out late.
+    pub is_late: AtomicBool,
+    late_orders: AtomicU32,
+}
+
+struct Grant {
+    first: u64,
+    last: u64,
+    fence: u64,
+    until: Instant,
+}
+
+/// What a server does with an order.
+enum OrderAnswer {
+    Status(u16, String),
+    None,
+}
+
+impl Keys {
+    /// Time after which an order without an answer is carried out.
+    const LATE_BY: Duration = Duration::from_secs(3);
+
+    /// Whether a key is held now.
+    fn holds(&self, key: u64) -> bool {
+        let now = Instant::now();
+        let held = self.held.lock().unwrap();
+        held.iter()
+            .any(|grant| grant.first <= key && key <= grant.last && now < grant.until)
+    }
+
+    /// Takes an order. Of the grants that come while `is_late` is set, five are answered, then two not,
+    /// and so on.
+    fn take(self: &Arc<Self>, path: &str, body: &str) -> OrderAnswer {
+        let fields = members(body);
+        let number = |name: &str| fields.get(name).and_then(|text| text.parse::<f64>().ok());
+        let (Some(first), Some(last), Some(fence)) =
+            (number("from"), number("to"), number("fence"))
+        else {
+            return OrderAnswer::Status(400, String::new());
+        };
+        let (first, last, fence) = (first as u64, last as u64, fence as u64);
+        if path == "/release" {
+            let mut held = self.held.lock().unwrap();
+            let mut rest = Vec::new();
+            for grant in held.drain(..) {
+                if grant.last < first || last < grant.first {
+                    rest.push(grant);
+                    continue;
+                }
+                if grant.first < first {
+                    rest.push(Grant {
+                        last: first - 1,
+                        ..grant
+                    });
+                }
+                if last < grant.last {
+                    rest.push(Grant {
+                        first: last + 1,
+                        ..grant
+                    });
+                }
+            }
+            *held = rest;
+            self.seen.lock().unwrap().push((first, last, fence));
+            let count = self.handovers.fetch_add(1, Ordering::SeqCst);
+            return OrderAnswer::Status(200, format!("X-Geraniummast-Handover: {count:016x}\r\n"));
+        }
+        let until = Instant::now() + Duration::from_secs_f64(number("hold_s").unwrap_or(0.0));
+        let is_late = self.is_late.load(Ordering::SeqCst)
+            && self.late_orders.fetch_add(1, Ordering::SeqCst) % 7 >= 5;
+        if is_late {
+            let keys = self.clone();
+            thread::spawn(move || {
+                thread::sleep(Self::LATE_BY);
+                keys.grant(first, last, fence, until);
+            });
+            return OrderAnswer::None;
+        }
+        match self.grant(first, last, fence, until) {
+            true => OrderAnswer::Status(200, String::new()),
+            false => OrderAnswer::Status(409, String::new()),
+        }
+    }
+
+    /// Takes keys; false if a higher fence was seen on one of them.
+    fn grant(&self, first: u64, last: u64, fence: u64, until: Instant) -> bool {
+        let mut seen = self.seen.lock().unwrap();
+        let overlaps = |from: u64, to: u64| from <= last && first <= to;
+        if seen
+            .iter()
+            .any(|(from, to, known)| overlaps(*from, *to) && *known > fence)
+        {
+            return false;
+        }
+        seen.push((first, last, fence));
+        let mut held = self.held.lock().unwrap();
+        held.retain(|grant| !(first <= grant.first && grant.last <= last && grant.fence <= fence));
+        held.push(Grant {
+            first,
+            last,
+            fence,
+            until,
+        });
+        true
+    }
 }
 
 impl Server {
-    pub fn start(id: &str, record: Arc<Record>) -> Self {
+    pub fn start(id: &str, service: &'static str, record: Arc<Record>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let runs = Arc::new(Mutex::new(Vec::new()));
-        let (shared, id_text) = (runs.clone(), id.to_string());
+        let keys = Arc::new(Keys {
+            is_keyed: service == "keyed",
+            ..Keys::default()
+        });
+        let (shared, id_text, shared_keys) = (runs.clone(), id.to_string(), keys.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (runs, id, record) = (shared.clone(), id_text.clone(), record.clone());
-                thread::spawn(move || serve_requests(stream, &id, &runs, &record));
+                let keys = shared_keys.clone();
+                thread::spawn(move || serve_requests(stream, &id, &runs, &keys, &record));
             }
         });
         Self {
             id: id.into(),
+            service,
             address,
             runs,
+            keys,
         }
     }
 
     /// Writes the server's entry in the store, as its heartbeats do.
-    pub fn register(&self, store: &Store, service: &str, sequence: u64) {
+    pub fn register(&self, store: &Store, sequence: u64) {
+        let service = self.service;
         let spec = format!(
             "{{\"address\":\"{}\",\"born\":1700000000000,\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"z1\",\"capacity\":64}}}}",
             self.address
@@ -397,7 +522,13 @@
     }
 }
 
-fn serve_requests(mut stream: TcpStream, own_id: &str, runs: &Mutex<Vec<Run>>, record: &Record) {
+fn serve_requests(
+    mut stream: TcpStream,
+    own_id: &str,
+    runs: &Mutex<Vec<Run>>,
+    keys: &Arc<Keys>,
+    record: &Record,
+) {
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(request) = read_message(&mut reader) {
@@ -423,6 +554,42 @@
             }
             continue;
         }
+        if keys.is_keyed && (target == "/grant" || target == "/release") {
+            let body = String::from_utf8_lossy(&request.body);
+            match keys.take(target, &body) {
+                OrderAnswer::Status(status, headers) => {
+                    record.line(&format!(
+                        "server {own_id} answers {status} to {target} {body}"
+                    ));
+                    let answer =
+                        format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: 0\r\n\r\n");
+                    if stream.write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                OrderAnswer::None => {
+                    record.line(&format!(
+                        "server {own_id} leaves unanswered {target} {body}"
+                    ));
+                    while read_message(&mut reader).is_some() {}
+                    return;
+                }
+            }
+        }
+        let key = request
+            .header("x-geraniummast-shard-key")
+            .parse()
+            .unwrap_or(u64::MAX);
+        if keys.is_keyed && !keys.holds(key) {
+            let answer = format!(
+                "HTTP/1.1 421 X\r\nX-Geraniummast-Request-Attempt-Id: {id}\r\nX-Geraniummast-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
         let number = |name: &str| {
             let query = target.split_once('?').map_or("", |(_, query)| query);
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -578,9 +745,10 @@
     }
 }
 
-/// A store, servers of one service, and ready gateway instances.
+/// A store, servers, and ready gateway instances.
 pub struct World {
     logs: String,
+    pub store: Arc<Store>,
     pub record: Arc<Record>,
     pub servers: Arc<Vec<Server>>,
     pub gateways: Vec<Gateway>,
@@ -598,22 +766,24 @@
 
 impl World {
     /// Starts everything; `None` if the instances do not become ready in time.
-    pub fn start(folder: &str, servers: usize, gateways: usize) -> Option<Self> {
+    pub fn start(folder: &str, servers: &[&'static str], gateways: usize) -> Option<Self> {
         let record = Record::create(PathBuf::from(folder).join("record.txt"));
         let logs = std::env::temp_dir().join(format!("geraniummast-review-{}", std::process::id()));
         std::fs::create_dir_all(&logs).ok()?;
         let logs = logs.to_string_lossy().to_string();
         let (store, store_address) = Store::start();
-        let servers: Vec<Server> = (0..servers)
-            .map(|number| Server::start(&format!("i-{number}"), record.clone()))
+        let servers: Vec<Server> = servers
+            .iter()
+            .enumerate()
+            .map(|(number, service)| Server::start(&format!("i-{number}"), service, record.clone()))
             .collect();
         let servers = Arc::new(servers);
-        store.put("config", "main", CONFIGURATION, "null");
+        store.put("config", "main", &configuration(7, ""), "null");
         let (beating, beaten) = (store.clone(), servers.clone());
         thread::spawn(move || {
             for sequence in 1.. {
                 for server in beaten.iter() {
-                    server.register(&beating, "files", sequence);
+                    server.register(&beating, sequence);
                 }
                 thread::sleep(Duration::from_millis(870));
             }
@@ -641,6 +811,7 @@
         record.line("instances are ready");
         Some(Self {
             logs,
+            store,
             record,
             servers,
             gateways,
@@ -657,4 +828,32 @@
     }
 }
 
-const CONFIGURATION: &str = r#"{"version":7,"services":[{"name":"files","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},"hosts":[{"host":"files.example","paths":[{"name":"r-safe","path_prefix":"/safe/","type":"safe","timeout_s":4,"target_latency_s":1,"priority":1,"service":"files","max_attempts":2},{"name":"r-unsafe","path_prefix":"/unsafe/","type":"unsafe","timeout_s":4,"target_latency_s":1,"priority":1,"service":"files","max_attempts":2}]}]}"#;
+/// Configuration of a version, with further routes.
+pub fn configuration(version: u64, further_routes: &str) -> String {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        format!(
+            r#"{{"name":"{name}","path_prefix":"{prefix}","type":"{kind}","timeout_s":4,"target_latency_s":1,"priority":1,"service":"{service}","max_attempts":2}}"#
+        )
+    };
+    let mut routes = vec![
+        route("r-safe", "/safe/", "safe", "files"),
+        route("r-unsafe", "/unsafe/", "unsafe", "files"),
+        route("r-keyed", "/keyed/", "safe", "keyed"),
+    ];
+    let further = further_routes.split_whitespace();
+    routes.extend(further.map(|prefix| route("r-further", prefix, "safe", "keyed")));
+    let service = |name: &str, keyed: &str| {
+        format!(
+            r#"{{"name":"{name}","health_path":"/health","max_connections":110,"protocol":"h1","tls":false{keyed}}}"#
+        )
+    };
+    let services = [
+        service("files", ""),
+        service("keyed", r#","sharded":true,"warm_s":2.0,"grants":"call""#),
+    ];
+    format!(
+        r#"{{"version":{version},"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}},"hosts":[{{"host":"{HOST}","paths":[{}]}}]}}"#,
+        services.join(","),
+        routes.join(",")
+    )
+}
