Log and count servers that the leader gives no keys

Neither logs nor metrics told which servers the planner leaves out, why, and since when: an order without an answer was logged, the belief that follows from it was not. The leader now logs the beginning and the end of each exclusion, counts both, and the dump names the present ones.

--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -19,6 +19,8 @@
     pub(crate) planned_servers: Vec<ServerIncarnation>,
     /// Time since which those servers are the same.
     pub(crate) servers_unchanged_since: MonoTime,
+    /// Servers that get no keys.
+    pub(crate) exclusions: ExclusionTable,
     /// Time since which the store lacks the known record.
     restore_due_since: Option<MonoTime>,
     /// Term in which this instance last had the authority to send orders, until it loses it.
@@ -32,6 +34,7 @@
             store_asked_at: MonoTime::default(),
             planned_servers: Vec::new(),
             servers_unchanged_since: now,
+            exclusions: ExclusionTable::default(),
             restore_due_since: None,
             authorized_term: None,
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -83,6 +83,7 @@
 mod hop_headers;
 mod idle_list;
 mod instance_record;
+mod key_exclusions;
 mod key_view;
 mod kind_mirror;
 mod knowledge_wire;
--- a/crates/gateway/src/metric_names.rs
+++ b/crates/gateway/src/metric_names.rs
@@ -40,6 +40,8 @@
 pub(crate) const EVACUATIONS: &str = "geraniummast_evacuated_data_centres";
 /// Grants and releases sent to servers, by kind and result.
 pub(crate) const ORDERS: &str = "geraniummast_orders_total";
+/// Beginnings and ends of the exclusion of servers from keys, by change and reason.
+pub(crate) const KEY_EXCLUSIONS: &str = "geraniummast_key_exclusions_total";
 /// Writes of key records, by reason and result.
 pub(crate) const RECORD_WRITES: &str = "geraniummast_record_writes_total";
 /// Requests for updates to other instances, by result.
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -1,8 +1,8 @@
 //! Plans which keys move to other servers, by measured load and service times.
 
 use crate::{
-    key_view::PublishedDelta, leader_worker::LeaderLoopState, prelude::*, record_writer,
-    warmup_worker,
+    key_exclusions, key_view::PublishedDelta, leader_worker::LeaderLoopState, prelude::*,
+    record_writer, warmup_worker,
 };
 
 /// Time between two plans.
@@ -47,6 +47,7 @@
         return;
     }
     state.planned_at = now;
+    key_exclusions::update(node, service, &mut state.exclusions);
     let servers = eligible_servers(node, service, now);
     let incarnations: Vec<ServerIncarnation> = servers
         .iter()
@@ -200,11 +201,7 @@
     servers
         .iter()
         .filter(|server| !may_avoid || !server.avoids_keys(now))
-        .filter(|server| {
-            server.with_order_health(|health| {
-                !health.is_unresponsive(now) && !health.is_suspect(now) && !health.has_ended()
-            })
-        })
+        .filter(|server| server.with_order_health(|health| health.exclusion(now).is_none()))
         .map(|server| {
             let (own, own_samples) = server.load.lock().service_time();
             let (reported, reported_samples) = peers.service_time_of(server.incarnation());
--- a/crates/gateway/src/operator_page.rs
+++ b/crates/gateway/src/operator_page.rs
@@ -40,6 +40,8 @@
     resting: bool,
     connections: usize,
     limit_per_second: Option<f64>,
+    /// Why this instance, as the leader of the keys, gives the server none.
+    key_exclusion: Option<&'static str>,
 }
 
 #[derive(Serialize)]
@@ -116,6 +118,9 @@
             resting: load.is_ejected(now),
             connections: server.pool.open_count(),
             limit_per_second: server.quota.lock().limit.per_second(now),
+            key_exclusion: server
+                .with_order_health(|health| health.exclusion(now))
+                .map(KeyExclusion::label),
         }
     });
     let keys = node.keys.lock();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod former_leaders;
 mod grant_ledger;
 mod incarnation_status;
+mod key_exclusion;
 mod key_leader;
 mod key_planner;
 mod key_range;
@@ -79,6 +80,7 @@
     former_leaders::FormerLeaders,
     grant_ledger::GrantLedger,
     incarnation_status::IncarnationStatus,
+    key_exclusion::{ExclusionChange, ExclusionTable, KeyExclusion},
     key_leader::KeyLeader,
     key_planner::{KeyPlan, KeyPlanner},
     key_range::{KeyRange, RangeState},
--- a/crates/routing/src/order_health.rs
+++ b/crates/routing/src/order_health.rs
@@ -86,6 +86,21 @@
             && now.since(self.failing_since) >= Self::MIN_FAILING_TIME
     }
 
+    /// Why the server should get no keys for now, if it should not.
+    pub fn exclusion(&self, now: MonoTime) -> Option<KeyExclusion> {
+        if self.has_ended() {
+            Some(KeyExclusion::Ended)
+        } else if self.is_unresponsive(now) {
+            Some(KeyExclusion::Unresponsive)
+        } else if self.has_rejected {
+            Some(KeyExclusion::Rejecting)
+        } else if self.is_suspect(now) {
+            Some(KeyExclusion::Broken)
+        } else {
+            None
+        }
+    }
+
     /// Whether it is proved that this incarnation has ended.
     pub fn has_ended(&self) -> bool {
         self.is_address_reused
