Raise fences of owners when no server may take over their keys

Cause: two unanswered orders over 0.6 s exclude a server from keys until it answers an order. Their connections are closed, so its ranges can be granted again under a new fence only; that was written only for ranges of servers that are not excluded, since those of the others move. With all servers excluded at once nothing moves, no range gets a new fence, and without one there is no order that a server could answer.

Ranges that stay with their owners since nobody may take them over now get new fences as well. The grant under the new fence is safe as before: no earlier incarnation can have had it.

Ruled out: the leader's authority (confirmed all the while) and its reach of the servers (never lost).

--- a/crates/gateway/src/grant_connections.rs
+++ b/crates/gateway/src/grant_connections.rs
@@ -122,6 +122,16 @@
         self.state.lock().fences.needs_new_fence(fence)
     }
 
+    /// Takes note that fences up to `fence` were sent and that no open connection may carry them.
+    #[cfg(test)]
+    pub(crate) fn block_fences(&self, fence: u64) {
+        let mut state = self.state.lock();
+        let floor = state.fences.floor();
+        state.fences.next_step(floor, fence);
+        let floor = state.fences.floor();
+        state.fences.next_step(floor, fence);
+    }
+
     /// Opens a connection and keeps it as if the store had confirmed the leader since.
     #[cfg(test)]
     pub(crate) async fn keep_new(&self, node: &GatewayNode, server: &ServerRuntime) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -110,6 +110,8 @@
 #[cfg(test)]
 mod mirror_era_tests;
 mod move_planner;
+#[cfg(test)]
+mod move_planner_tests;
 mod node_evacuations;
 mod node_keys;
 mod node_servers;
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -121,8 +121,10 @@
     }
 }
 
-/// First keys of the ranges that their owners can be granted again under a new fence only, if these are
-/// among the `planned` servers.
+/// First keys of the ranges that their owners keep and can be granted again under a new fence only.
+///
+/// Ranges of other owners than the `planned` servers move to these. Without any, all ranges stay where
+/// they are, and a grant under a new fence is the only order that can show an owner as responsive again.
 fn ranges_to_raise(
     record: &KeyRecord,
     owners: &IndexMap<&ServerIncarnation, &ServerRuntime>,
@@ -135,7 +137,7 @@
     };
     ranges
         .filter(needs_new_fence)
-        .filter(|range| planned.contains(&range.owner))
+        .filter(|range| planned.is_empty() || planned.contains(&range.owner))
         .map(|range| range.first)
         .collect()
 }
