Ask servers without keys whether they answer orders again

Callers saw a keyed service with ever less room: each server that had left orders unanswered stayed without keys for as long as the leader lived, and the others ran all of its requests. Nothing but refusals under load showed it.

Cause: an excluded server loses its keys, a server without keys gets no orders, and only an answered order ends the exclusion of one that left orders unanswered (or an accepted one that of one that called them invalid).

The leader now probes such servers: a release of one key under the fence of the last order sent to them, over a connection of its own, 2 s after the exclusion and then after 4, 8 and 16 s, or each 0.6 s while no server may own keys. The record names them for no keys, so the release takes nothing from them, also late, twice or at a later incarnation; it gives no server keys. Probes are few at a time, in the order in which they are due, and earlier ones of the last minute delay the next, so that a server which flaps gets keys ever more rarely.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -129,6 +129,9 @@
 mod object_watcher_tests;
 mod open_calls;
 mod operator_page;
+mod order_probes;
+#[cfg(test)]
+mod order_probes_tests;
 mod order_results;
 mod order_sender;
 mod patch_history;
@@ -275,7 +278,7 @@
         geraniummast_routing::*,
         http::{Request, Response, StatusCode},
         http_body_util::{BodyExt, Full},
-        indexmap::IndexMap,
+        indexmap::{IndexMap, IndexSet},
         serde::{Deserialize, Serialize},
         std::{
             net::SocketAddr,
--- a/crates/gateway/src/move_planner.rs
+++ b/crates/gateway/src/move_planner.rs
@@ -1,8 +1,8 @@
 //! Plans which keys move to other servers, by measured load and service times.
 
 use crate::{
-    key_exclusions, key_view::PublishedDelta, leader_worker::LeaderLoopState, prelude::*,
-    record_writer, warmup_worker,
+    key_exclusions, key_view::PublishedDelta, leader_worker::LeaderLoopState, order_probes,
+    prelude::*, record_writer, warmup_worker,
 };
 
 /// Time between two plans.
@@ -57,6 +57,7 @@
         state.planned_servers = incarnations;
         state.servers_unchanged_since = now;
     }
+    order_probes::send_due(node, service, state);
     let supporters = due_supporters(node, service, now);
     let usable = node.usable_servers(service);
     let owners: IndexMap<&ServerIncarnation, &ServerRuntime> = usable
--- a/crates/gateway/src/move_planner_tests.rs
+++ b/crates/gateway/src/move_planner_tests.rs
@@ -5,7 +5,7 @@
     test_node, test_objects, test_store,
 };
 
-const SERVICE: &str = "s";
+pub(crate) const SERVICE: &str = "s";
 
 /// Fence that the only range has at first.
 const FENCE: u64 = 1;
@@ -14,7 +14,7 @@
 const FAILING_TIME: Duration = Duration::from_secs(1);
 
 /// Leader whose record names the servers `owners`, and a store that takes its next write.
-fn leader_of(owners: &[&str]) -> Arc<GatewayNode> {
+pub(crate) fn leader_of(owners: &[&str]) -> Arc<GatewayNode> {
     let written = PlatformObject {
         name: format!("{}{SERVICE}", KeyView::PREFIX),
         revision: 6.into(),
@@ -37,14 +37,14 @@
 }
 
 /// Has the leader learn of a server at a closed port.
-fn put_server(node: &GatewayNode, id: &str, revision: u64) -> Arc<ServerRuntime> {
+pub(crate) fn put_server(node: &GatewayNode, id: &str, revision: u64) -> Arc<ServerRuntime> {
     let entry = test_objects::ready_entry(id);
     test_objects::put_server(node, &entry, revision);
     node.server(&entry.incarnation).unwrap()
 }
 
 /// Records that the server has left orders unanswered for some time.
-fn leave_orders_unanswered(node: &GatewayNode, server: &ServerRuntime) {
+pub(crate) fn leave_orders_unanswered(node: &GatewayNode, server: &ServerRuntime) {
     let now = node.now();
     for at in [now.before(FAILING_TIME), now] {
         server.with_order_health(|health| health.record_failure(OrderFailure::Silent, at));
--- a/crates/gateway/src/order_results.rs
+++ b/crates/gateway/src/order_results.rs
@@ -1,6 +1,6 @@
 //! Applies the results of orders to what is known of their servers.
 
-use crate::{prelude::*, warmup_worker};
+use crate::{prelude::*, server_runtime::OrderKey, warmup_worker};
 
 /// Applies an order's result to the server's health, counts it, and logs failures and moves.
 pub(crate) fn record_result(
@@ -12,6 +12,10 @@
     response: &Result<Response<Bytes>, ExchangeError>,
 ) {
     let now = node.now();
+    server.record_order(OrderKey {
+        key: range.first,
+        fence: range.fence,
+    });
     let (result, cause) = match response {
         Ok(response) => {
             server.with_order_health(OrderHealth::record_answer);
--- a/crates/gateway/src/server_runtime.rs
+++ b/crates/gateway/src/server_runtime.rs
@@ -32,6 +32,7 @@
     /// Until when the planner gives the server no keys, since it wants no requests.
     keys_avoided_until: MonoTime,
     orders: OrderHealth,
+    last_order: Option<OrderKey>,
     orders_locked: bool,
     /// Handovers of the latest releases.
     handovers: LatestValues<String, { ServerRuntime::MAX_HANDOVERS }>,
@@ -44,6 +45,13 @@
     }
 }
 
+/// First key and fence of an order.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OrderKey {
+    pub(crate) key: u16,
+    pub(crate) fence: u64,
+}
+
 /// Right to send renewals to a server, until it is dropped.
 pub(crate) struct OrderLock(Arc<ServerRuntime>);
 
@@ -180,6 +188,16 @@
         work(&mut self.state.lock().orders)
     }
 
+    /// Records that an order was sent, or could not be.
+    pub(crate) fn record_order(&self, order: OrderKey) {
+        self.state.lock().last_order = Some(order);
+    }
+
+    /// The last order.
+    pub(crate) fn last_order(&self) -> Option<OrderKey> {
+        self.state.lock().last_order
+    }
+
     /// Records the handover of an answered release. Returns false if there is none, or if it came
     /// with an earlier release: then the answer is a second copy of that one's, and says nothing
     /// about this release.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -80,7 +80,7 @@
     former_leaders::FormerLeaders,
     grant_ledger::GrantLedger,
     incarnation_status::IncarnationStatus,
-    key_exclusion::{ExclusionChange, ExclusionTable, KeyExclusion},
+    key_exclusion::{ExclusionChange, ExclusionTable, KeyExclusion, ProbeUrgency},
     key_leader::KeyLeader,
     key_planner::{KeyPlan, KeyPlanner},
     key_range::{KeyRange, RangeState},
