Play servers that leave orders unanswered in the soak

Servers with keys leave all orders unanswered for 1 to 3.5 s, twice, once all and once all but a few of them. Each must run requests again in the final window (order_checker).

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -254,6 +254,19 @@
     assert_plan_passes(&plan);
 }
 
+// Guards against a keyed service that is never served again, and against servers that stand idle from
+// then on, after servers left orders unanswered for some seconds (docs/incidents/unanswered-orders.md).
+#[test]
+fn servers_that_left_orders_unanswered_have_work_again() {
+    let plan = SoakPlan {
+        callers: 40,
+        fault_duration: Duration::from_secs(12),
+        scenario: FaultScenario::UnansweredOrders,
+        ..plan(18, "unanswered-orders")
+    };
+    assert_plan_passes(&plan);
+}
+
 // Guards against keys that stay at a server which wants no requests for a long time: requests for
 // them are refused though other servers have room.
 #[test]
--- a/crates/soak/src/backend_fault.rs
+++ b/crates/soak/src/backend_fault.rs
@@ -26,6 +26,8 @@
     Endless,
     /// Multiplies the service time by this factor.
     Slow(u32),
+    /// Leaves all grants and releases of keys unanswered and does not carry them out.
+    SilentOrders,
 }
 
 impl BackendFault {
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -142,6 +142,9 @@
                     (Duration::from_secs(2), leave(plan.servers)),
                 ]
             }
+            FaultScenario::UnansweredOrders => {
+                Self::unanswered_orders(&mut StdRng::seed_from_u64(plan.seed), plan)
+            }
             FaultScenario::RestingOwner => {
                 vec![(
                     Duration::ZERO,
--- a/crates/soak/src/fault_injector.rs
+++ b/crates/soak/src/fault_injector.rs
@@ -125,6 +125,10 @@
             Timer::after(duration).await;
             if let Some(process) = &process {
                 *process.fault.lock().unwrap() = BackendFault::None;
+                if fault == BackendFault::SilentOrders {
+                    let mut servers = ledger.silenced_servers.lock().unwrap();
+                    servers.insert(process.incarnation.clone());
+                }
             }
         }
         FaultEvent::Refuse(number, duration) => {
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -1,6 +1,7 @@
 //! Random schedules of faults.
 
 use crate::{prelude::*, server_cuts::CutMode, server_departures::Departure};
+use rand::seq::SliceRandom;
 use rustix::process::Signal;
 
 impl FaultEvent {
@@ -73,6 +74,27 @@
         (0..count).map(&mut draw).collect()
     }
 
+    /// Draws two periods in which servers with keys leave orders unanswered: all of them in one, and
+    /// all but a few in the other.
+    pub(crate) fn unanswered_orders(rng: &mut StdRng, plan: &SoakPlan) -> Vec<(Duration, Self)> {
+        /// Length of a period, in milliseconds.
+        const PERIOD_MS: std::ops::Range<u64> = 1_000..3_500;
+        let some = rng.random_range(1..plan.servers.max(2));
+        let mut counts = [plan.servers, some];
+        counts.shuffle(rng);
+        let mut events = Vec::new();
+        for (period, count) in counts.into_iter().enumerate() {
+            let at = plan.fault_duration.mul_f64(0.5) * period as u32;
+            let length = Duration::from_millis(rng.random_range(PERIOD_MS));
+            let first = rng.random_range(0..plan.servers);
+            events.extend((0..count).map(|step| {
+                let number = plan.servers + (first + step) % plan.servers;
+                (at, Self::Server(number, BackendFault::SilentOrders, length))
+            }));
+        }
+        events
+    }
+
     /// Time from a restore of the store to the next copy, in milliseconds.
     pub(crate) const RESTORE_PAUSE_MS: std::ops::Range<u64> = 1_000..5_000;
     /// The same, long enough that all keys are served again meanwhile.
--- a/crates/soak/src/guarantee_checker.rs
+++ b/crates/soak/src/guarantee_checker.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cold_checker, configuration_checker, evacuation_checker, limit_checker, notice_checker,
-    poison_checker, prelude::*, reach_checker, soak_routes,
+    order_checker, poison_checker, prelude::*, reach_checker, soak_routes,
 };
 use std::collections::HashMap;
 
@@ -41,6 +41,7 @@
         poison_checker::check(ledger, &calls, &all_executions),
         notice_checker::check(ledger, &calls, &all_executions),
         evacuation_checker::check(ledger, &calls, &all_executions),
+        order_checker::check(ledger, &all_executions, final_window_start),
         reach_checker::check(ledger, &calls),
         configuration_checker::check(ledger, &calls, &checker.executions),
     ] {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -54,6 +54,9 @@
 mod notice_checker;
 #[cfg(test)]
 mod notice_checker_tests;
+mod order_checker;
+#[cfg(test)]
+mod order_checker_tests;
 mod poison_checker;
 #[cfg(test)]
 mod poison_checker_tests;
@@ -138,7 +141,7 @@
         geraniummast_routing::*,
         http::{Request, Response, StatusCode},
         http_body_util::{BodyExt, Full},
-        indexmap::IndexMap,
+        indexmap::{IndexMap, IndexSet},
         rand::{RngExt, SeedableRng, rngs::StdRng},
         std::{
             net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
--- a/crates/soak/src/soak_arguments.rs
+++ b/crates/soak/src/soak_arguments.rs
@@ -25,7 +25,7 @@
                     [--idle-routes N] [--seconds S] [--crashes] [--quick-restarts] [--unlisted-restarts]
                     [--restores] [--beside-restores] [--beside-foreign-entries]
                     [--changes-beside KIND]
-                    [--changes-at-paused-helpers] [--evacuations]
+                    [--changes-at-paused-helpers] [--evacuations] [--unanswered-orders]
                     [--daemon PATH] [--logs FOLDER]
 
 Options:
@@ -59,6 +59,9 @@
                   while two of the others are paused for a moment
   --evacuations   evacuate data centres of the servers, one and two at a time, while instances
                   are killed; a round takes 22 s
+  --unanswered-orders
+                  have servers with keys leave all orders unanswered, twice, all or some of them;
+                  each must have work again afterwards
   --daemon PATH   path of geraniummastd, by default in the directory of this program
   --logs FOLDER   directory for the logs of the instances, target/soak by default
   -h, --help      print this help
@@ -115,6 +118,9 @@
                 Long("changes-at-paused-helpers") => {
                     arguments.scenario = FaultScenario::ChangesAtPausedHelpers;
                 }
+                Long("unanswered-orders") => {
+                    arguments.scenario = FaultScenario::UnansweredOrders;
+                }
                 Long("evacuations") => arguments.scenario = FaultScenario::Evacuations,
                 Long("daemon") => arguments.daemon_path = parser.value()?.into(),
                 Long("logs") => arguments.log_dir = parser.value()?.into(),
--- a/crates/soak/src/soak_ledger.rs
+++ b/crates/soak/src/soak_ledger.rs
@@ -28,6 +28,8 @@
     pub(crate) cold_periods: Mutex<Vec<ColdPeriod>>,
     /// Times during which servers with keys wanted no requests.
     pub(crate) rest_periods: Mutex<Vec<(MonoTime, MonoTime)>>,
+    /// Servers with keys that left orders unanswered for some time.
+    pub(crate) silenced_servers: Mutex<IndexSet<ServerIncarnation>>,
     /// Evacuations of data centres.
     pub(crate) evacuations: Mutex<Vec<EvacuationPeriod>>,
     disturbances: Mutex<Vec<DisturbancePeriod>>,
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -75,6 +75,8 @@
     /// Servers say in their answers that they leave, before discovery does, or that they want no
     /// requests for some time.
     ServerNotices,
+    /// Servers with keys leave all orders unanswered for some seconds: twice, all or some of them.
+    UnansweredOrders,
     /// A server with keys wants no requests for a long time.
     RestingOwner,
     /// Servers with keys crash, one every two seconds, half of them for good.
