Close connections in two steps, so that last answers arrive

Cause: the HTTP server reads one request ahead. It was done with the connection when the last bytes of the answer were handed to the system, and the socket was dropped with the next requests unread in it, which resets the connection and discards what has not been sent. A reset also follows when bytes come after the close.

Such connections are the first to give way at a full listener.

--- a/crates/net/src/connection_activity.rs
+++ b/crates/net/src/connection_activity.rs
@@ -17,6 +17,8 @@
     Head,
     /// A request has been passed on and is not answered completely.
     Running,
+    /// The last answer has been sent, and the connection is closed once the peer closes it.
+    Lingering,
 }
 
 /// Kind of progress that a connection no longer makes.
@@ -71,7 +73,10 @@
 
     /// Whether no request has begun.
     pub fn is_resting(&self) -> bool {
-        matches!(self.phase, ConnectionPhase::Silent | ConnectionPhase::Idle)
+        match self.phase {
+            ConnectionPhase::Silent | ConnectionPhase::Idle | ConnectionPhase::Lingering => true,
+            ConnectionPhase::Head | ConnectionPhase::Running => false,
+        }
     }
 
     /// Whether the connection may be closed for another one.
@@ -113,6 +118,18 @@
         self.enter(ConnectionPhase::Idle, now);
     }
 
+    /// Records that nothing more is sent; returns the time of the last answer, or now if it has not been
+    /// recorded as sent.
+    pub fn linger(&mut self, now: MonoTime) -> MonoTime {
+        let answered_at = match self.phase {
+            ConnectionPhase::Idle => self.since,
+            _ => now,
+        };
+        self.unblock_write();
+        self.enter(ConnectionPhase::Lingering, now);
+        answered_at
+    }
+
     /// Records that bytes of an answer wait for the peer to read.
     pub fn block_write(&mut self, now: MonoTime) {
         self.write_blocked_since.get_or_insert(now);
--- a/crates/net/src/connection_event.rs
+++ b/crates/net/src/connection_event.rs
@@ -26,6 +26,10 @@
                 phase: ConnectionPhase::Silent,
                 ..
             } => "silent",
+            Self::Replaced {
+                phase: ConnectionPhase::Lingering,
+                ..
+            } => "lingering",
             Self::Replaced { .. } => "idle",
             Self::Refused => "refused",
             Self::Stalled(StallKind::Head) => "stalled-head",
--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -3,6 +3,7 @@
 use crate::{
     answer_body::AnswerBody,
     http_stream::HttpStream,
+    lingering_close,
     open_connections::TrackedGuard,
     prelude::*,
     tracked_connection::{CloseRequest, TrackedConnection},
@@ -186,7 +187,17 @@
     }
 }
 
-/// Serves a connection until it ends; returns the stall that ended it, if one did.
+/// How the serving of a connection ended.
+enum ConnectionEnd {
+    /// The peer closed it, or no more is to be answered on it.
+    Done,
+    /// It was closed before any request.
+    Unused,
+    /// It made no progress.
+    Stalled(StallKind),
+}
+
+/// Serves a connection and closes it; returns the stall that ended it, if one did.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: HttpLimits,
@@ -194,6 +205,30 @@
     guard: &TrackedGuard,
     handle: H,
 ) -> Option<StallKind>
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<MessageBody>>,
+{
+    let socket = stream.clone();
+    match serve_requests(stream, limits, connections, guard, handle).await {
+        ConnectionEnd::Done => {
+            // Without the box, the state of the close would be a part of each open connection.
+            Box::pin(lingering_close::close(socket, &guard.connection)).await;
+            None
+        }
+        ConnectionEnd::Unused => None,
+        ConnectionEnd::Stalled(kind) => Some(kind),
+    }
+}
+
+/// Serves the requests on a connection; the HTTP server has let go of it afterwards.
+async fn serve_requests<H, F>(
+    stream: TcpStream,
+    limits: HttpLimits,
+    connections: &OpenConnections,
+    guard: &TrackedGuard,
+    handle: H,
+) -> ConnectionEnd
 where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<MessageBody>>,
@@ -236,17 +271,18 @@
     };
     let requested = async { Some(tracked.wait_close().await) };
     match future::or(ended, future::or(closing, requested)).await {
-        None => None,
-        Some(CloseRequest::Stalled(kind)) => Some(kind),
+        None => ConnectionEnd::Done,
+        Some(CloseRequest::Stalled(kind)) => ConnectionEnd::Stalled(kind),
         // The HTTP server would wait for a request if it has received an empty line.
-        Some(CloseRequest::Graceful) if tracked.is_silent() => None,
+        Some(CloseRequest::Graceful) if tracked.is_silent() => ConnectionEnd::Unused,
         Some(CloseRequest::Graceful) => {
             connection.as_mut().graceful_shutdown();
             let ended = async {
                 let _ = connection.await;
-                None
+                ConnectionEnd::Done
             };
-            future::or(ended, async { Some(tracked.wait_stalled().await) }).await
+            let stalled = async { ConnectionEnd::Stalled(tracked.wait_stalled().await) };
+            future::or(ended, stalled).await
         }
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,7 @@
 mod http_connection;
 mod http_listener;
 mod http_stream;
+mod lingering_close;
 mod listener_step;
 #[cfg(test)]
 mod listener_step_tests;
--- a/crates/net/src/listener_step.rs
+++ b/crates/net/src/listener_step.rs
@@ -16,18 +16,18 @@
 impl<K: Copy + Ord> ListenerStep<K> {
     /// Decides on a new connection beside the open `connections`, of which `max` may be open.
     ///
-    /// The one that has been open for longest without a request gives way first, then the one that
-    /// has been idle for longest between requests. Of equal ones the lowest key gives way.
+    /// One that only waits for its peer to close it gives way first, then the one that has been open
+    /// for longest without a request, then the one that has been idle for longest between requests.
+    /// Of equal ones the lowest key gives way.
     pub fn decide(max: usize, connections: impl Iterator<Item = (K, ConnectionActivity)>) -> Self {
         let mut counted = 0;
-        let mut first: Option<((bool, MonoTime, K), K)> = None;
+        let mut first: Option<((u8, MonoTime, K), K)> = None;
         for (key, activity) in connections {
             counted += usize::from(activity.is_counted());
             if !activity.can_give_way() {
                 continue;
             }
-            let has_sent = activity.phase() != ConnectionPhase::Silent;
-            let rank = (has_sent, activity.since(), key);
+            let rank = (phase_rank(activity.phase()), activity.since(), key);
             if first.is_none_or(|(lowest, _)| rank < lowest) {
                 first = Some((rank, key));
             }
@@ -39,3 +39,12 @@
         }
     }
 }
+
+/// Order in which resting connections give way.
+fn phase_rank(phase: ConnectionPhase) -> u8 {
+    match phase {
+        ConnectionPhase::Lingering => 0,
+        ConnectionPhase::Silent => 1,
+        ConnectionPhase::Idle | ConnectionPhase::Head | ConnectionPhase::Running => 2,
+    }
+}
--- a/crates/net/src/tracked_connection.rs
+++ b/crates/net/src/tracked_connection.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Records that nothing more is sent; returns the time of the last answer.
+    pub(crate) fn begin_lingering(&self) -> MonoTime {
+        self.activity.lock().linger(self.clock.now())
+    }
+
     /// Records that bytes wait until the peer has read earlier ones.
     pub(crate) fn block_write(&self) {
         self.activity.lock().block_write(self.clock.now());
