Test that a stop of the process cuts no answer before unread requests

A caller reads an answer of 8 MiB over some three seconds, with two further requests behind, while the process is stopped: past the time at which the listener is done with the connection, up to the end of the process.

--- a/crates/daemon/tests/large_bodies/caller_load.rs
+++ b/crates/daemon/tests/large_bodies/caller_load.rs
@@ -176,3 +176,23 @@
     let length = stream.read(&mut part)?;
     Ok(String::from_utf8_lossy(&part[..length]).into_owned())
 }
+
+/// Reads the body of an answer in blocks with a pause after each; returns the number of bytes until its
+/// end or until the connection ends.
+pub(crate) fn read_body_slowly(stream: &mut TcpStream, pause: Duration, length: usize) -> usize {
+    const BLOCK_BYTES: usize = 64 << 10;
+    let mut received = Vec::new();
+    let mut block = vec![0; BLOCK_BYTES];
+    let body_bytes = |received: &[u8]| {
+        let head_end = received.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        head_end.map_or(0, |position| received.len() - position - 4)
+    };
+    while body_bytes(&received) < length {
+        match stream.read(&mut block) {
+            Ok(0) | Err(_) => break,
+            Ok(bytes) => received.extend_from_slice(&block[..bytes]),
+        }
+        std::thread::sleep(pause);
+    }
+    body_bytes(&received)
+}
--- a/crates/daemon/tests/large_bodies/loaded_instance.rs
+++ b/crates/daemon/tests/large_bodies/loaded_instance.rs
@@ -1,6 +1,10 @@
 //! Gateway process under load, with the limits of its machine.
 
-use crate::{caller_load::send_ordinary, common::CALLER_PORT, small_site::SmallSite};
+use crate::{
+    caller_load::send_ordinary,
+    common::{CALLER_PORT, send_signal},
+    small_site::SmallSite,
+};
 use std::{
     net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
@@ -74,6 +78,16 @@
         self.child.id()
     }
 
+    /// Starts a stop, as the platform does.
+    pub(crate) fn begin_stop(&self) {
+        send_signal(&self.child, "TERM");
+    }
+
+    /// Waits until the process has exited; returns its code.
+    pub(crate) fn wait_exited(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
     /// Asserts that [`Self::check_unharmed`] finds nothing.
     pub(crate) fn assert_unharmed(&mut self) {
         assert_eq!(self.check_unharmed(), None);
--- a/crates/daemon/tests/large_bodies/main.rs
+++ b/crates/daemon/tests/large_bodies/main.rs
@@ -13,11 +13,14 @@
 mod small_site;
 
 use caller_load::{
-    BodyFraming, SentBody, connect, head, open_silent, read_answer_head, run_callers,
+    BodyFraming, SentBody, connect, head, open_silent, read_answer_head, read_body_slowly,
+    run_callers,
 };
 use common::loopback_host;
 use loaded_instance::{LoadedInstance, MachineLimits};
-use small_site::{LARGE_LOOKUP, SLOW_LOOKUP, SLOW_UPLOAD, SmallSite};
+use small_site::{
+    LARGE_LOOKUP, LARGE_RESPONSE_BYTES, SLOW_LARGE_LOOKUP, SLOW_LOOKUP, SLOW_UPLOAD, SmallSite,
+};
 use std::{
     io::Write,
     net::TcpStream,
@@ -228,3 +231,24 @@
 fn largest_permitted_chunked_body_is_served_on_the_smallest_machine() {
     assert_serves_largest(14, BodyFraming::Chunked);
 }
+
+// Guards against answers that are cut since the process ends, or closes their connections, while their
+// callers read them and have sent further requests (docs/incidents/cut-answers.md).
+#[test]
+fn stop_cuts_no_answer_before_unread_requests() {
+    /// Pause after each block that the caller reads: the whole answer takes some three seconds.
+    const READ_PAUSE: Duration = Duration::from_millis(20);
+    let _running = lock();
+    let (_site, mut instance) = start(15, SMALL_MACHINE, &["--stop-timeout-s=10"]);
+    let mut stream = connect(instance.caller_address).unwrap();
+    for _ in 0..3 {
+        let request = head("GET", SLOW_LARGE_LOOKUP, "Accept: */*");
+        stream.write_all(request.as_bytes()).unwrap();
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    instance.begin_stop();
+    let received = read_body_slowly(&mut stream, READ_PAUSE, LARGE_RESPONSE_BYTES);
+    assert_eq!(received, LARGE_RESPONSE_BYTES);
+    drop(stream);
+    assert_eq!(instance.wait_exited(), Some(0));
+}
--- a/crates/daemon/tests/large_bodies/small_site.rs
+++ b/crates/daemon/tests/large_bodies/small_site.rs
@@ -37,6 +37,8 @@
 pub(crate) const SLOW_UPLOAD: &str = "/upload/slow";
 /// Request that the server answers with [`LARGE_RESPONSE_BYTES`].
 pub(crate) const LARGE_LOOKUP: &str = "/lookup/large";
+/// The same after [`SLOW_TIME`].
+pub(crate) const SLOW_LARGE_LOOKUP: &str = "/lookup/slow-large";
 /// Size of a large response, more than the socket buffers of one connection hold (4 MiB).
 pub(crate) const LARGE_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -114,10 +116,10 @@
         }
     }
     let path = head.uri.path();
-    if path == SLOW_LOOKUP || path == SLOW_UPLOAD {
+    if [SLOW_LOOKUP, SLOW_UPLOAD, SLOW_LARGE_LOOKUP].contains(&path) {
         async_io::Timer::after(SLOW_TIME).await;
     }
-    let body = match path == LARGE_LOOKUP {
+    let body = match [LARGE_LOOKUP, SLOW_LARGE_LOOKUP].contains(&path) {
         true => Bytes::from_static(&[0; LARGE_RESPONSE_BYTES]),
         false => Bytes::from_static(b"done"),
     };
