--- a/crates/gateway/src/grant_connections.rs
+++ b/crates/gateway/src/grant_connections.rs
@@ -122,14 +122,14 @@
         self.state.lock().fences.needs_new_fence(fence)
     }
 
-    /// Takes note that fences up to `fence` were sent and that no open connection may carry them.
+    /// Takes note that `fence` was sent, and then wanted on a connection that was opened later.
     #[cfg(test)]
-    pub(crate) fn block_fences(&self, fence: u64) {
+    pub(crate) fn block_fence(&self, fence: u64) {
         let mut state = self.state.lock();
-        let floor = state.fences.floor();
-        state.fences.next_step(floor, fence);
-        let floor = state.fences.floor();
-        state.fences.next_step(floor, fence);
+        for _connection in 0..2 {
+            let floor = state.fences.floor();
+            state.fences.next_step(floor, fence);
+        }
     }
 
     /// Opens a connection and keeps it as if the store had confirmed the leader since.
--- a/crates/gateway/src/move_planner_tests.rs
+++ b/crates/gateway/src/move_planner_tests.rs
@@ -67,7 +67,7 @@
 fn range_gets_a_new_fence_when_no_server_may_take_it_over() {
     let node = leader_of(&["s1"]);
     let server = put_server(&node, "s1", 2);
-    server.grants.block_fences(FENCE);
+    server.grants.block_fence(FENCE);
     leave_orders_unanswered(&node, &server);
     let record = plan(&node);
     let range = &record.ranges[0];
@@ -81,7 +81,7 @@
     let node = leader_of(&["s1"]);
     let server = put_server(&node, "s1", 2);
     let other = put_server(&node, "s2", 3);
-    server.grants.block_fences(FENCE);
+    server.grants.block_fence(FENCE);
     leave_orders_unanswered(&node, &server);
     let record = plan(&node);
     let mut ranges = record.ranges.iter();
--- a/crates/routing/src/key_exclusion.rs
+++ b/crates/routing/src/key_exclusion.rs
@@ -114,9 +114,9 @@
     const FORGET_TIME: Duration = Duration::from_secs(60);
     /// Number of probes that may begin at once in any service.
     const MIN_PROBES: usize = 8;
-    /// Share of the excluded servers that may be probed at once: all of them within five seconds at
-    /// the planner's interval.
-    const PROBED_SHARE: usize = 16;
+    /// Of so many excluded servers one may be probed at once: all of them within five seconds at the
+    /// planner's interval.
+    const SERVERS_PER_PROBE: usize = 16;
 
     /// Applies the present state of all servers; returns what has changed. Servers that are not
     /// among `states` are forgotten.
@@ -159,7 +159,7 @@
         urgency: ProbeUrgency,
         now: MonoTime,
     ) -> Vec<ServerIncarnation> {
-        let max = Self::MIN_PROBES.max(self.servers.len() / Self::PROBED_SHARE);
+        let max = Self::MIN_PROBES.max(self.servers.len() / Self::SERVERS_PER_PROBE);
         let mut due: Vec<(MonoTime, usize)> = Vec::new();
         for (position, (incarnation, server)) in self.servers.iter().enumerate() {
             let due_at = server.probe_due_at(urgency).filter(|at| now >= *at);
