Begin each term of a leader without doubts of an earlier one

An instance that led keys, lost the lead and leads again still took servers for unresponsive that had left orders of its earlier term unanswered, however long ago: it gave them no keys and moved those that they held.

What orders have told is forgotten when a term begins, except that another server answers at the address. An instance that leads for the first time knows no more.

new_term_begins_without_doubts_of_an_earlier_one failed before and passes now.

--- a/crates/gateway/src/key_exclusions.rs
+++ b/crates/gateway/src/key_exclusions.rs
@@ -15,6 +15,15 @@
     }
 }
 
+/// Forgets what orders of an earlier term have told of a service's servers: they have had orders of
+/// other leaders since.
+pub(crate) fn clear(node: &GatewayNode, service: &str, table: &mut ExclusionTable) {
+    *table = ExclusionTable::default();
+    for server in node.usable_servers(service).iter() {
+        server.with_order_health(OrderHealth::forget_orders);
+    }
+}
+
 fn record_change(node: &GatewayNode, service: &str, change: &ExclusionChange) {
     let (label, after) = match change.ended_after {
         None => ("began", Duration::ZERO),
--- a/crates/gateway/src/leader_worker.rs
+++ b/crates/gateway/src/leader_worker.rs
@@ -1,7 +1,8 @@
 //! Leads the keys of the services: takes over leadership, renews grants and moves ranges.
 
 use crate::{
-    end_detection, move_planner, order_sender, prelude::*, record_restorer, record_writer,
+    end_detection, key_exclusions, move_planner, order_sender, prelude::*, record_restorer,
+    record_writer,
 };
 
 /// Longest time between two cycles.
@@ -19,6 +20,8 @@
     pub(crate) planned_servers: Vec<ServerIncarnation>,
     /// Time since which those servers are the same.
     pub(crate) servers_unchanged_since: MonoTime,
+    /// Whether this instance led the keys in the last cycle.
+    was_leader: bool,
     /// Servers that get no keys.
     pub(crate) exclusions: ExclusionTable,
     /// Time since which the store lacks the known record.
@@ -34,6 +37,7 @@
             store_asked_at: MonoTime::default(),
             planned_servers: Vec::new(),
             servers_unchanged_since: now,
+            was_leader: false,
             exclusions: ExclusionTable::default(),
             restore_due_since: None,
             authorized_term: None,
@@ -85,6 +89,10 @@
     });
     let restore_due_since = state.restore_due_since.unwrap_or(now);
     state.restore_due_since = needs_restore.then_some(restore_due_since);
+    if leads && !state.was_leader {
+        key_exclusions::clear(node, service, &mut state.exclusions);
+    }
+    state.was_leader = leads;
     match leads {
         false => consider_takeover(node, service, state).await,
         true => {
--- a/crates/gateway/src/leader_worker_tests.rs
+++ b/crates/gateway/src/leader_worker_tests.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     leader_worker::{self, LeaderLoopState},
+    move_planner_tests as planner,
     prelude::*,
     record_restorer_tests::{self, SERVICE},
     test_objects, test_store,
@@ -65,3 +66,19 @@
         !view.leader.has_no_grant(&range.owner, range.fence, at)
     })
 }
+
+// Guards against keys that move away from sound servers when an instance leads again: what their orders
+// had told in its earlier term was still believed, although they had answered to others since.
+#[test]
+fn new_term_begins_without_doubts_of_an_earlier_one() {
+    let node = planner::leader_of(&["s1"]);
+    let server = planner::put_server(&node, "s1", 2);
+    planner::leave_orders_unanswered(&node, &server);
+    let exclusion =
+        |node: &GatewayNode| server.with_order_health(|health| health.exclusion(node.now()));
+    assert_eq!(exclusion(&node), Some(KeyExclusion::Unresponsive));
+    let mut state = LeaderLoopState::new(node.now());
+    let cycle = leader_worker::run_cycle(&node, planner::SERVICE, &mut state);
+    node.workers.block_on(cycle);
+    assert_eq!(exclusion(&node), None);
+}
--- a/crates/routing/src/order_health.rs
+++ b/crates/routing/src/order_health.rs
@@ -49,6 +49,14 @@
         self.has_rejected = false;
     }
 
+    /// Forgets what orders have told, except a proof that this incarnation has ended.
+    pub fn forget_orders(&mut self) {
+        *self = Self {
+            is_address_reused: self.is_address_reused,
+            ..Self::default()
+        };
+    }
+
     /// Records that an order was called invalid.
     pub fn record_rejection(&mut self) {
         self.has_rejected = self.has_accepted;
