--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,9 +5,10 @@
 //! this instance does not reach (`reach_worker`) go through another instance (`relay_client`,
 //! `relay_server`); those that crash servers are held back (`quarantine_worker`).
 //! `configuration_worker`, `discovery_worker` and `record_worker` apply updates from the platform's
-//! store; `leader_worker` grants keys to servers and moves them, and `end_detection` tells it which
-//! have ended; `peer_worker` exchanges heartbeats with the other instances. Decisions are made in the
-//! `routing` crate; the `platform` crate translates the platform's formats.
+//! store; `leader_worker` grants keys to servers and moves them, `end_detection` tells it which have
+//! ended, and `order_probes` which of those without keys answer again; `peer_worker` exchanges
+//! heartbeats with the other instances. Decisions are made in the `routing` crate; the `platform`
+//! crate translates the platform's formats.
 
 mod announcement_worker;
 #[cfg(test)]
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -75,7 +75,7 @@
     }
 
     /// Draws two periods in which servers with keys leave orders unanswered: all of them in one, and
-    /// all but a few in the other.
+    /// some of them in the other.
     pub(crate) fn unanswered_orders(rng: &mut StdRng, plan: &SoakPlan) -> Vec<(Duration, Self)> {
         /// Length of a period, in milliseconds.
         const PERIOD_MS: std::ops::Range<u64> = 1_000..3_500;
