End a connection where it is served, and share a wait of tests

serve_connection was a wrapper with the same bounds as the function that it called; the three ways in which a connection ends are now told apart in the task that owns it. Two test files had the same wait loop. No change of behaviour; tests keep their assertions.

--- a/crates/net/src/http_listener.rs
+++ b/crates/net/src/http_listener.rs
@@ -165,10 +165,17 @@
         let observe = self.observe.clone();
         let limits = self.limits;
         pool.spawn(async move {
-            let stalled = serve_connection(stream, limits, &connections, &guard, handle).await;
-            drop(guard);
-            if let Some(kind) = stalled {
-                observe(ConnectionEvent::Stalled(kind));
+            let socket = stream.clone();
+            match serve_connection(stream, limits, &connections, &guard, handle).await {
+                ConnectionEnd::Done => {
+                    // Without the box, the state of the close would be a part of each connection.
+                    Box::pin(lingering_close::close(socket, &guard.connection)).await;
+                }
+                ConnectionEnd::Unused => {}
+                ConnectionEnd::Stalled(kind) => {
+                    drop((socket, guard));
+                    observe(ConnectionEvent::Stalled(kind));
+                }
             }
         });
     }
@@ -197,37 +204,13 @@
     Stalled(StallKind),
 }
 
-/// Serves a connection and closes it; returns the stall that ended it, if one did.
+/// Serves a connection until it ends; the HTTP server has let go of it afterwards.
 async fn serve_connection<H, F>(
     stream: TcpStream,
     limits: HttpLimits,
     connections: &OpenConnections,
     guard: &TrackedGuard,
     handle: H,
-) -> Option<StallKind>
-where
-    H: Fn(Request<Incoming>) -> F,
-    F: Future<Output = Response<MessageBody>>,
-{
-    let socket = stream.clone();
-    match serve_requests(stream, limits, connections, guard, handle).await {
-        ConnectionEnd::Done => {
-            // Without the box, the state of the close would be a part of each open connection.
-            Box::pin(lingering_close::close(socket, &guard.connection)).await;
-            None
-        }
-        ConnectionEnd::Unused => None,
-        ConnectionEnd::Stalled(kind) => Some(kind),
-    }
-}
-
-/// Serves the requests on a connection; the HTTP server has let go of it afterwards.
-async fn serve_requests<H, F>(
-    stream: TcpStream,
-    limits: HttpLimits,
-    connections: &OpenConnections,
-    guard: &TrackedGuard,
-    handle: H,
 ) -> ConnectionEnd
 where
     H: Fn(Request<Incoming>) -> F,
--- a/crates/net/tests/full_listener.rs
+++ b/crates/net/tests/full_listener.rs
@@ -1,6 +1,7 @@
 //! Tests of a listener that has as many connections as it may.
 
 mod common;
+mod waiting;
 
 use {
     bytes::Bytes,
@@ -77,16 +78,6 @@
         streams.collect()
     }
 
-    fn wait(&self, mut is_reached: impl FnMut() -> bool) {
-        for _ in 0..3_000 {
-            if is_reached() {
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        panic!("not reached; {} connections", self.connections.count());
-    }
-
     fn wait_passed_on(&self, path: &str) {
         self.wait(|| {
             let paths = self.passed_on.lock().unwrap();
--- a/crates/net/tests/lingering_close.rs
+++ b/crates/net/tests/lingering_close.rs
@@ -1,6 +1,7 @@
 //! Tests of answers that are still on their way when their connection is closed.
 
 mod common;
+mod waiting;
 
 use {
     bytes::Bytes,
@@ -78,16 +79,6 @@
         }
     }
 
-    fn wait(&self, mut is_reached: impl FnMut() -> bool) {
-        for _ in 0..3_000 {
-            if is_reached() {
-                return;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        panic!("not reached; {} connections", self.connections.count());
-    }
-
     /// Sends a request, waits until it is passed on, and sends these bytes behind it, apart from each
     /// other.
     fn send_with_more_behind(&self, first: &str, behind: &[&[u8]]) -> TcpStream {
