--- a/crates/soak/src/backend_orders.rs
+++ b/crates/soak/src/backend_orders.rs
@@ -3,7 +3,8 @@
 use crate::{answer_body::AnswerBody, prelude::*};
 
 impl BackendProcess {
-    pub(crate) fn grant(&self, order: &KeyOrder) -> Response<AnswerBody> {
+    pub(crate) async fn grant(&self, order: &KeyOrder) -> Response<AnswerBody> {
+        self.pass_silent_orders().await;
         let now = SteadyClock.now();
         let may_be_delayed = self.ledger.may_grant_be_delayed(now);
         let is_accepted = self.keys.lock().unwrap().grant(order, now, may_be_delayed);
@@ -19,6 +20,7 @@
     }
 
     pub(crate) async fn release(&self, order: &KeyOrder) -> Response<AnswerBody> {
+        self.pass_silent_orders().await;
         self.keys.lock().unwrap().release(order);
         let is_repeating = *self.fault.lock().unwrap() == BackendFault::Repeating;
         let last_handover = self.last_handover.lock().unwrap().clone();
@@ -37,6 +39,14 @@
         self.reply_released(last_handover.insert(handover))
     }
 
+    /// Does not return if the server leaves orders unanswered.
+    async fn pass_silent_orders(&self) {
+        let fault = *self.fault.lock().unwrap();
+        if fault == BackendFault::SilentOrders {
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn reply_released(&self, handover: &str) -> Response<AnswerBody> {
         let headers = AnswerHeaders {
             handover: Some(handover),
--- a/crates/soak/src/backend_process.rs
+++ b/crates/soak/src/backend_process.rs
@@ -129,14 +129,9 @@
         if head.uri.path() == soak_routes::HEALTH_PATH {
             return self.reply(StatusCode::OK, AnswerHeaders::default());
         }
-        let call = ServerCall::read(head.uri.path(), &body.to_bytes());
-        let is_order = matches!(call, Some(ServerCall::Grant(_) | ServerCall::Release(_)));
-        if is_order && *self.fault.lock().unwrap() == BackendFault::SilentOrders {
-            std::future::pending::<()>().await;
-        }
-        match call {
+        match ServerCall::read(head.uri.path(), &body.to_bytes()) {
             None => self.reply(StatusCode::BAD_REQUEST, AnswerHeaders::default()),
-            Some(ServerCall::Grant(order)) => self.grant(&order),
+            Some(ServerCall::Grant(order)) => self.grant(&order).await,
             Some(ServerCall::Release(order)) => self.release(&order).await,
             Some(ServerCall::Request) => {
                 let path = head.uri.path();
--- a/crates/soak/src/fault_event.rs
+++ b/crates/soak/src/fault_event.rs
@@ -142,9 +142,7 @@
                     (Duration::from_secs(2), leave(plan.servers)),
                 ]
             }
-            FaultScenario::UnansweredOrders => {
-                Self::unanswered_orders(&mut StdRng::seed_from_u64(plan.seed), plan)
-            }
+            FaultScenario::UnansweredOrders => Self::unanswered_orders(plan),
             FaultScenario::RestingOwner => {
                 vec![(
                     Duration::ZERO,
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -76,9 +76,10 @@
 
     /// Draws two periods in which servers with keys leave orders unanswered: all of them in one, and
     /// some of them in the other.
-    pub(crate) fn unanswered_orders(rng: &mut StdRng, plan: &SoakPlan) -> Vec<(Duration, Self)> {
+    pub(crate) fn unanswered_orders(plan: &SoakPlan) -> Vec<(Duration, Self)> {
         /// Length of a period, in milliseconds.
         const PERIOD_MS: std::ops::Range<u64> = 1_000..3_500;
+        let rng = &mut StdRng::seed_from_u64(plan.seed);
         let some = rng.random_range(1..plan.servers.max(2));
         let mut counts = [plan.servers, some];
         counts.shuffle(rng);
