Leave what comes of refused bodies to the close in two steps

body_refusal read on for 1 s and 1 MiB of a refused body, so that the close did not reset the connection and take the answer along. That is what closing in two steps does for every connection of a listener, for 5 s and 4 MiB, so the special case did the same work once more.

The tests of bodies in the gateway and large_bodies (14) pass unchanged.

--- a/crates/gateway/src/body_reader.rs
+++ b/crates/gateway/src/body_reader.rs
@@ -105,25 +105,3 @@
     let body = writer.finish();
     body.map_err(|denial| BodyError::NoMemory(denial, received))
 }
-
-/// Reads and drops what still comes of a refused body for a short time. A connection that is closed
-/// with unread bytes is reset, and its caller may lose the answer.
-pub(crate) async fn discard(mut body: Incoming) {
-    /// Longest time for which a body is read on.
-    const MAX_TIME: Duration = Duration::from_secs(1);
-    /// Number of bytes after which no more is read.
-    const MAX_BYTES: usize = 1 << 20;
-    let drained = async {
-        let mut read = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            read += frame.data_ref().map_or(0, Bytes::len);
-            if read > MAX_BYTES {
-                break;
-            }
-        }
-    };
-    let timed_out = async {
-        Timer::after(MAX_TIME).await;
-    };
-    future::or(drained, timed_out).await;
-}
--- a/crates/gateway/src/body_refusal.rs
+++ b/crates/gateway/src/body_refusal.rs
@@ -1,14 +1,10 @@
 //! Answers to requests whose bodies are not read to their end, or are evicted before they run.
 
 use crate::{
-    body_reader::{self, BodyError},
-    local_response,
-    prelude::*,
-    request_handler::STOPPING_RETRY_AFTER,
+    body_reader::BodyError, local_response, prelude::*, request_handler::STOPPING_RETRY_AFTER,
     request_log,
 };
 use http::{HeaderValue, header};
-use hyper::body::Incoming;
 
 /// Mean time after which memory is expected to be free again: most requests end within it.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -29,12 +25,8 @@
     MEMORY_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>())
 }
 
-/// Records a refused body and builds the answer. What still comes of the body is dropped.
-pub(crate) fn answer(
-    node: &GatewayNode,
-    refused: &RefusedBody,
-    body: Incoming,
-) -> Response<MessageBody> {
+/// Records a refused body and builds the answer, which closes the connection.
+pub(crate) fn answer(node: &GatewayNode, refused: &RefusedBody) -> Response<MessageBody> {
     let reason = refused.error.label();
     let respond = |status| local_response::with_reason(refused.headers, status, reason);
     let mut response = match refused.error {
@@ -58,7 +50,6 @@
         }
     };
     close_after(&mut response);
-    node.workers.spawn(body_reader::discard(body));
     response
 }
 
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -121,7 +121,7 @@
                 error,
                 announced_bytes,
             };
-            return body_refusal::answer(&node, &refused, body);
+            return body_refusal::answer(&node, &refused);
         }
     };
     let service = match service_choice::choose(&node, route, terms.as_ref()) {
--- a/crates/net/tests/lingering_close.rs
+++ b/crates/net/tests/lingering_close.rs
@@ -159,6 +159,19 @@
     listener.wait_closed();
 }
 
+// Guards against the same where the body of the request is refused before it has come.
+#[test]
+fn answer_before_an_unread_body_is_complete() {
+    let listener = LargeAnswers::start();
+    let head = format!("POST /last HTTP/1.1\r\nhost: x\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+    let stream = listener.send_with_more_behind(&head, &[]);
+    let mut sender = stream.try_clone().unwrap();
+    let sending = thread::spawn(move || sender.write_all(&[b'x'; BODY_BYTES]));
+    assert_eq!(read_slowly(stream), BODY_BYTES);
+    sending.join().unwrap().unwrap();
+    listener.wait_closed();
+}
+
 // Guards against the same where a caller sends a request while its connection is closed as idle.
 #[test]
 fn answer_is_complete_when_a_request_crosses_the_close() {
